Serve one request end to end as separate processes

Adds the configuration document, the audit trail, the store client, the stand-ins for platform and minion, the entry host and the first operator commands.

--- /dev/null
+++ b/command/app.go
@@ -0,0 +1,85 @@
+// Package command holds the subcommands of the egretdrum binary.
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"egretdrum.example/entry"
+	"egretdrum.example/eventlog"
+	"egretdrum.example/settings"
+)
+
+// Version is the release of this binary.
+const Version = "0.1.0"
+
+// App returns the whole command line.
+func App() *cli.Command {
+	return &cli.Command{
+		Name:                  "egretdrum",
+		Usage:                 "fleet capacity and maintenance manager",
+		Version:               Version,
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			entryCommand(),
+			checkConfigCommand(),
+			contractCommand(),
+			keyCommand(),
+			auditCommand(),
+			versionCommand(),
+		},
+	}
+}
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run an entry host",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "config", Required: true, Usage: "settings file (INI)"}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := settings.Load(cmd.String("config"))
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			// After the first signal the handler is removed, so a second one ends the process.
+			context.AfterFunc(ctx, stop)
+			return entry.New(s, eventlog.New(os.Stderr)).Run(ctx)
+		},
+	}
+}
+
+func checkConfigCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check-config",
+		Usage:     "check a settings file and print every fault in it",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 1 {
+				return cli.Exit("check-config needs one FILE", exitUsage)
+			}
+			if _, err := settings.Load(cmd.Args().First()); err != nil {
+				return cli.Exit(err.Error(), exitRefused)
+			}
+			_, err := fmt.Fprintln(cmd.Root().Writer, "ok")
+			return err
+		},
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			_, err := fmt.Fprintln(cmd.Root().Writer, Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/fleet/apply.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"egretdrum.example/change"
+)
+
+// Apply returns the next version of the configuration with c in it. The whole result
+// is validated, so a change that contradicts another object is refused.
+func (cfg *Config) Apply(c change.Change) (*Config, error) {
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	current, err := cfg.object(c.Kind, c.Name)
+	if err != nil {
+		return nil, err
+	}
+	if !sameJSON(current, c.Before) {
+		return nil, &ConflictError{Kind: c.Kind, Name: c.Name, Seen: string(c.Before), Current: string(current)}
+	}
+	next := cfg.clone()
+	if err := next.set(c.Kind, c.Name, c.After); err != nil {
+		return nil, err
+	}
+	if err := next.Validate(); err != nil {
+		return nil, err
+	}
+	next.Version++
+	c.Version = next.Version
+	next.Recent = append(next.Recent, c)
+	return next, nil
+}
+
+// Object returns the JSON form of one object, empty if it does not exist.
+func (cfg *Config) Object(kind, name string) (json.RawMessage, error) {
+	return cfg.object(kind, name)
+}
+
+func (cfg *Config) object(kind, name string) (json.RawMessage, error) {
+	switch kind {
+	case change.KindContract:
+		return encodeEntry(cfg.Contracts, name)
+	case change.KindService:
+		return encodeEntry(cfg.Services, name)
+	case change.KindPool:
+		return encodeEntry(cfg.Pools, name)
+	default:
+		return encodeEntry(cfg.Workers, name)
+	}
+}
+
+func (cfg *Config) set(kind, name string, after json.RawMessage) error {
+	switch kind {
+	case change.KindContract:
+		return decodeEntry(cfg.Contracts, name, after)
+	case change.KindService:
+		return decodeEntry(cfg.Services, name, after)
+	case change.KindPool:
+		return decodeEntry(cfg.Pools, name, after)
+	default:
+		return decodeEntry(cfg.Workers, name, after)
+	}
+}
+
+func encodeEntry[V any](m map[string]V, name string) (json.RawMessage, error) {
+	v, ok := m[name]
+	if !ok {
+		return nil, nil
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, &DecodeError{Err: err}
+	}
+	return b, nil
+}
+
+func decodeEntry[V any](m map[string]V, name string, after json.RawMessage) error {
+	if isEmpty(after) {
+		delete(m, name)
+		return nil
+	}
+	var v V
+	d := json.NewDecoder(bytes.NewReader(after))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&v); err != nil {
+		return &DecodeError{Err: err}
+	}
+	m[name] = v
+	return nil
+}
+
+func sameJSON(a, b json.RawMessage) bool {
+	if isEmpty(a) || isEmpty(b) {
+		return isEmpty(a) && isEmpty(b)
+	}
+	var x, y bytes.Buffer
+	if json.Compact(&x, a) != nil || json.Compact(&y, b) != nil {
+		return false
+	}
+	return bytes.Equal(x.Bytes(), y.Bytes())
+}
+
+func isEmpty(m json.RawMessage) bool { return len(m) == 0 || string(m) == "null" }
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,91 @@
+// Package fleet holds the configuration document of the whole fleet and the rules by
+// which a change to it is accepted. It does no input or output.
+package fleet
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"egretdrum.example/change"
+	"egretdrum.example/contract"
+)
+
+// RecentChanges is the number of changes that stay in the document. Older ones are
+// moved to the audit keys of the store.
+const RecentChanges = 64
+
+// Config is one version of the configuration. It is not changed after it was made, so
+// goroutines share it without a lock.
+type Config struct {
+	Version   uint64                       `json:"version"`
+	Contracts map[string]contract.Contract `json:"contracts"`
+	Services  map[string]Service           `json:"services"`
+	Pools     map[string]Pool              `json:"pools"`
+	Workers   map[string]Worker            `json:"workers"`
+	Recent    []change.Change              `json:"recent-changes"`
+}
+
+// Service is a kind of work that the minions of one pool do.
+type Service struct {
+	Pool string `json:"pool"`
+	// Open services accept requests without a key.
+	Open bool `json:"open"`
+}
+
+// Pool is a set of workers. MinAvailable is its availability budget: the number of
+// workers that must serve at any time.
+type Pool struct {
+	MinAvailable int `json:"min-available"`
+}
+
+// Worker records the one pool that a worker is in. Leaving workers get no new work.
+type Worker struct {
+	Pool    string `json:"pool"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Decode reads a stored document and checks it as a whole.
+func Decode(b []byte) (*Config, error) {
+	cfg := &Config{}
+	if err := json.Unmarshal(b, cfg); err != nil {
+		return nil, &DecodeError{Err: err}
+	}
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return cfg, nil
+}
+
+// Encode returns the stored form.
+func (cfg *Config) Encode() ([]byte, error) {
+	b, err := json.Marshal(cfg)
+	if err != nil {
+		return nil, &DecodeError{Err: err}
+	}
+	return b, nil
+}
+
+// HasChange reports whether the change with this id is among the recent ones. It
+// settles a store write whose answer was lost.
+func (cfg *Config) HasChange(id string) bool {
+	return slices.ContainsFunc(cfg.Recent, func(c change.Change) bool { return c.ID == id })
+}
+
+func (cfg *Config) clone() *Config {
+	return &Config{
+		Version:   cfg.Version,
+		Contracts: cloneMap(cfg.Contracts),
+		Services:  cloneMap(cfg.Services),
+		Pools:     cloneMap(cfg.Pools),
+		Workers:   cloneMap(cfg.Workers),
+		Recent:    slices.Clone(cfg.Recent),
+	}
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/fleet/resolve.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"egretdrum.example/change"
+)
+
+// Resolve turns a qualified or bare name into the qualified name of an existing
+// object. The two former fleets use some names twice, so a bare name counts only when
+// it is unique.
+func (cfg *Config) Resolve(kind, name string) (string, error) {
+	names := cfg.names(kind)
+	if slices.Contains(names, name) {
+		return name, nil
+	}
+	var found []string
+	for _, n := range names {
+		if _, bare, ok := strings.Cut(n, "/"); ok && bare == name {
+			found = append(found, n)
+		}
+	}
+	switch len(found) {
+	case 0:
+		return "", &ReferenceError{Kind: kind, Name: name, From: "the command"}
+	case 1:
+		return found[0], nil
+	default:
+		return "", &AmbiguousError{Kind: kind, Name: name, Candidates: found}
+	}
+}
+
+func (cfg *Config) names(kind string) []string {
+	switch kind {
+	case change.KindContract:
+		return slices.Sorted(maps.Keys(cfg.Contracts))
+	case change.KindService:
+		return slices.Sorted(maps.Keys(cfg.Services))
+	case change.KindPool:
+		return slices.Sorted(maps.Keys(cfg.Pools))
+	default:
+		return slices.Sorted(maps.Keys(cfg.Workers))
+	}
+}
--- /dev/null
+++ b/fleet/validate.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+
+	"egretdrum.example/contract"
+)
+
+// Validate checks the document as a whole: qualified names, references, sums of
+// shares and budgets that could never hold.
+func (cfg *Config) Validate() error {
+	if err := cfg.validateContracts(); err != nil {
+		return err
+	}
+	for name, s := range cfg.Services {
+		if err := checkQualified("service", name); err != nil {
+			return err
+		}
+		if _, ok := cfg.Pools[s.Pool]; !ok {
+			return &ReferenceError{Kind: "pool", Name: s.Pool, From: "service " + name}
+		}
+	}
+	return cfg.validatePools()
+}
+
+func (cfg *Config) validateContracts() error {
+	var shares int64
+	owner := make(map[string]string)
+	for team, c := range cfg.Contracts {
+		if err := checkQualified("team", team); err != nil {
+			return err
+		}
+		if c.Team != team {
+			return &RangeError{Field: "contract " + team + ": team", Value: c.Team, Accepted: team}
+		}
+		if err := c.Validate(); err != nil {
+			return err
+		}
+		for _, k := range c.Keys {
+			if other, ok := owner[k.ID]; ok {
+				return &RangeError{Field: "contract " + team + ": key " + k.ID, Value: "used by " + other, Accepted: "an id of its own"}
+			}
+			owner[k.ID] = team
+		}
+		shares += c.Share
+	}
+	if shares > contract.ShareWhole {
+		return &RangeError{Field: "sum of shares", Value: fmt.Sprint(shares), Accepted: fmt.Sprintf("at most %d millionths", contract.ShareWhole)}
+	}
+	return nil
+}
+
+func (cfg *Config) validatePools() error {
+	size := make(map[string]int, len(cfg.Pools))
+	for name, w := range cfg.Workers {
+		if _, ok := cfg.Pools[w.Pool]; !ok {
+			return &ReferenceError{Kind: "pool", Name: w.Pool, From: "worker " + name}
+		}
+		size[w.Pool]++
+	}
+	for name, p := range cfg.Pools {
+		if err := checkQualified("pool", name); err != nil {
+			return err
+		}
+		if p.MinAvailable < 0 || p.MinAvailable > size[name] {
+			return &RangeError{Field: "pool " + name + ": min-available", Value: fmt.Sprint(p.MinAvailable), Accepted: fmt.Sprintf("0 to %d, the workers in the pool", size[name])}
+		}
+	}
+	return nil
+}
+
+func checkQualified(kind, name string) error {
+	side, bare, ok := strings.Cut(name, "/")
+	if ok && isWord(side) && isWord(bare) {
+		return nil
+	}
+	return &RangeError{Field: kind + " name", Value: fmt.Sprintf("%q", name), Accepted: "side/name with a-z, 0-9 and -"}
+}
+
+func isWord(s string) bool {
+	if s == "" || len(s) > 64 {
+		return false
+	}
+	for _, r := range s {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/minionfake/minion.go
@@ -0,0 +1,136 @@
+// Package minionfake is a stand-in minion with its own record of every run. Tests and
+// the demo judge the system by this record and not by the entry hosts' counters.
+package minionfake
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Run is one request that reached the minion.
+type Run struct {
+	RequestID string
+	Team      string
+	Method    string
+	Started   time.Time
+	Ended     time.Time
+	// Complete is false when the request body or the connection broke off.
+	Complete bool
+}
+
+// Behaviour is what the minion does with requests from now on.
+type Behaviour struct {
+	// Delay is the time that each run takes.
+	Delay time.Duration
+	// FailStatus answers at once with this status when it is not 0.
+	FailStatus int
+	// Silent reads the request and never answers.
+	Silent bool
+	// Truncate sends half of the answer and cuts the connection.
+	Truncate bool
+}
+
+// Minion is one stand-in back end.
+type Minion struct {
+	mu        sync.Mutex
+	name      string
+	behaviour Behaviour
+	runs      []Run
+	running   int
+	peak      int
+}
+
+// New returns a minion that answers each request at once.
+func New(name string) *Minion { return &Minion{name: name} }
+
+// Set replaces the behaviour.
+func (m *Minion) Set(b Behaviour) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.behaviour = b
+}
+
+// Runs returns a copy of the record.
+func (m *Minion) Runs() []Run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]Run(nil), m.runs...)
+}
+
+// Peak returns the largest number of requests that ran at the same time.
+func (m *Minion) Peak() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peak
+}
+
+// ServeHTTP records the run, waits for the run time and echoes the body.
+func (m *Minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n, b := m.begin(r)
+	complete := false
+	defer func() { m.end(n, complete) }()
+	w.Header().Set("Minion", m.name)
+	if b.FailStatus != 0 {
+		complete = true
+		http.Error(w, "failing", b.FailStatus)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if b.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if !pause(r.Context(), b.Delay) {
+		return
+	}
+	complete = true
+	if b.Truncate {
+		truncate(w, body)
+	}
+	_, _ = w.Write(body)
+}
+
+func truncate(w http.ResponseWriter, body []byte) {
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func (m *Minion) begin(r *http.Request) (int, Behaviour) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runs = append(m.runs, Run{
+		RequestID: r.Header.Get("Egretdrum-Request-Id"),
+		Team:      r.Header.Get("Egretdrum-Team"),
+		Method:    r.Method,
+		Started:   time.Now(),
+	})
+	m.running++
+	m.peak = max(m.peak, m.running)
+	return len(m.runs) - 1, m.behaviour
+}
+
+func (m *Minion) end(n int, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running--
+	m.runs[n].Ended = time.Now()
+	m.runs[n].Complete = complete
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/platformfake/platform.go
@@ -0,0 +1,366 @@
+// Package platformfake is a small stand-in for the platform: a key-value service with
+// compare-and-swap, leases and watches, and a lagging list of hosts. Its faults are
+// switched on by tests and by the demo.
+package platformfake
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"egretdrum.example/hostlist"
+	"egretdrum.example/store"
+)
+
+// Platform is one stand-in. The zero value is not usable; call New.
+type Platform struct {
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]entry
+	previous map[string]entry
+	leases   map[string]*lease
+	changed  chan struct{}
+	hosts    []hostlist.Host
+	listed   []hostlist.Host
+	faults   faults
+	counts   map[string]int
+}
+
+type entry struct {
+	value    []byte
+	revision uint64
+	lease    string
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+type faults struct {
+	down       bool
+	delay      time.Duration
+	loseWrites int
+	stale      bool
+}
+
+// New returns an empty platform.
+func New() *Platform {
+	return &Platform{
+		entries:  make(map[string]entry),
+		previous: make(map[string]entry),
+		leases:   make(map[string]*lease),
+		changed:  make(chan struct{}),
+		counts:   make(map[string]int),
+	}
+}
+
+// SetDown makes every call fail, or work again. Leases do not lapse while it is down,
+// because the service's clock for them stops with it.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.down && !down {
+		for _, l := range p.leases {
+			l.expires = time.Now().Add(l.ttl)
+		}
+	}
+	p.faults.down = down
+}
+
+// SetDelay makes every call slow.
+func (p *Platform) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.delay = d
+}
+
+// LoseWrites makes the next n writes take effect without an answer.
+func (p *Platform) LoseWrites(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.loseWrites = n
+}
+
+// SetStale makes reads return the value before the newest one.
+func (p *Platform) SetStale(stale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.stale = stale
+}
+
+// SetHosts replaces the hosts. The list that clients read follows at PublishHosts.
+func (p *Platform) SetHosts(hosts []hostlist.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = append([]hostlist.Host(nil), hosts...)
+}
+
+// PublishHosts makes the current hosts visible to clients.
+func (p *Platform) PublishHosts() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = append([]hostlist.Host(nil), p.hosts...)
+}
+
+// Calls returns the number of calls of each operation so far.
+func (p *Platform) Calls() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[string]int, len(p.counts))
+	for op, n := range p.counts {
+		counts[op] = n
+	}
+	return counts
+}
+
+// Handler returns the HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv/{key...}", p.wrap("get", p.get))
+	mux.HandleFunc("PUT /kv/{key...}", p.wrap("put", p.put))
+	mux.HandleFunc("DELETE /kv/{key...}", p.wrap("delete", p.remove))
+	mux.HandleFunc("GET /watch/{key...}", p.wrap("watch", p.watch))
+	mux.HandleFunc("GET /keys", p.wrap("keys", p.keys))
+	mux.HandleFunc("POST /leases", p.wrap("grant-lease", p.grantLease))
+	mux.HandleFunc("PUT /leases/{id}", p.wrap("renew-lease", p.renewLease))
+	mux.HandleFunc("DELETE /leases/{id}", p.wrap("end-lease", p.endLease))
+	mux.HandleFunc("GET /hosts", p.wrap("hosts", p.listHosts))
+	return mux
+}
+
+// wrap counts the call and applies the faults that concern every call.
+func (p *Platform) wrap(op string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.counts[op]++
+		f := p.faults
+		p.mu.Unlock()
+		if f.delay > 0 && !pause(r.Context(), f.delay) {
+			return
+		}
+		if f.down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.lapse(time.Now())
+	e, ok := p.entries[r.PathValue("key")]
+	if old, found := p.previous[r.PathValue("key")]; p.faults.stale && found {
+		e = old
+	}
+	p.mu.Unlock()
+	answer(w, e, ok)
+}
+
+func answer(w http.ResponseWriter, e entry, ok bool) {
+	if !ok {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Revision", strconv.FormatUint(e.revision, 10))
+	_, _ = w.Write(e.value)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
+	if err != nil || len(value) > store.MaxValueBytes {
+		http.Error(w, "value too large or cut off", http.StatusRequestEntityTooLarge)
+		return
+	}
+	prev, err := strconv.ParseUint(r.URL.Query().Get("prev-revision"), 10, 64)
+	if err != nil {
+		http.Error(w, "prev-revision must be a number", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lapse(time.Now())
+	key, id := r.PathValue("key"), r.URL.Query().Get("lease")
+	if id != "" && p.leases[id] == nil {
+		http.Error(w, "lease not found", http.StatusNotFound)
+		return
+	}
+	old := p.entries[key]
+	if old.revision != prev {
+		w.Header().Set("Revision", strconv.FormatUint(old.revision, 10))
+		http.Error(w, "revision differs", http.StatusConflict)
+		return
+	}
+	p.write(key, entry{value: value, lease: id})
+	p.acknowledge(w, p.entries[key])
+}
+
+// acknowledge answers a write, or drops the connection when the answer is to be lost.
+func (p *Platform) acknowledge(w http.ResponseWriter, e entry) {
+	if p.faults.loseWrites > 0 {
+		p.faults.loseWrites--
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Revision", strconv.FormatUint(e.revision, 10))
+}
+
+// write stores an entry, or removes it when the value is nil, and wakes the watches.
+func (p *Platform) write(key string, e entry) {
+	p.revision++
+	if old, ok := p.entries[key]; ok {
+		p.previous[key] = old
+	}
+	e.revision = p.revision
+	if e.value == nil {
+		delete(p.entries, key)
+	} else {
+		p.entries[key] = e
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lapse(time.Now())
+	key := r.PathValue("key")
+	old, ok := p.entries[key]
+	if !ok {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	if r.URL.Query().Get("prev-revision") != strconv.FormatUint(old.revision, 10) {
+		w.Header().Set("Revision", strconv.FormatUint(old.revision, 10))
+		http.Error(w, "revision differs", http.StatusConflict)
+		return
+	}
+	p.write(key, entry{})
+	p.acknowledge(w, entry{revision: p.revision})
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a number", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "wait must be a duration", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	for {
+		p.mu.Lock()
+		p.lapse(time.Now())
+		e, ok := p.entries[r.PathValue("key")]
+		changed := p.changed
+		p.mu.Unlock()
+		if ok && e.revision > after {
+			answer(w, e, true)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			http.Error(w, "no newer value", http.StatusNotFound)
+			return
+		}
+	}
+}
+
+func (p *Platform) keys(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.lapse(time.Now())
+	keys := make([]string, 0)
+	for key := range p.entries {
+		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) {
+			keys = append(keys, key)
+		}
+	}
+	p.mu.Unlock()
+	sort.Strings(keys)
+	_ = json.NewEncoder(w).Encode(keys)
+}
+
+func (p *Platform) grantLease(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		http.Error(w, "ttl must be a positive duration", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.revision++
+	id := fmt.Sprintf("lease-%d", p.revision)
+	p.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	p.mu.Unlock()
+	_, _ = io.WriteString(w, id)
+}
+
+func (p *Platform) renewLease(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.lapse(now)
+	l := p.leases[r.PathValue("id")]
+	if l == nil {
+		http.Error(w, "lease not found", http.StatusNotFound)
+		return
+	}
+	l.expires = now.Add(l.ttl)
+}
+
+func (p *Platform) endLease(_ http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.leases[r.PathValue("id")]; l != nil {
+		l.expires = time.Time{}
+	}
+	p.lapse(time.Now())
+}
+
+// lapse removes leases that have run out, with their keys.
+func (p *Platform) lapse(now time.Time) {
+	if p.faults.down {
+		return
+	}
+	for id, l := range p.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		delete(p.leases, id)
+		for key, e := range p.entries {
+			if e.lease == id {
+				p.write(key, entry{})
+			}
+		}
+	}
+}
+
+func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	listed := p.listed
+	p.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(listed)
+}
--- /dev/null
+++ b/teamkey/key.go
@@ -0,0 +1,73 @@
+// Package teamkey makes and verifies the keys that client accounts send with each request.
+package teamkey
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+const (
+	prefix      = "egk"
+	idBytes     = 6
+	secretBytes = 32
+	saltBytes   = 16
+)
+
+// Key is the stored form of a team key. It holds a salted hash, so reading the
+// configuration does not reveal a usable key.
+type Key struct {
+	ID      string    `json:"id"`
+	Salt    []byte    `json:"salt"`
+	Hash    []byte    `json:"hash"`
+	GivenAt time.Time `json:"given-at"`
+}
+
+// RandomError reports that the random source failed.
+type RandomError struct{ Err error }
+
+func (e *RandomError) Error() string { return fmt.Sprintf("read random bytes for a key: %v", e.Err) }
+func (e *RandomError) Unwrap() error { return e.Err }
+
+// Generate makes a new key from random bytes. The secret is shown to the operator
+// once and is not stored.
+func Generate(random io.Reader, now time.Time) (secret string, key Key, err error) {
+	buf := make([]byte, idBytes+secretBytes+saltBytes)
+	if _, err := io.ReadFull(random, buf); err != nil {
+		return "", Key{}, &RandomError{Err: err}
+	}
+	id := encode(buf[:idBytes])
+	secret = prefix + "." + id + "." + encode(buf[idBytes:idBytes+secretBytes])
+	salt := buf[idBytes+secretBytes:]
+	return secret, Key{ID: id, Salt: salt, Hash: hash(salt, secret), GivenAt: now.UTC()}, nil
+}
+
+// ID returns the public part of a secret, by which its stored form is looked up.
+func ID(secret string) (id string, ok bool) {
+	rest, ok := strings.CutPrefix(secret, prefix+".")
+	if !ok {
+		return "", false
+	}
+	id, _, ok = strings.Cut(rest, ".")
+	return id, ok && id != ""
+}
+
+// Verify reports whether secret is the one that k was made with. It takes the same
+// time for every wrong secret. One round of SHA-256 is enough because the secret has
+// 256 random bits and cannot be guessed from a word list.
+func (k Key) Verify(secret string) bool {
+	return subtle.ConstantTimeCompare(hash(k.Salt, secret), k.Hash) == 1
+}
+
+func hash(salt []byte, secret string) []byte {
+	h := sha256.New()
+	h.Write(salt)
+	h.Write([]byte(secret))
+	return h.Sum(nil)
+}
+
+func encode(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
--- /dev/null
+++ b/teamkey/key_test.go
@@ -0,0 +1,41 @@
+package teamkey
+
+import (
+	"bytes"
+	"crypto/rand"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestVerify(t *testing.T) {
+	c := qt.New(t)
+	secret, key, err := Generate(rand.Reader, time.Unix(0, 0))
+	c.Assert(err, qt.IsNil)
+	id, ok := ID(secret)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(id, qt.Equals, key.ID)
+	c.Check(key.Verify(secret), qt.IsTrue)
+	// Guards against comparing only the id or a prefix of the secret.
+	c.Check(key.Verify(secret+"x"), qt.IsFalse)
+	c.Check(key.Verify(secret[:len(secret)-1]), qt.IsFalse)
+	c.Check(Key{}.Verify(secret), qt.IsFalse)
+	// Guards against storing the secret itself.
+	c.Check(strings.Contains(string(key.Hash)+string(key.Salt), secret), qt.IsFalse)
+}
+
+func TestGenerateShortRandom(t *testing.T) {
+	_, _, err := Generate(bytes.NewReader(nil), time.Unix(0, 0))
+	var random *RandomError
+	qt.Assert(t, errors.As(err, &random), qt.IsTrue)
+}
+
+func TestIDMalformed(t *testing.T) {
+	for _, s := range []string{"", "egk", "egk.", "egk..x", "other.abc.def"} {
+		_, ok := ID(s)
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("%q", s))
+	}
+}
