Add the demo with verdicts from the minions' own records

Cause: nothing showed yet which of the lasting rules the thin path breaks. Change: the demo drives two client accounts' traffic through three entry hosts on embedded stand-ins and judges the minions' records.

--- a/command/app.go
+++ b/command/app.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"egretdrum.example/demo"
 	"egretdrum.example/entry"
 	"egretdrum.example/eventlog"
 	"egretdrum.example/settings"
@@ -31,6 +32,7 @@
 			contractCommand(),
 			keyCommand(),
 			auditCommand(),
+			demoCommand(),
 			versionCommand(),
 		},
 	}
@@ -50,7 +52,11 @@
 			defer stop()
 			// After the first signal the handler is removed, so a second one ends the process.
 			context.AfterFunc(ctx, stop)
-			return entry.New(s, eventlog.New(os.Stderr)).Run(ctx)
+			h := entry.New(s, eventlog.New(os.Stderr))
+			if err := h.Listen(ctx); err != nil {
+				return err
+			}
+			return h.Run(ctx)
 		},
 	}
 }
@@ -73,6 +79,16 @@
 	}
 }
 
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run the whole system on embedded stand-ins and judge it",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return demo.New(cmd.Root().Writer).Run(ctx)
+		},
+	}
+}
+
 func versionCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "version",
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,223 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"egretdrum.example/refusal"
+)
+
+const (
+	// A burst is five times the mean of 400 requests a second and more than the 1,600
+	// that 4 minions with 8 slots of 20 ms can answer. Between bursts a queue drops to a
+	// twentieth of the mean.
+	meanRate   = 400
+	burstRate  = 5 * meanRate
+	quietRate  = meanRate / 20
+	burstTime  = time.Second
+	tick       = 10 * time.Millisecond
+	fillTime   = 6 * time.Second
+	timeout    = 2 * time.Second
+	maxCallers = 4000
+)
+
+// outcome is what a caller saw of one request.
+type outcome struct {
+	id, team, method string
+	status           int
+	refused, run     string
+	// lost is set when the connection ended without an answer.
+	lost bool
+	// crossed is set when the answer is not the echo of this request.
+	crossed bool
+}
+
+// flow is the requests of one team to one service.
+type flow struct {
+	service, team string
+	part          float64 // of the service's rate
+}
+
+// load sends requests of both client accounts and keeps what the callers saw.
+type load struct {
+	stage  *stage
+	client *http.Client
+	slots  chan struct{}
+	calls  sync.WaitGroup
+
+	mu       sync.Mutex
+	keys     map[string]string // by team
+	outcomes []outcome
+	sent     int
+	filling  bool
+}
+
+func newLoad(s *stage) *load {
+	return &load{
+		stage:  s,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		slots:  make(chan struct{}, maxCallers),
+		keys:   make(map[string]string),
+	}
+}
+
+func (l *load) setKey(team, secret string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keys[team] = secret
+}
+
+func (l *load) setFilling() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.filling = true
+}
+
+func (l *load) progress() (sent, answered int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range l.outcomes {
+		if o.run == refusal.RunYes {
+			answered++
+		}
+	}
+	return l.sent, answered
+}
+
+// run sends requests at the planned rates until ctx ends, then waits for the answers.
+func (l *load) run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	random := rand.New(rand.NewPCG(1, 2))
+	owed := make(map[string]float64)
+	start := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+			l.sendDue(random, owed, time.Since(start))
+		case <-ctx.Done():
+			l.calls.Wait()
+			return
+		}
+	}
+}
+
+func (l *load) sendDue(random *rand.Rand, owed map[string]float64, elapsed time.Duration) {
+	services := 0
+	for _, side := range sides {
+		for _, service := range side.services {
+			name := side.name + "/" + service
+			owed[name] += l.rate(name, services, elapsed) * tick.Seconds()
+			services++
+			for ; owed[name] >= 1; owed[name]-- {
+				l.start(random, side, name)
+			}
+		}
+	}
+}
+
+// rate gives each service a burst in turn. While shares are measured, only the first
+// service is loaded, with more than it can answer.
+func (l *load) rate(name string, n int, elapsed time.Duration) float64 {
+	l.mu.Lock()
+	filling := l.filling
+	l.mu.Unlock()
+	switch {
+	case filling && name == fillService:
+		return 1.5 * burstRate
+	case filling:
+		return 0
+	case int(elapsed/burstTime)%4 == n:
+		return burstRate
+	default:
+		return quietRate
+	}
+}
+
+func (l *load) start(random *rand.Rand, side side, service string) {
+	t := side.teams[random.IntN(len(side.teams))]
+	method := http.MethodPost
+	if random.IntN(10) < 3 {
+		method = http.MethodGet
+	}
+	urgent := random.IntN(10) == 0
+	l.mu.Lock()
+	l.sent++
+	o := outcome{id: fmt.Sprintf("demo-%d", l.sent), team: side.name + "/" + t.name, method: method}
+	key := l.keys[o.team]
+	l.mu.Unlock()
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		l.mu.Lock()
+		l.sent--
+		l.mu.Unlock()
+		return
+	}
+	l.calls.Go(func() {
+		l.call(&o, service, key, urgent)
+		<-l.slots
+		l.mu.Lock()
+		l.outcomes = append(l.outcomes, o)
+		l.mu.Unlock()
+	})
+}
+
+// call sends one request through a ready entry host, as the platform's balancer would.
+// A refused connection means that nothing was sent, so the balancer tries another host.
+func (l *load) call(o *outcome, service, key string, urgent bool) {
+	for try := range entryHosts {
+		hosts := l.stage.ready()
+		if len(hosts) == 0 {
+			o.lost = true
+			return
+		}
+		host := hosts[(len(o.id)*31+int(o.id[len(o.id)-1])+try)%len(hosts)]
+		resp, err := l.client.Do(l.request(o, host.CallersAddr().String(), service, key, urgent))
+		if err != nil {
+			if strings.Contains(err.Error(), "connection refused") {
+				continue
+			}
+			o.lost = true
+			return
+		}
+		l.read(o, resp)
+		return
+	}
+	o.lost = true
+}
+
+func (l *load) request(o *outcome, address, service, key string, urgent bool) *http.Request {
+	var body io.Reader
+	if o.method == http.MethodPost {
+		body = strings.NewReader(o.id)
+	}
+	req, err := http.NewRequest(o.method, "http://"+address+"/"+service+"/demo", body)
+	if err != nil {
+		panic(err) // the parts are constants of this package
+	}
+	req.Header.Set(refusal.HeaderKey, key)
+	req.Header.Set(refusal.HeaderRequestID, o.id)
+	req.Header.Set(refusal.HeaderTimeout, timeout.String())
+	req.Header.Set(refusal.HeaderUrgent, fmt.Sprint(urgent))
+	return req
+}
+
+func (l *load) read(o *outcome, resp *http.Response) {
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	o.status = resp.StatusCode
+	o.refused = resp.Header.Get(refusal.HeaderRefusal)
+	o.run = resp.Header.Get(refusal.HeaderRun)
+	o.lost = err != nil
+	if o.run == refusal.RunYes && o.method == http.MethodPost {
+		o.crossed = string(body) != o.id
+	}
+	o.crossed = o.crossed || resp.Header.Get(refusal.HeaderRequestID) != o.id
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,61 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// shownBroken bounds the list of broken rules in the output.
+const shownBroken = 10
+
+// report is the result of one run.
+type report struct {
+	sent, answered, refused, unknown, lost, twice int
+
+	withdrawn, givenAgain time.Time
+	withdrawal            time.Duration
+	rollOuts              []time.Duration
+	moves                 int
+	shareDistance         float64
+	shareMeasured         bool
+	broken                []string
+}
+
+func (r *report) print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, value) }
+	_, _ = fmt.Fprintln(t)
+	row("requests sent", r.sent)
+	row("answered by a minion", r.answered)
+	row("refused as not run", r.refused)
+	row("outcome unknown", r.unknown)
+	row("lost", r.lost)
+	row("run twice", r.twice)
+	row("key withdrawal time", r.withdrawal.Round(time.Millisecond))
+	row("roll-out time, longest", longest(r.rollOuts))
+	row("buffer cost", "not measured")
+	row("moves", r.moves)
+	row("distance to share", r.share())
+	row("broken rules", len(r.broken))
+	for _, b := range r.broken[:min(len(r.broken), shownBroken)] {
+		row("", b)
+	}
+	_ = t.Flush()
+}
+
+func (r *report) share() string {
+	if !r.shareMeasured {
+		return "not measured"
+	}
+	return fmt.Sprintf("%.1f%%", 100*r.shareDistance)
+}
+
+func longest(d []time.Duration) string {
+	if len(d) == 0 {
+		return "not measured"
+	}
+	return slices.Max(d).Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/demo/steps.go
@@ -0,0 +1,200 @@
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"egretdrum.example/change"
+	"egretdrum.example/contract"
+	"egretdrum.example/entry"
+	"egretdrum.example/fleet"
+	"egretdrum.example/operator"
+	"egretdrum.example/refusal"
+	"egretdrum.example/teamkey"
+)
+
+const (
+	fillService   = "tengri/pairings"
+	withdrawnTeam = "tengri/guests"
+	movedWorker   = "tengri-portal-1"
+	probeInterval = 5 * time.Millisecond
+	probeTimeout  = 10 * time.Second
+)
+
+// prepare starts the entry hosts and sets the configuration through the operator API.
+func (d *Demo) prepare(ctx context.Context) error {
+	for n := range entryHosts {
+		if err := d.stage.startEntry(ctx, entryName(n), sides[0].zones[n]); err != nil {
+			return &StepError{Step: "start " + entryName(n), Err: err}
+		}
+	}
+	for _, side := range sides {
+		if err := d.configure(ctx, side); err != nil {
+			return &StepError{Step: "configure " + side.name, Err: err}
+		}
+	}
+	d.printf("%d entry hosts, %d minions, 2 client accounts\n", entryHosts, len(d.stage.minions))
+	return nil
+}
+
+func (d *Demo) configure(ctx context.Context, side side) error {
+	for n, pool := range side.pools {
+		name := side.name + "/" + pool
+		if err := d.set(ctx, change.KindPool, name, fleet.Pool{}); err != nil {
+			return err
+		}
+		for m := range minionsPerPool {
+			if err := d.set(ctx, change.KindWorker, workerName(side.name, pool, m), fleet.Worker{Pool: name}); err != nil {
+				return err
+			}
+		}
+		if n < len(side.services) {
+			if err := d.set(ctx, change.KindService, side.name+"/"+side.services[n], fleet.Service{Pool: name}); err != nil {
+				return err
+			}
+		}
+	}
+	for _, t := range side.teams {
+		secret, key, err := teamkey.Generate(rand.Reader, time.Now())
+		if err != nil {
+			return err
+		}
+		name := side.name + "/" + t.name
+		c := contract.Contract{Team: name, Share: t.share, Limit: t.limit, Keys: []teamkey.Key{key}}
+		if err := d.set(ctx, change.KindContract, name, c); err != nil {
+			return err
+		}
+		d.load.setKey(name, secret)
+	}
+	return nil
+}
+
+// set submits one change and notes the time until all entry hosts have it.
+func (d *Demo) set(ctx context.Context, kind, name string, after any) error {
+	api := "http://" + d.stage.ready()[0].OperatorAddr().String()
+	cfg, err := operator.Fetch(ctx, api)
+	if err != nil {
+		return err
+	}
+	before, err := cfg.Object(kind, name)
+	if err != nil {
+		return err
+	}
+	b, err := json.Marshal(after)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	version, _, err := operator.Submit(ctx, api, change.Change{
+		ID: rand.Text(), Operator: "demo", Action: "set-" + kind, Kind: kind, Name: name, Before: before, After: b,
+	})
+	if err != nil {
+		return err
+	}
+	err = d.waitFor(ctx, func() bool {
+		for _, h := range d.stage.ready() {
+			if h.ConfigVersion() < version {
+				return false
+			}
+		}
+		return true
+	})
+	d.report.rollOuts = append(d.report.rollOuts, time.Since(started))
+	return err
+}
+
+func (d *Demo) waitFor(ctx context.Context, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// withdrawKey ends the key of one team and probes every entry host with it.
+func (d *Demo) withdrawKey(ctx context.Context) error {
+	api := "http://" + d.stage.ready()[0].OperatorAddr().String()
+	cfg, err := operator.Fetch(ctx, api)
+	if err != nil {
+		return err
+	}
+	c := cfg.Contracts[withdrawnTeam]
+	c, _ = c.WithoutKey(c.Keys[0].ID)
+	started := time.Now()
+	if err := d.set(ctx, change.KindContract, withdrawnTeam, c); err != nil {
+		return err
+	}
+	for _, h := range d.stage.ready() {
+		if err := d.waitFor(ctx, func() bool { return d.refuses(ctx, h) }); err != nil {
+			return err
+		}
+	}
+	d.report.withdrawn = time.Now()
+	d.report.withdrawal = time.Since(started)
+	return nil
+}
+
+func (d *Demo) refuses(ctx context.Context, h *entry.Host) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/%s/probe", h.CallersAddr(), fillService), nil)
+	if err != nil {
+		return false
+	}
+	d.load.mu.Lock()
+	req.Header.Set(refusal.HeaderKey, d.load.keys[withdrawnTeam])
+	d.load.mu.Unlock()
+	resp, err := d.load.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.Header.Get(refusal.HeaderRefusal) == string(refusal.KeyUnknown)
+}
+
+// moveWorker drains a worker of the spare pool and admits it to a serving pool.
+func (d *Demo) moveWorker(ctx context.Context) error {
+	if err := d.set(ctx, change.KindWorker, movedWorker, fleet.Worker{Pool: "tengri/portal", Leaving: true}); err != nil {
+		return err
+	}
+	if err := d.set(ctx, change.KindWorker, movedWorker, fleet.Worker{Pool: "tengri/rounds"}); err != nil {
+		return err
+	}
+	d.report.moves++
+	return nil
+}
+
+func (d *Demo) stopEntry(context.Context) error { return d.stage.stopEntry(entryName(1)) }
+
+func (d *Demo) replaceEntry(ctx context.Context) error {
+	return d.stage.startEntry(ctx, entryName(entryHosts), sides[0].zones[1])
+}
+
+// fill loads one pool beyond its capacity; the withdrawn team gets a new key first.
+func (d *Demo) fill(ctx context.Context) error {
+	api := "http://" + d.stage.ready()[0].OperatorAddr().String()
+	cfg, err := operator.Fetch(ctx, api)
+	if err != nil {
+		return err
+	}
+	secret, key, err := teamkey.Generate(rand.Reader, time.Now())
+	if err != nil {
+		return err
+	}
+	if err := d.set(ctx, change.KindContract, withdrawnTeam, cfg.Contracts[withdrawnTeam].WithKey(key)); err != nil {
+		return err
+	}
+	d.report.givenAgain = time.Now()
+	d.load.setKey(withdrawnTeam, secret)
+	d.load.setFilling()
+	return nil
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -7,7 +7,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,6 +37,7 @@
 	hosts   []hostlist.Host
 	running map[string]int // by worker
 
+	ready     atomic.Bool
 	callers   net.Listener
 	operators net.Listener
 }
@@ -54,12 +57,26 @@
 	return h
 }
 
-// Run serves until ctx ends, then shuts down gracefully.
+// CallersAddr returns the address for callers after Listen.
+func (h *Host) CallersAddr() netip.AddrPort { return addrPort(h.callers) }
+
+// OperatorAddr returns the address of the operator API after Listen.
+func (h *Host) OperatorAddr() netip.AddrPort { return addrPort(h.operators) }
+
+func addrPort(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Ready reports whether the balancer may send callers here.
+func (h *Host) Ready() bool { return h.ready.Load() }
+
+// ConfigVersion returns the version of the configuration in force on this host.
+func (h *Host) ConfigVersion() uint64 { return h.keeper.Config().Version }
+
+// Run serves until ctx ends, then shuts down gracefully. Listen must have succeeded.
 func (h *Host) Run(ctx context.Context) error {
-	if err := h.listen(ctx); err != nil {
-		return err
-	}
 	h.refresh(ctx)
+	h.ready.Store(true)
 	callers := h.serve(h.callers, http.HandlerFunc(h.serveCaller))
 	operators := h.serve(h.operators, h.api.Handler())
 	h.log.Info("entry-started", zap.String("name", h.settings.Name), zap.Stringer("callers", h.callers.Addr()))
@@ -70,12 +87,14 @@
 		case <-ticker.C:
 			h.refresh(ctx)
 		case <-ctx.Done():
+			h.ready.Store(false)
 			return h.shutdown(callers, operators)
 		}
 	}
 }
 
-func (h *Host) listen(ctx context.Context) error {
+// Listen opens the addresses of the settings.
+func (h *Host) Listen(ctx context.Context) error {
 	var lc net.ListenConfig
 	var err error
 	if h.callers, err = lc.Listen(ctx, "tcp", h.settings.CallersAddress.String()); err != nil {
