Add authenticated links between entry hosts

Cause: entry hosts had no way to exchange control messages.

Change: package peer keeps one WebSocket for each pair of hosts with CBOR messages. The dialing side speaks first in the handshake: when both sides sent their hello at once, two hosts over an unbuffered connection waited for each other.

--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,191 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+
+	"github.com/coder/websocket"
+)
+
+// Kinds of the handshake. Both sides send hello, then the accepting side sends its
+// proof, then the dialing side.
+const (
+	kindHello = "hello"
+	kindProof = "proof"
+)
+
+const (
+	nonceBytes = 32
+	// handshakeVersion stands in envelopes that are sent before a version is chosen.
+	handshakeVersion = 0
+)
+
+type hello struct {
+	Lowest      uint16 `cbor:"lowest-version"`
+	Highest     uint16 `cbor:"highest-version"`
+	Name        string `cbor:"name"`
+	Incarnation uint64 `cbor:"incarnation"`
+	Zone        string `cbor:"zone"`
+	Nonce       []byte `cbor:"nonce"`
+}
+
+type proof struct {
+	MAC []byte `cbor:"mac"`
+}
+
+type role string
+
+const (
+	dialing   role = "dialing"
+	accepting role = "accepting"
+)
+
+func (r role) other() role {
+	if r == dialing {
+		return accepting
+	}
+	return dialing
+}
+
+// handshake is one run of the mutual authentication.
+type handshake struct {
+	mesh *Mesh
+	conn *websocket.Conn
+	role role
+	// peer is the expected name; the accepting side learns it from the hello.
+	peer   string
+	theirs hello
+	// sent and received are the encoded hellos.
+	sent, received []byte
+}
+
+// run authenticates the other side and returns its hello and the chosen version.
+func (h *handshake) run(ctx context.Context) (hello, uint16, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.mesh.tuning.handshakeTimeout)
+	defer cancel()
+	steps := []func(context.Context) error{h.sendHello, h.receiveHello, h.checkProof, h.sendProof}
+	if h.role == accepting {
+		steps = []func(context.Context) error{h.receiveHello, h.sendHello, h.sendProof, h.checkProof}
+	}
+	for i, step := range steps {
+		if err := step(ctx); err != nil {
+			return hello{}, 0, err
+		}
+		if i != 1 {
+			continue
+		}
+		// Both sides have the other's hello here, so both can name the versions.
+		if _, err := h.version(); err != nil {
+			return hello{}, 0, err
+		}
+	}
+	version, err := h.version()
+	return h.theirs, version, err
+}
+
+func (h *handshake) sendHello(ctx context.Context) error {
+	cfg, t := h.mesh.cfg, h.mesh.tuning
+	nonce := make([]byte, nonceBytes)
+	if _, err := rand.Read(nonce); err != nil {
+		return &LinkError{Peer: h.peer, Op: "make a nonce", Err: err}
+	}
+	return h.send(ctx, kindHello, hello{t.lowest, t.highest, cfg.Name, cfg.Incarnation, cfg.Zone, nonce})
+}
+
+func (h *handshake) receiveHello(ctx context.Context) error {
+	var err error
+	if h.received, err = h.receive(ctx, kindHello, &h.theirs); err != nil {
+		return err
+	}
+	return h.checkHello()
+}
+
+func (h *handshake) checkHello() error {
+	if len(h.theirs.Nonce) != nonceBytes {
+		return &MalformedError{Peer: h.peer, Kind: kindHello, Place: "nonce", Err: errors.New("wrong length")}
+	}
+	if h.role == accepting {
+		h.peer = h.theirs.Name
+	}
+	if h.theirs.Name != h.peer {
+		return &AuthError{Peer: h.peer, Reason: "the host calls itself " + h.theirs.Name}
+	}
+	if h.role == accepting && h.peer >= h.mesh.cfg.Name {
+		return &AuthError{Peer: h.peer, Reason: "only hosts whose names sort before " + h.mesh.cfg.Name + " may connect to it"}
+	}
+	return nil
+}
+
+// version returns the highest common version.
+func (h *handshake) version() (uint16, error) {
+	t := h.mesh.tuning
+	v := min(t.highest, h.theirs.Highest)
+	if v < max(t.lowest, h.theirs.Lowest) {
+		return 0, &VersionError{h.peer, t.lowest, t.highest, h.theirs.Lowest, h.theirs.Highest}
+	}
+	return v, nil
+}
+
+func (h *handshake) sendProof(ctx context.Context) error {
+	return h.send(ctx, kindProof, proof{MAC: h.mac(h.role)})
+}
+
+func (h *handshake) checkProof(ctx context.Context) error {
+	var p proof
+	if _, err := h.receive(ctx, kindProof, &p); err != nil {
+		return err
+	}
+	if !hmac.Equal(p.MAC, h.mac(h.role.other())) {
+		return &AuthError{Peer: h.peer, Reason: "wrong proof of the cluster secret"}
+	}
+	return nil
+}
+
+// mac covers the prover's role and both encoded hellos in the order dialing, accepting,
+// and so both nonces, names, roles, incarnations and version ranges: a proof cannot be
+// reflected to its sender, and versions cannot be lowered on the way.
+func (h *handshake) mac(prover role) []byte {
+	first, second := h.sent, h.received
+	if h.role == accepting {
+		first, second = second, first
+	}
+	m := hmac.New(sha256.New, h.mesh.cfg.Secret)
+	for _, part := range [][]byte{[]byte("egretdrum peer link"), []byte(prover), first, second} {
+		_, _ = m.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
+		_, _ = m.Write(part)
+	}
+	return m.Sum(nil)
+}
+
+func (h *handshake) send(ctx context.Context, kind string, body any) error {
+	b, err := encode(handshakeVersion, kind, body)
+	if err != nil {
+		return err
+	}
+	if kind == kindHello {
+		h.sent = b
+	}
+	if err := h.conn.Write(ctx, websocket.MessageBinary, b); err != nil {
+		return &LinkError{Peer: h.peer, Op: "send " + kind, Err: err}
+	}
+	return nil
+}
+
+func (h *handshake) receive(ctx context.Context, kind string, v any) ([]byte, error) {
+	b, err := readMessage(ctx, h.conn, h.peer)
+	if err != nil {
+		return nil, err
+	}
+	msg, err := decode(h.peer, b)
+	if err != nil {
+		return nil, err
+	}
+	if msg.Kind != kind {
+		return nil, &MalformedError{Peer: h.peer, Kind: msg.Kind, Place: "kind", Err: errors.New("expected " + kind)}
+	}
+	return b, msg.Decode(v)
+}
