command, operator: complete the operator commands

Cause: operators could set a contract, give and withdraw a key and read the audit trail; pools, services, status and explanations had no command, and every failure ended with code 1.

The operator API answers /behind, /status and /explain from function fields, and from the configuration when they are not set.

Conclusion: the entry host has to fill in API.Behind, API.Status and API.Explain to report members, use and requests.

--- a/command/app.go
+++ b/command/app.go
@@ -20,7 +20,7 @@
 
 // App returns the whole command line.
 func App() *cli.Command {
-	return &cli.Command{
+	return usageErrors(&cli.Command{
 		Name:                  "egretdrum",
 		Usage:                 "fleet capacity and maintenance manager",
 		Version:               Version,
@@ -30,10 +30,14 @@
 			checkConfigCommand(),
 			contractCommand(),
 			keyCommand(),
+			poolCommand(),
+			serviceCommand(),
 			auditCommand(),
+			statusCommand(),
+			explainCommand(),
 			versionCommand(),
 		},
-	}
+	})
 }
 
 func entryCommand() *cli.Command {
--- /dev/null
+++ b/command/key.go
@@ -0,0 +1,66 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"egretdrum.example/change"
+	"egretdrum.example/teamkey"
+)
+
+func keyCommand() *cli.Command {
+	return group(
+		"key", "give and withdraw team keys",
+		leaf{name: "give", usage: "make a key and show it once", args: "TEAM", complete: change.KindContract, changes: true, run: giveKey},
+		leaf{name: "withdraw", usage: "end a key", args: "TEAM KEY-ID", complete: change.KindContract, changes: true, run: withdrawKey},
+		leaf{name: "list", usage: "list the keys of a team", args: "TEAM", complete: change.KindContract, run: listKeys},
+	)
+}
+
+func giveKey(ctx context.Context, op *operation) error {
+	c, err := op.contract()
+	if err != nil {
+		return err
+	}
+	secret, key, err := teamkey.Generate(rand.Reader, time.Now())
+	if err != nil {
+		return err
+	}
+	return op.propose(ctx, proposal{action: "give-key", kind: change.KindContract, name: c.Team, value: c.WithKey(key)}, secret)
+}
+
+// withdrawKey asks for no confirmation: it cuts no running request, and a key that
+// became known to others has to end at once.
+func withdrawKey(ctx context.Context, op *operation) error {
+	c, err := op.contract()
+	if err != nil {
+		return err
+	}
+	next, ok := c.WithoutKey(op.arg(1))
+	if !ok {
+		return cli.Exit(fmt.Sprintf("team %s has no key %q", c.Team, op.arg(1)), exitRefused)
+	}
+	return op.propose(ctx, proposal{action: "withdraw-key", kind: change.KindContract, name: c.Team, value: next}, "")
+}
+
+// keyView is a key as it is printed, without salt and hash.
+type keyView struct {
+	ID      string    `json:"id"`
+	GivenAt time.Time `json:"given-at"`
+}
+
+func listKeys(_ context.Context, op *operation) error {
+	c, err := op.contract()
+	if err != nil {
+		return err
+	}
+	views, rows := []keyView{}, [][]string{{"KEY-ID", "GIVEN-AT"}}
+	for _, k := range c.Keys {
+		views, rows = append(views, keyView{ID: k.ID, GivenAt: k.GivenAt}), append(rows, []string{k.ID, k.GivenAt.Format(time.RFC3339)})
+	}
+	return op.show(views, rows)
+}
--- /dev/null
+++ b/command/operation.go
@@ -0,0 +1,136 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"egretdrum.example/fleet"
+	"egretdrum.example/operator"
+)
+
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+
+	apiEnv      = "EGRETDRUM_API"
+	operatorEnv = "EGRETDRUM_OPERATOR"
+)
+
+// leaf describes one operator command. args are the names of its arguments, all of them
+// required. An argument list that starts with the name of an object of kind complete is
+// completed in the shell from the configuration.
+type leaf struct {
+	name, usage, args string
+	complete          string
+	changes           bool
+	flags             []cli.Flag
+	run               func(ctx context.Context, op *operation) error
+}
+
+// operation is one run of an operator command.
+type operation struct {
+	cmd *cli.Command
+	api string
+	cfg *fleet.Config
+}
+
+func (l leaf) command() *cli.Command {
+	flags := append([]cli.Flag{apiFlag(), outputFlag()}, l.flags...)
+	if l.changes {
+		flags = append(flags, changeFlags()...)
+	}
+	return &cli.Command{
+		Name: l.name, Usage: l.usage, ArgsUsage: l.args, Flags: flags,
+		ShellComplete: l.completion,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if want := len(strings.Fields(l.args)); cmd.Args().Len() != want {
+				return cli.Exit(fmt.Sprintf("%s needs %d arguments: %s", cmd.FullName(), want, l.args), exitUsage)
+			}
+			op := &operation{cmd: cmd, api: strings.TrimSuffix(cmd.String("api"), "/")}
+			var err error
+			if op.cfg, err = operator.Fetch(ctx, op.api); err != nil {
+				return exitError(err)
+			}
+			return exitError(l.run(ctx, op))
+		},
+	}
+}
+
+func group(name, usage string, leaves ...leaf) *cli.Command {
+	cmd := &cli.Command{Name: name, Usage: usage}
+	for _, l := range leaves {
+		cmd.Commands = append(cmd.Commands, l.command())
+	}
+	return cmd
+}
+
+func apiFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "api", Value: "http://127.0.0.1:8081", Sources: cli.EnvVars(apiEnv),
+		Usage: "operator address of any entry host",
+	}
+}
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "output", Value: outputTable, Usage: "form of the output: table or json",
+		Validator: func(v string) error {
+			if v != outputTable && v != outputJSON {
+				return fmt.Errorf("is %q; accepted: table, json", v)
+			}
+			return nil
+		},
+	}
+}
+
+// completion prints the names that can follow; without an answer it prints none.
+func (l leaf) completion(ctx context.Context, cmd *cli.Command) {
+	if l.complete == "" || cmd.Args().Len() > 0 {
+		cli.DefaultCompleteWithFlags(ctx, cmd)
+		return
+	}
+	// The library completes before it reads flags from the environment.
+	api := cmd.String("api")
+	if v := os.Getenv(apiEnv); v != "" && !cmd.IsSet("api") {
+		api = v
+	}
+	cfg, err := operator.Fetch(ctx, strings.TrimSuffix(api, "/"))
+	if err != nil {
+		return
+	}
+	for _, name := range cfg.Names(l.complete) {
+		_, _ = fmt.Fprintln(cmd.Root().Writer, name)
+	}
+}
+
+func (op *operation) arg(n int) string { return op.cmd.Args().Get(n) }
+
+func (op *operation) stdout() io.Writer { return op.cmd.Root().Writer }
+
+func (op *operation) stderr() io.Writer { return op.cmd.Root().ErrWriter }
+
+func (op *operation) isJSON() bool { return op.cmd.String("output") == outputJSON }
+
+// show prints v as JSON, or the rows as a table whose first row is the header.
+func (op *operation) show(v any, rows [][]string) error {
+	if op.isJSON() {
+		e := json.NewEncoder(op.stdout())
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	t := tabwriter.NewWriter(op.stdout(), 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	return t.Flush()
+}
+
+// resolve returns the qualified name of an existing object.
+func (op *operation) resolve(kind, name string) (string, error) { return op.cfg.Resolve(kind, name) }
--- /dev/null
+++ b/command/pool.go
@@ -0,0 +1,143 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"egretdrum.example/change"
+	"egretdrum.example/fleet"
+	"egretdrum.example/operator"
+)
+
+func poolCommand() *cli.Command {
+	return group(
+		"pool", "manage pools and the workers in them",
+		leaf{name: "list", usage: "list all pools", run: listPools},
+		leaf{name: "show", usage: "show the workers of a pool", args: "POOL", complete: change.KindPool, run: showPool},
+		leaf{
+			name: "set", usage: "make a pool, or set its availability budget", args: "SIDE/POOL", complete: change.KindPool, changes: true,
+			flags: []cli.Flag{&cli.IntFlag{Name: "min-available", Usage: "workers that must serve at any time"}}, run: setPool,
+		},
+		leaf{
+			name: "move", usage: "move a worker to another pool", args: "WORKER POOL", complete: change.KindWorker, changes: true,
+			flags: []cli.Flag{
+				&cli.BoolFlag{Name: "add", Usage: "accept a worker that is in no pool yet"},
+				&cli.IntFlag{Name: "slots", Usage: "requests that the worker runs at the same time"},
+			},
+			run: moveWorker,
+		},
+		leaf{name: "drain", usage: "give a worker no new work", args: "WORKER", complete: change.KindWorker, changes: true, run: drainWorker},
+		leaf{name: "return", usage: "give a drained worker work again", args: "WORKER", complete: change.KindWorker, changes: true, run: returnWorker},
+	)
+}
+
+func listPools(_ context.Context, op *operation) error {
+	pools, rows := operator.StatusOf(op.cfg).Pools, [][]string{{"POOL", "WORKERS", "LEAVING", "MIN-AVAILABLE"}}
+	for _, p := range pools {
+		rows = append(rows, []string{p.Name, strconv.Itoa(p.Workers), strconv.Itoa(p.Leaving), strconv.Itoa(p.MinAvailable)})
+	}
+	return op.show(pools, rows)
+}
+
+// workerView is a worker as it is printed.
+type workerView struct {
+	Name string `json:"worker"`
+	fleet.Worker
+}
+
+func showPool(_ context.Context, op *operation) error {
+	pool, err := op.resolve(change.KindPool, op.arg(0))
+	if err != nil {
+		return err
+	}
+	views, rows := []workerView{}, [][]string{{"WORKER", "LEAVING", "SLOTS"}}
+	for _, name := range op.cfg.Names(change.KindWorker) {
+		w := op.cfg.Workers[name]
+		if w.Pool != pool {
+			continue
+		}
+		views, rows = append(views, workerView{name, w}), append(rows, []string{name, strconv.FormatBool(w.Leaving), slotsText(w.Slots)})
+	}
+	return op.show(views, rows)
+}
+
+func slotsText(n int) string {
+	if n == 0 {
+		return "not stated"
+	}
+	return strconv.Itoa(n)
+}
+
+func setPool(ctx context.Context, op *operation) error {
+	name, err := op.nameToSet(change.KindPool)
+	if err != nil {
+		return err
+	}
+	old := op.cfg.Pools[name]
+	pool := old
+	if op.cmd.IsSet("min-available") {
+		pool.MinAvailable = op.cmd.Int("min-available")
+	}
+	p := proposal{action: "set-pool", kind: change.KindPool, name: name, value: pool}
+	if pool.MinAvailable < old.MinAvailable {
+		p.cautions = append(p.cautions, fmt.Sprintf("lowers min-available from %d to %d", old.MinAvailable, pool.MinAvailable))
+	}
+	return op.propose(ctx, p, "")
+}
+
+func moveWorker(ctx context.Context, op *operation) error {
+	pool, err := op.resolve(change.KindPool, op.arg(1))
+	if err != nil {
+		return err
+	}
+	name := op.arg(0)
+	w, exists := op.cfg.Workers[name]
+	if !exists && !op.cmd.Bool("add") {
+		return &fleet.ReferenceError{Kind: change.KindWorker, Name: name, From: "the command without --add"}
+	}
+	p := proposal{action: "move-worker", kind: change.KindWorker, name: name}
+	if exists && w.Pool != pool {
+		p.cautions = append(p.cautions, fmt.Sprintf("stops the work of pool %s on %s", w.Pool, name))
+	}
+	w.Pool = pool
+	if op.cmd.IsSet("slots") {
+		w.Slots = op.cmd.Int("slots")
+	}
+	p.value = w
+	return op.propose(ctx, p, "")
+}
+
+func drainWorker(ctx context.Context, op *operation) error {
+	return setLeaving(ctx, op, "drain-worker", true)
+}
+
+func returnWorker(ctx context.Context, op *operation) error {
+	return setLeaving(ctx, op, "return-worker", false)
+}
+
+func setLeaving(ctx context.Context, op *operation, action string, leaving bool) error {
+	name, err := op.resolve(change.KindWorker, op.arg(0))
+	if err != nil {
+		return err
+	}
+	w := op.cfg.Workers[name]
+	w.Leaving = leaving
+	p := proposal{action: action, kind: change.KindWorker, name: name, value: w}
+	if leaving {
+		p.cautions = append(p.cautions, fmt.Sprintf("stops new work on %s; pool %s has one worker less", name, w.Pool))
+	}
+	return op.propose(ctx, p, "")
+}
+
+// nameToSet returns the qualified name of the object to set, which may not exist yet. A
+// new object needs a qualified name, because a bare one has no side.
+func (op *operation) nameToSet(kind string) (string, error) {
+	name, err := op.resolve(kind, op.arg(0))
+	if err == nil || !fleet.IsQualified(op.arg(0)) {
+		return name, err
+	}
+	return op.arg(0), nil
+}
--- a/fleet/resolve.go
+++ b/fleet/resolve.go
@@ -12,7 +12,11 @@
 // object. The two former fleets use some names twice, so a bare name counts only when
 // it is unique.
 func (cfg *Config) Resolve(kind, name string) (string, error) {
-	names := cfg.names(kind)
+	return ResolveAmong(kind, name, cfg.Names(kind))
+}
+
+// ResolveAmong resolves a name like Resolve, but among the given names.
+func ResolveAmong(kind, name string, names []string) (string, error) {
 	if slices.Contains(names, name) {
 		return name, nil
 	}
@@ -32,7 +36,8 @@
 	}
 }
 
-func (cfg *Config) names(kind string) []string {
+// Names returns the names of all objects of a kind, in order.
+func (cfg *Config) Names(kind string) []string {
 	switch kind {
 	case change.KindContract:
 		return slices.Sorted(maps.Keys(cfg.Contracts))
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -52,7 +52,7 @@
 		shares += c.Share
 	}
 	if shares > contract.ShareWhole {
-		return &RangeError{Field: "sum of shares", Value: fmt.Sprint(shares), Accepted: fmt.Sprintf("at most %d millionths", contract.ShareWhole)}
+		return &RangeError{Field: "sum of shares", Value: contract.FormatShare(shares), Accepted: "at most " + contract.FormatShare(contract.ShareWhole)}
 	}
 	return nil
 }
@@ -101,9 +101,14 @@
 	return s != "" && len(s) <= 64 && !strings.ContainsFunc(s, func(r rune) bool { return r != '.' && !isWord(string(r)) })
 }
 
-func checkQualified(kind, name string) error {
+// IsQualified reports whether name has the form side/name.
+func IsQualified(name string) bool {
 	side, bare, ok := strings.Cut(name, "/")
-	if ok && isWord(side) && isWord(bare) {
+	return ok && isWord(side) && isWord(bare)
+}
+
+func checkQualified(kind, name string) error {
+	if IsQualified(name) {
 		return nil
 	}
 	return &RangeError{Field: kind + " name", Value: fmt.Sprintf("%q", name), Accepted: "side/name with a-z, 0-9 and -"}
--- a/operator/api.go
+++ b/operator/api.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 
 	"egretdrum.example/change"
 	"egretdrum.example/fleet"
@@ -14,14 +15,28 @@
 
 const maxChangeBytes = 1 << 20
 
+var errVersion = errors.New("version is missing or not a number; accepted: /behind?version=N")
+
 // API answers operators' requests.
 type API struct {
 	keeper *rollout.Keeper
 	// Push sends an accepted version to the other entry hosts and returns those that
 	// have not acknowledged it yet.
 	Push func(ctx context.Context, cfg *fleet.Config) (behind []string)
+	// Behind returns the entry hosts that do not have version yet. If it is nil, the
+	// answer concerns this entry host alone.
+	Behind func(ctx context.Context, version uint64) ([]string, error)
+	// Status returns the state of the fleet. If it is nil, the answer is StatusOf the
+	// configuration.
+	Status func(ctx context.Context) (Status, error)
+	// Explain explains an object; team names are qualified. If it is nil, the answer is
+	// ExplanationOf the configuration.
+	Explain func(ctx context.Context, kind, name string) (Explanation, error)
 }
 
+// self names the answering entry host in the list of hosts that are behind.
+const self = "the answering entry host"
+
 // New returns an API on top of keeper.
 func New(keeper *rollout.Keeper) *API {
 	return &API{keeper: keeper, Push: func(context.Context, *fleet.Config) []string { return nil }}
@@ -33,6 +48,9 @@
 	mux.HandleFunc("GET /config", a.config)
 	mux.HandleFunc("POST /changes", a.accept)
 	mux.HandleFunc("GET /audit", a.audit)
+	mux.HandleFunc("GET /behind", a.behind)
+	mux.HandleFunc("GET /status", a.status)
+	mux.HandleFunc("GET /explain/{kind}/{name...}", a.explain)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
@@ -54,10 +72,7 @@
 		writeError(w, statusOf(err), err)
 		return
 	}
-	writeJSON(w, http.StatusOK, struct {
-		Version uint64   `json:"version"`
-		Behind  []string `json:"behind"`
-	}{cfg.Version, a.Push(r.Context(), cfg)})
+	writeJSON(w, http.StatusOK, behindAnswer{Version: cfg.Version, Behind: a.Push(r.Context(), cfg)})
 }
 
 func (a *API) audit(w http.ResponseWriter, r *http.Request) {
@@ -69,19 +84,86 @@
 	writeJSON(w, http.StatusOK, trail)
 }
 
+func (a *API) behind(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, errVersion)
+		return
+	}
+	behind := []string{}
+	switch {
+	case a.Behind != nil:
+		behind, err = a.Behind(r.Context(), version)
+	case a.keeper.Config().Version < version:
+		behind = []string{self}
+	}
+	respond(w, behindAnswer{Version: version, Behind: behind}, err)
+}
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	if a.Status == nil {
+		writeJSON(w, http.StatusOK, StatusOf(a.keeper.Config()))
+		return
+	}
+	s, err := a.Status(r.Context())
+	respond(w, s, err)
+}
+
+func (a *API) explain(w http.ResponseWriter, r *http.Request) {
+	kind, name := r.PathValue("kind"), r.PathValue("name")
+	var err error
+	switch kind {
+	case KindRequest, KindHost:
+	case KindTeam:
+		name, err = a.keeper.Config().Resolve(change.KindContract, name)
+	default:
+		err = &NotFoundError{Kind: kind, Name: name, Reason: "is not a kind that can be explained; accepted: request, host, team"}
+	}
+	if err != nil {
+		writeError(w, statusOf(err), err)
+		return
+	}
+	explain := a.Explain
+	if explain == nil {
+		explain = func(_ context.Context, kind, name string) (Explanation, error) {
+			return ExplanationOf(a.keeper.Config(), kind, name)
+		}
+	}
+	e, err := explain(r.Context(), kind, name)
+	respond(w, e, err)
+}
+
 func statusOf(err error) int {
 	var conflict *fleet.ConflictError
 	var accept *rollout.AcceptError
+	var missing *NotFoundError
 	switch {
 	case errors.As(err, &conflict):
 		return http.StatusConflict
 	case errors.As(err, &accept):
 		return http.StatusServiceUnavailable
+	case errors.As(err, &missing):
+		return http.StatusNotFound
 	default:
 		return http.StatusUnprocessableEntity
 	}
 }
 
+// behindAnswer lists the entry hosts that do not have a version yet.
+type behindAnswer struct {
+	Version uint64   `json:"version"`
+	Behind  []string `json:"behind"`
+}
+
+// respond answers with v, or with err if there is one.
+func respond(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		writeError(w, statusOf(err), err)
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/operator/client.go
+++ b/operator/client.go
@@ -8,11 +8,17 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"time"
 
 	"egretdrum.example/change"
 	"egretdrum.example/fleet"
 )
 
+// callTimeout bounds one call. It covers the tries of a change on a slow store and the
+// wait for the other hosts' acknowledgements.
+const callTimeout = time.Minute
+
 // RemoteError reports a call that the entry host refused or could not answer.
 type RemoteError struct {
 	Status  int
@@ -30,7 +36,8 @@
 // Audit reads the audit trail.
 func Audit(ctx context.Context, base string) ([]change.Change, error) {
 	var trail []change.Change
-	return trail, call(ctx, http.MethodGet, base+"/audit", nil, &trail)
+	err := call(ctx, http.MethodGet, base+"/audit", nil, &trail)
+	return trail, err
 }
 
 // Submit sends a change and returns its version and the entry hosts that are behind.
@@ -39,16 +46,37 @@
 	if err != nil {
 		return 0, nil, &RemoteError{Message: err.Error()}
 	}
-	var answer struct {
-		Version uint64   `json:"version"`
-		Behind  []string `json:"behind"`
-	}
+	var answer behindAnswer
 	err = call(ctx, http.MethodPost, base+"/changes", b, &answer)
 	return answer.Version, answer.Behind, err
 }
 
-func call(ctx context.Context, method, url string, body []byte, answer any) error {
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+// Behind returns the entry hosts that do not have version yet.
+func Behind(ctx context.Context, base string, version uint64) ([]string, error) {
+	var answer behindAnswer
+	err := call(ctx, http.MethodGet, fmt.Sprintf("%s/behind?version=%d", base, version), nil, &answer)
+	return answer.Behind, err
+}
+
+// FetchStatus reads the status of the fleet.
+func FetchStatus(ctx context.Context, base string) (Status, error) {
+	var s Status
+	err := call(ctx, http.MethodGet, base+"/status", nil, &s)
+	return s, err
+}
+
+// Explain asks why an object is in its present state.
+func Explain(ctx context.Context, base, kind, name string) (Explanation, error) {
+	var e Explanation
+	path := "/explain/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+	err := call(ctx, http.MethodGet, base+path, nil, &e)
+	return e, err
+}
+
+func call(ctx context.Context, method, address string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return &RemoteError{Message: err.Error()}
 	}
@@ -64,7 +92,9 @@
 		var fault struct {
 			Error string `json:"error"`
 		}
-		_ = json.Unmarshal(b, &fault)
+		if json.Unmarshal(b, &fault) != nil || fault.Error == "" {
+			fault.Error = resp.Status
+		}
 		return &RemoteError{Status: resp.StatusCode, Message: fault.Error}
 	}
 	if err := json.Unmarshal(b, answer); err != nil {
--- /dev/null
+++ b/operator/explanation.go
@@ -0,0 +1,77 @@
+package operator
+
+import (
+	"fmt"
+	"strconv"
+
+	"egretdrum.example/change"
+	"egretdrum.example/contract"
+	"egretdrum.example/fleet"
+)
+
+// Kinds of object that can be explained.
+const (
+	KindRequest = "request"
+	KindHost    = "host"
+	KindTeam    = "team"
+)
+
+// Explanation says why an object is in its present state.
+type Explanation struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Summary string `json:"summary"`
+	Facts   []Fact `json:"facts"`
+}
+
+// Fact is one line of an explanation.
+type Fact struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// NotFoundError reports an object that the answering entry host knows nothing about.
+type NotFoundError struct{ Kind, Name, Reason string }
+
+func (e *NotFoundError) Error() string { return fmt.Sprintf("%s %q: %s", e.Kind, e.Name, e.Reason) }
+
+// ExplanationOf returns what the configuration says about a team or a host. Requests
+// are not part of the configuration; the entry host explains them.
+func ExplanationOf(cfg *fleet.Config, kind, name string) (Explanation, error) {
+	e := Explanation{Kind: kind, Name: name}
+	switch kind {
+	case KindTeam:
+		c, ok := cfg.Contracts[name]
+		if !ok {
+			return e, &NotFoundError{Kind: kind, Name: name, Reason: "has no contract"}
+		}
+		e.Summary = fmt.Sprintf("%s may run %d requests at the same time and has %s of a full fleet", name, c.Limit, contract.FormatShare(c.Share))
+		e.Facts = []Fact{{Name: "keys", Value: strconv.Itoa(len(c.Keys))}}
+		e.addLastChange(cfg, change.KindContract)
+		return e, nil
+	case KindHost:
+		w, ok := cfg.Workers[name]
+		if !ok {
+			return e, &NotFoundError{Kind: kind, Name: name, Reason: "is not in the configuration"}
+		}
+		e.Summary = fmt.Sprintf("%s serves in pool %s", name, w.Pool)
+		if w.Leaving {
+			e.Summary = fmt.Sprintf("%s is leaving pool %s and gets no new work", name, w.Pool)
+		}
+		e.Facts = []Fact{{Name: "pool", Value: w.Pool}, {Name: "leaving", Value: strconv.FormatBool(w.Leaving)}}
+		e.addLastChange(cfg, change.KindWorker)
+		return e, nil
+	default:
+		return e, &NotFoundError{Kind: kind, Name: name, Reason: "this entry host keeps no record of it"}
+	}
+}
+
+// addLastChange adds the newest of the recent changes of the object.
+func (e *Explanation) addLastChange(cfg *fleet.Config, kind string) {
+	for n := len(cfg.Recent) - 1; n >= 0; n-- {
+		if c := cfg.Recent[n]; c.Kind == kind && c.Name == e.Name {
+			e.Facts = append(e.Facts, Fact{Name: "last change", Value: fmt.Sprintf("version %d, %s by %s, reason %q", c.Version, c.Action, c.Operator, c.Reason)})
+			return
+		}
+	}
+}
--- a/store/client.go
+++ b/store/client.go
@@ -81,7 +81,8 @@
 		return nil, err
 	}
 	var keys []string
-	return keys, decode("keys", b, &keys)
+	err = decode("keys", b, &keys)
+	return keys, err
 }
 
 // GrantLease makes a lease that lapses after ttl without a renewal.
@@ -109,7 +110,8 @@
 		return nil, err
 	}
 	var hosts []hostlist.Host
-	return hosts, decode("hosts", b, &hosts)
+	err = decode("hosts", b, &hosts)
+	return hosts, err
 }
 
 func decode(op string, b []byte, v any) error {
