--- a/settings/errors.go
+++ b/settings/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -10,11 +11,13 @@
 
 func (e *FaultError) Error() string {
 	place := e.File
-	if e.Section != "" {
+	switch {
+	case e.Section != "" && e.Key != "":
+		place += ": [" + e.Section + "] " + e.Key
+	case e.Section != "":
 		place += ": [" + e.Section + "]"
-	}
-	if e.Key != "" {
-		place += " " + e.Key
+	case e.Key != "":
+		place += ": " + e.Key
 	}
 	return fmt.Sprintf("%s: %s; accepted: %s", place, e.Reason, e.Accepted)
 }
@@ -35,3 +38,8 @@
 		e.Faults = append(e.Faults, f)
 	}
 }
+
+// hasTLS reports whether a key of section tls is faulty.
+func (e *FaultsError) hasTLS(key string) bool {
+	return slices.ContainsFunc(e.Faults, func(f *FaultError) bool { return f.Section == "tls" && f.Key == key })
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -1,7 +1,7 @@
 package settings
 
 import (
-	"errors"
+	"encoding/pem"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -89,19 +89,19 @@
 		section: "tls", name: "certificate-file",
 		accepted: "a readable PEM file",
 		meaning:  "Certificate towards callers, operators and peers; plain HTTP when absent.",
-		set:      func(s *Settings, v string) error { s.CertificateFile = v; return checkReadable(v) },
+		set:      func(s *Settings, v string) error { return setPEM(&s.CertificateFile, v) },
 	},
 	{
 		section: "tls", name: "key-file",
 		accepted: "a readable PEM file",
 		meaning:  "Private key of the certificate.",
-		set:      func(s *Settings, v string) error { s.KeyFile = v; return checkReadable(v) },
+		set:      func(s *Settings, v string) error { return setPEM(&s.KeyFile, v) },
 	},
 	{
 		section: "tls", name: "peer-ca-file",
 		accepted: "a readable PEM file",
 		meaning:  "Authority that signs the certificates of entry hosts.",
-		set:      func(s *Settings, v string) error { s.PeerCAFile = v; return checkReadable(v) },
+		set:      func(s *Settings, v string) error { return setPEM(&s.PeerCAFile, v) },
 	},
 	{
 		section: "limits", name: "max-body-bytes", preset: "1073741824",
@@ -182,15 +182,22 @@
 		return fmt.Errorf("is %q", v)
 	}
 	if _, err := netip.ParseAddrPort(u.Host); err != nil {
-		return errors.New("has no IP address with a port")
+		return fmt.Errorf("is %q, without an IP address and a port", v)
+	}
+	if u.User != nil || strings.Trim(u.Path, "/") != "" || u.RawQuery != "" || u.Fragment != "" {
+		return fmt.Errorf("is %q, with more than an address", v)
 	}
 	return nil
 }
 
-func checkReadable(file string) error {
-	f, err := os.Open(file)
+func setPEM(p *string, file string) error {
+	*p = file
+	b, err := os.ReadFile(file)
 	if err != nil {
 		return fmt.Errorf("cannot be read: %w", err)
 	}
-	return f.Close()
+	if block, _ := pem.Decode(b); block == nil {
+		return fmt.Errorf("names %s, which holds no PEM block", file)
+	}
+	return nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,7 +2,12 @@
 package settings
 
 import (
+	"crypto/tls"
+	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -29,9 +34,11 @@
 
 // Load reads a file and reports all faults in it at once, as a *FaultsError.
 func Load(file string) (*Settings, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: false, KeyValueDelimiters: "="}, file)
+	// Shadows keep the values of a key that is set more than once, so that this is found.
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true, KeyValueDelimiters: "="}, file)
 	if err != nil {
-		return nil, &FaultsError{Faults: []*FaultError{{File: file, Reason: err.Error(), Accepted: "an INI file with [section] and key = value lines"}}}
+		reason := strings.Join(strings.Fields(err.Error()), " ")
+		return nil, &FaultsError{Faults: []*FaultError{{File: file, Reason: reason, Accepted: "an INI file with [section] and key = value lines"}}}
 	}
 	s := &Settings{}
 	faults := &FaultsError{}
@@ -44,22 +51,31 @@
 		faults.add(readKey(file, f, k, s))
 	}
 	faults.Faults = append(faults.Faults, unknownKeys(file, f, known)...)
-	faults.Faults = append(faults.Faults, s.checkTogether(file)...)
+	faults.Faults = append(faults.Faults, s.checkTogether(file, faults.hasTLS("certificate-file"), faults.hasTLS("key-file"))...)
 	if len(faults.Faults) > 0 {
 		return nil, faults
 	}
 	return s, nil
 }
 
+// readKey sets one value. A key without a value is a fault and not the preset, because
+// its author meant to set something.
 func readKey(file string, f *ini.File, k key, s *Settings) *FaultError {
-	value := k.preset
+	value, present := k.preset, false
 	if sec, err := f.GetSection(k.section); err == nil && sec.HasKey(k.name) {
+		present = true
+		values := sec.Key(k.name).ValueWithShadows()
+		if len(values) > 1 {
+			return &FaultError{File: file, Section: k.section, Key: k.name, Reason: fmt.Sprintf("is set %d times", len(values)), Accepted: "one value: " + k.accepted}
+		}
 		value = sec.Key(k.name).String()
 	}
-	if value == "" && k.required {
+	switch {
+	case present && value == "":
+		return &FaultError{File: file, Section: k.section, Key: k.name, Reason: "is empty", Accepted: k.accepted}
+	case value == "" && k.required:
 		return &FaultError{File: file, Section: k.section, Key: k.name, Reason: "is missing", Accepted: k.accepted}
-	}
-	if value == "" {
+	case value == "":
 		return nil
 	}
 	if err := k.set(s, value); err != nil {
@@ -70,30 +86,66 @@
 
 func unknownKeys(file string, f *ini.File, known map[string]map[string]bool) []*FaultError {
 	var faults []*FaultError
+	sections := strings.Join(sectionNames(), ", ")
 	for _, sec := range f.Sections() {
-		if sec.Name() == ini.DefaultSection && len(sec.Keys()) == 0 {
+		if sec.Name() == ini.DefaultSection {
+			for _, k := range sec.Keys() {
+				faults = append(faults, &FaultError{File: file, Key: k.Name(), Reason: "is outside any section", Accepted: "a key in one of the sections " + sections})
+			}
 			continue
 		}
 		if known[sec.Name()] == nil {
-			faults = append(faults, &FaultError{File: file, Section: sec.Name(), Reason: "is not a known section", Accepted: "entry, store, peers, tls, limits"})
+			faults = append(faults, &FaultError{File: file, Section: sec.Name(), Reason: "is not a known section", Accepted: sections})
 			continue
 		}
 		for _, k := range sec.Keys() {
 			if !known[sec.Name()][k.Name()] {
-				faults = append(faults, &FaultError{File: file, Section: sec.Name(), Key: k.Name(), Reason: "is not a known key", Accepted: "see docs/settings.md"})
+				faults = append(faults, &FaultError{File: file, Section: sec.Name(), Key: k.Name(), Reason: "is not a known key", Accepted: strings.Join(slices.Sorted(maps.Keys(known[sec.Name()])), ", ")})
 			}
 		}
 	}
 	return faults
 }
 
-func (s *Settings) checkTogether(file string) []*FaultError {
+// sectionNames returns the known sections in the order of the key table.
+func sectionNames() []string {
+	var names []string
+	for _, k := range keys {
+		if !slices.Contains(names, k.section) {
+			names = append(names, k.section)
+		}
+	}
+	return names
+}
+
+// checkTogether checks values that depend on each other. Values that are faulty by
+// themselves are left out, so that one fault is reported once.
+func (s *Settings) checkTogether(file string, badCertificate, badKey bool) []*FaultError {
 	var faults []*FaultError
-	if (s.CertificateFile == "") != (s.KeyFile == "") {
-		faults = append(faults, &FaultError{File: file, Section: "tls", Key: "certificate-file", Reason: "is set without key-file or the other way round", Accepted: "both or neither"})
+	add := func(section, key, reason, accepted string) {
+		faults = append(faults, &FaultError{File: file, Section: section, Key: key, Reason: reason, Accepted: accepted})
+	}
+	pair := !badCertificate && !badKey
+	if pair && (s.CertificateFile == "") != (s.KeyFile == "") {
+		add("tls", "certificate-file", "is set without key-file or the other way round", "both or neither")
 	}
-	if s.PeerCAFile != "" && s.CertificateFile == "" {
-		faults = append(faults, &FaultError{File: file, Section: "tls", Key: "peer-ca-file", Reason: "is set without certificate-file", Accepted: "a certificate for this host as well"})
+	if s.PeerCAFile != "" && s.CertificateFile == "" && !badCertificate {
+		add("tls", "peer-ca-file", "is set without certificate-file", "a certificate for this host as well")
+	}
+	if pair && s.CertificateFile != "" && s.KeyFile != "" {
+		if _, err := tls.LoadX509KeyPair(s.CertificateFile, s.KeyFile); err != nil {
+			add("tls", "key-file", "does not fit certificate-file: "+err.Error(), "the private key of the certificate")
+		}
+	}
+	if isSame(s.CallersAddress, s.OperatorAddress) {
+		add("entry", "operator-address", "is also callers-address", "an address of its own")
+	}
+	if isSame(s.PeerAddress, s.CallersAddress) || isSame(s.PeerAddress, s.OperatorAddress) {
+		add("peers", "address", "is also an address of [entry]", "an address of its own")
 	}
 	return faults
 }
+
+// isSame reports whether two listeners would collide. Port 0 is chosen by the system
+// for each listener.
+func isSame(a, b netip.AddrPort) bool { return a == b && a.IsValid() && a.Port() != 0 }
