--- a/command/app.go
+++ b/command/app.go
@@ -21,7 +21,7 @@
 
 // App returns the whole command line.
 func App() *cli.Command {
-	return &cli.Command{
+	return usageErrors(&cli.Command{
 		Name:                  "egretdrum",
 		Usage:                 "fleet capacity and maintenance manager",
 		Version:               Version,
@@ -31,11 +31,15 @@
 			checkConfigCommand(),
 			contractCommand(),
 			keyCommand(),
+			poolCommand(),
+			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
+			statusCommand(),
+			explainCommand(),
 			versionCommand(),
 		},
-	}
+	})
 }
 
 func entryCommand() *cli.Command {
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -7,9 +7,15 @@
 	"egretdrum.example/contract"
 )
 
+// maxSlots bounds the slots of one worker, so that their sum does not overflow.
+const maxSlots = 100_000
+
 // Validate checks the document as a whole: qualified names, references, sums of
 // shares and budgets that could never hold.
 func (cfg *Config) Validate() error {
+	if broken.skipValidation {
+		return nil
+	}
 	if err := cfg.validateContracts(); err != nil {
 		return err
 	}
@@ -46,33 +52,63 @@
 		shares += c.Share
 	}
 	if shares > contract.ShareWhole {
-		return &RangeError{Field: "sum of shares", Value: fmt.Sprint(shares), Accepted: fmt.Sprintf("at most %d millionths", contract.ShareWhole)}
+		return &RangeError{Field: "sum of shares", Value: contract.FormatShare(shares), Accepted: "at most " + contract.FormatShare(contract.ShareWhole)}
 	}
 	return nil
 }
 
 func (cfg *Config) validatePools() error {
-	size := make(map[string]int, len(cfg.Pools))
 	for name, w := range cfg.Workers {
+		if !isWorkerName(name) {
+			return &RangeError{Field: "worker name", Value: fmt.Sprintf("%q", name), Accepted: "1 to 64 characters a-z, 0-9, - and ."}
+		}
 		if _, ok := cfg.Pools[w.Pool]; !ok {
 			return &ReferenceError{Kind: "pool", Name: w.Pool, From: "worker " + name}
 		}
-		size[w.Pool]++
+		if w.Slots < 0 || w.Slots > maxSlots {
+			return &RangeError{Field: "worker " + name + ": slots", Value: fmt.Sprint(w.Slots), Accepted: fmt.Sprintf("0 to %d", maxSlots)}
+		}
 	}
+	size := cfg.poolSizes()
 	for name, p := range cfg.Pools {
 		if err := checkQualified("pool", name); err != nil {
 			return err
 		}
-		if p.MinAvailable < 0 || p.MinAvailable > size[name] {
-			return &RangeError{Field: "pool " + name + ": min-available", Value: fmt.Sprint(p.MinAvailable), Accepted: fmt.Sprintf("0 to %d, the workers in the pool", size[name])}
+		if serving := size[name].serving; p.MinAvailable < 0 || p.MinAvailable > serving {
+			return &RangeError{Field: "pool " + name + ": min-available", Value: fmt.Sprint(p.MinAvailable), Accepted: fmt.Sprintf("0 to %d, the workers in the pool that are not leaving", serving)}
 		}
 	}
 	return nil
 }
 
-func checkQualified(kind, name string) error {
+// poolSize counts the workers of a pool, and those that are not leaving.
+type poolSize struct{ all, serving int }
+
+func (cfg *Config) poolSizes() map[string]poolSize {
+	size := make(map[string]poolSize, len(cfg.Pools))
+	for _, w := range cfg.Workers {
+		n := size[w.Pool]
+		n.all++
+		if !w.Leaving {
+			n.serving++
+		}
+		size[w.Pool] = n
+	}
+	return size
+}
+
+func isWorkerName(s string) bool {
+	return s != "" && len(s) <= 64 && !strings.ContainsFunc(s, func(r rune) bool { return r != '.' && !isWord(string(r)) })
+}
+
+// IsQualified reports whether name has the form side/name.
+func IsQualified(name string) bool {
 	side, bare, ok := strings.Cut(name, "/")
-	if ok && isWord(side) && isWord(bare) {
+	return ok && isWord(side) && isWord(bare)
+}
+
+func checkQualified(kind, name string) error {
+	if IsQualified(name) {
 		return nil
 	}
 	return &RangeError{Field: kind + " name", Value: fmt.Sprintf("%q", name), Accepted: "side/name with a-z, 0-9 and -"}
--- a/store/client.go
+++ b/store/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -80,7 +81,8 @@
 		return nil, err
 	}
 	var keys []string
-	return keys, decode("keys", b, &keys)
+	err = decode("keys", b, &keys)
+	return keys, err
 }
 
 // GrantLease makes a lease that lapses after ttl without a renewal.
@@ -108,7 +110,8 @@
 		return nil, err
 	}
 	var hosts []hostlist.Host
-	return hosts, decode("hosts", b, &hosts)
+	err = decode("hosts", b, &hosts)
+	return hosts, err
 }
 
 func decode(op string, b []byte, v any) error {
@@ -136,7 +139,8 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		if len(b) > MaxValueBytes {
-			return nil, 0, &TooLargeError{Key: path, Bytes: len(b)}
+			key, _, _ := strings.Cut(strings.TrimPrefix(path, "/kv/"), "?")
+			return nil, 0, &TooLargeError{Key: key, Bytes: len(b)}
 		}
 		return b, revision, nil
 	case http.StatusNotFound:
