--- a/minionfake/minion.go
+++ b/minionfake/minion.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -31,6 +32,15 @@
 	Silent bool
 	// Truncate sends half of the answer and cuts the connection.
 	Truncate bool
+	// Leaving answers with status 503 and Connection: close, without running anything.
+	Leaving bool
+	// Cut ends the connection after CutAfter bytes of a response.
+	Cut      bool
+	CutAfter int
+	// Crossed sends a second response directly after each response.
+	Crossed bool
+	// HalfOpen accepts new connections and never serves them.
+	HalfOpen bool
 }
 
 // Minion is one stand-in back end.
@@ -41,10 +51,13 @@
 	runs      []Run
 	running   int
 	peak      int
+	accepted  int
+	listener  net.Listener
+	conns     map[*conn]struct{}
 }
 
 // New returns a minion that answers each request at once.
-func New(name string) *Minion { return &Minion{name: name} }
+func New(name string) *Minion { return &Minion{name: name, conns: make(map[*conn]struct{})} }
 
 // Set replaces the behaviour.
 func (m *Minion) Set(b Behaviour) {
@@ -69,6 +82,11 @@
 
 // ServeHTTP records the run, waits for the run time and echoes the body.
 func (m *Minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if m.leaving() {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
 	n, b := m.begin(r)
 	complete := false
 	defer func() { m.end(n, complete) }()
@@ -96,6 +114,12 @@
 	_, _ = w.Write(body)
 }
 
+func (m *Minion) leaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.behaviour.Leaving
+}
+
 func truncate(w http.ResponseWriter, body []byte) {
 	_, _ = w.Write(body[:len(body)/2])
 	_ = http.NewResponseController(w).Flush()
