--- /dev/null
+++ b/minion/stream_test.go
@@ -0,0 +1,165 @@
+package minion
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func send(c *qt.C, r *rig, req *http.Request) *http.Response {
+	c.Helper()
+	resp, err := r.client.Do(req.Context(), r.address, req)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func body(c *qt.C, resp *http.Response) string {
+	c.Helper()
+	b, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return string(b)
+}
+
+// Guards against bodies where none may be, and against a connection lost after each.
+func TestResponsesWithoutBody(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "7")
+		if code := r.Header.Get("Code"); code != "" {
+			w.Header().Del("Content-Length")
+			w.WriteHeader(map[string]int{"204": 204, "304": 304}[code])
+		}
+	}))
+	for _, code := range []string{"", "204", "304"} {
+		req := httptest.NewRequest(map[bool]string{true: http.MethodHead, false: "PROPFIND"}[code == ""], "/", nil)
+		req.Header.Set("Code", code)
+		c.Assert(body(c, send(c, r, req)), qt.Equals, "")
+	}
+	c.Assert(r.minion.Accepted(), qt.Equals, 1)
+}
+
+// Guards against hop-by-hop headers that pass, and trailers and informational responses
+// that get lost.
+func TestHeadersAndTrailers(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Link", "</a>")
+		w.WriteHeader(http.StatusEarlyHints)
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Trailer", "Sum")
+		w.Header().Set("Keep-Alive", "timeout=5")
+		_, _ = fmt.Fprint(w, r.Header, r.Trailer)
+		w.Header().Set("Sum", "out")
+	}))
+	hints := 0
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error { hints += code; return nil },
+	})
+	pr, pw := io.Pipe()
+	req := httptest.NewRequest(http.MethodPost, "/", pr).WithContext(ctx)
+	req.ContentLength = -1
+	req.Trailer = http.Header{"Sum": nil}
+	req.Header = http.Header{"Connection": {"x-hop, close"}, "X-Hop": {"1"}, "Upgrade": {"h2c"}, "Te": {"gzip"}, "X-End": {"1"}}
+	go func() {
+		_, _ = pw.Write([]byte("body"))
+		req.Trailer["Sum"] = []string{"in"}
+		_ = pw.Close()
+	}()
+	resp := send(c, r, req)
+	c.Assert(body(c, resp), qt.Equals, "map[X-End:[1]] map[Sum:[in]]")
+	c.Assert(resp.Trailer.Get("Sum"), qt.Equals, "out")
+	c.Assert(resp.Header.Get("Keep-Alive"), qt.Equals, "")
+	c.Assert(hints, qt.Equals, http.StatusEarlyHints)
+}
+
+// Guards against holding a body whole: more is streamed both ways than one buffer holds,
+// and each part is answered before the next one is sent.
+func TestStreamsBothWays(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		_ = rc.EnableFullDuplex()
+		w.WriteHeader(http.StatusOK)
+		_ = rc.Flush()
+		buf := make([]byte, 1<<16)
+		for n, err := r.Body.Read(buf); err == nil; n, err = r.Body.Read(buf) {
+			_, _ = w.Write(buf[:n])
+			_ = rc.Flush()
+		}
+	}))
+	pr, pw := io.Pipe()
+	req := httptest.NewRequest(http.MethodPost, "/", pr)
+	req.ContentLength = -1
+	resp := send(c, r, req)
+	part := strings.Repeat("x", 1<<16)
+	for range 32 {
+		go func() { _, _ = io.WriteString(pw, part) }()
+		got := make([]byte, len(part))
+		_, err := io.ReadFull(resp.Body, got)
+		c.Assert(err, qt.IsNil)
+	}
+	pw.Close()
+	c.Assert(body(c, resp), qt.Equals, "")
+}
+
+// Guards against losing an early response, sent while the body is still on its way, and
+// against using such a connection again.
+func TestEarlyResponse(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			http.Error(w, "no", http.StatusForbidden)
+		}
+	}))
+	endless := httptest.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20)), endlessReader{}))
+	endless.ContentLength = -1
+	resp := send(c, r, endless)
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusForbidden)
+	c.Assert(body(c, resp), qt.Equals, "no\n")
+	send(c, r, httptest.NewRequest(http.MethodGet, "/", nil))
+	c.Assert(r.minion.Accepted(), qt.Equals, 2)
+}
+
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against sending a body that the minion does not want.
+func TestExpectContinue(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/take" {
+			_, _ = io.Copy(w, r.Body)
+			return
+		}
+		http.Error(w, "no", http.StatusExpectationFailed)
+	}))
+	for path, want := range map[string]string{"/take": "body", "/refuse": "no\n"} {
+		read := &countingReader{Reader: strings.NewReader("body")}
+		req := httptest.NewRequest(http.MethodPost, path, read)
+		req.ContentLength = 4
+		req.Header.Set("Expect", "100-continue")
+		c.Assert(body(c, send(c, r, req)), qt.Equals, want)
+		c.Assert(read.n > 0, qt.Equals, path == "/take")
+	}
+}
+
+type countingReader struct {
+	io.Reader
+	n int
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.n += n
+	return n, err
+}
