Give keys hexadecimal ids and order the adoption test by events

Cause: 'key withdraw TEAM ID' failed with 'flag provided but not defined' when the random base64 id began with a dash (seen in TestOperatorsPage). Change: ids are hexadecimal; the test makes the second announcement overtake the first by channels. Conclusion: both verdicts depend on events only.

--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -306,14 +306,26 @@
 		x := newBench(1, b)
 		defer x.server.Close()
 		announce := x.keepers[0].Changed
-		x.keepers[0].Changed = func(cfg *fleet.Config) { runtime.Gosched(); announce(cfg) }
-		for round := range uint64(300) {
-			var done sync.WaitGroup
-			for n := range uint64(8) {
-				done.Go(func() { x.keepers[0].Adopt(&fleet.Config{Version: round*8 + n + 1}) })
+		started, overtaken := make(chan struct{}), make(chan struct{})
+		x.keepers[0].Changed = func(cfg *fleet.Config) {
+			if cfg.Version == 1 {
+				// The first announcement lets the second one overtake it, if that can happen.
+				close(started)
+				select {
+				case <-overtaken:
+				case <-time.After(time.Second):
+				}
+			}
+			announce(cfg)
+			if cfg.Version == 2 {
+				close(overtaken)
 			}
-			done.Wait()
 		}
+		var done sync.WaitGroup
+		done.Go(func() { x.keepers[0].Adopt(&fleet.Config{Version: 1}) })
+		<-started
+		done.Go(func() { x.keepers[0].Adopt(&fleet.Config{Version: 2}) })
+		done.Wait()
 		return len(x.wrong) == 0
 	}
 	qt.Check(t, ordered(broken{}), qt.IsTrue)
--- a/teamkey/key.go
+++ b/teamkey/key.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/base64"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"strings"
@@ -40,8 +41,9 @@
 	if _, err := io.ReadFull(random, buf); err != nil {
 		return "", Key{}, &RandomError{Err: err}
 	}
-	id := encode(buf[:idBytes])
-	secret = prefix + "." + id + "." + encode(buf[idBytes:idBytes+secretBytes])
+	// The id is hexadecimal, so that it never looks like a flag on a command line.
+	id := hex.EncodeToString(buf[:idBytes])
+	secret = prefix + "." + id + "." + base64.RawURLEncoding.EncodeToString(buf[idBytes:idBytes+secretBytes])
 	salt := buf[idBytes+secretBytes:]
 	return secret, Key{ID: id, Salt: salt, Hash: hash(salt, secret), GivenAt: now.UTC()}, nil
 }
@@ -69,5 +71,3 @@
 	h.Write([]byte(secret))
 	return h.Sum(nil)
 }
-
-func encode(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
--- a/teamkey/key_test.go
+++ b/teamkey/key_test.go
@@ -27,6 +27,13 @@
 	c.Check(strings.Contains(string(key.Hash)+string(key.Salt), secret), qt.IsFalse)
 }
 
+// Guards against ids that start with a dash, which the command line takes for flags.
+func TestIDIsHexadecimal(t *testing.T) {
+	_, key, err := Generate(bytes.NewReader(bytes.Repeat([]byte{0xfb}, 64)), time.Unix(0, 0))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, key.ID, qt.Equals, "fbfbfbfbfbfb")
+}
+
 func TestGenerateShortRandom(t *testing.T) {
 	_, _, err := Generate(bytes.NewReader(nil), time.Unix(0, 0))
 	var random *RandomError
