--- a/queue/queue.go
+++ b/queue/queue.go
@@ -167,6 +167,10 @@
 // Expire takes out the requests whose deadline has come.
 func (q *Queue) Expire(now time.Time) []*Item {
 	q.collect(now)
+	return q.takeExpired()
+}
+
+func (q *Queue) takeExpired() []*Item {
 	out := q.expired
 	q.expired = nil
 	for _, it := range out {
@@ -175,6 +179,17 @@
 	return out
 }
 
+// Drain takes out all requests, so that a host that stops can refuse them.
+func (q *Queue) Drain() []*Item {
+	out := q.takeExpired()
+	for len(q.expiry.items) > 0 {
+		it := q.expiry.items[0]
+		q.Remove(it)
+		out = append(out, it)
+	}
+	return out
+}
+
 // Demand counts the requests that wait for slots of the service. It counts requests past
 // their deadline until the next Push, Pop or Expire.
 func (q *Queue) Demand(service, team string) (urgent, ordinary int) {
