rollout: give each remaining rule a broken variant, name an old document

Cause: the tests of damaged values, of the size check and of audit keys from another history did not show that they fail without their rule. A document that was removed or replaced by an older one was reported as "no clear answer".

Change: three more switches and their variants in the tests; OldValueError names the stored version and the one that the entry host has.

Conclusion: an older document cannot take the place of a newer one, and the operator is told so.

--- a/rollout/archive.go
+++ b/rollout/archive.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	if !bytes.Equal(b, want) {
+	if !bytes.Equal(b, want) && !k.broken.anyArchive {
 		return &ValueError{Key: key, Err: errOtherHistory}
 	}
 	return nil
--- a/rollout/errors.go
+++ b/rollout/errors.go
@@ -31,3 +31,11 @@
 
 func (e *ValueError) Error() string { return fmt.Sprintf("store key %s: %v", e.Key, e.Err) }
 func (e *ValueError) Unwrap() error { return e.Err }
+
+// OldValueError reports a store that keeps returning an older version than this host
+// has. Its reads are outdated, or the document was replaced by an older one.
+type OldValueError struct{ Stored, Known uint64 }
+
+func (e *OldValueError) Error() string {
+	return fmt.Sprintf("store key %s has version %d, older than version %d of this entry host", configKey, e.Stored, e.Known)
+}
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -41,6 +41,7 @@
 // each rule fails without the rule.
 type broken struct {
 	adoptOlder, unordered, skipIDCheck, blindWrite, skipArchive, acceptOldReads bool
+	trustDamaged, archiveFirst, anyArchive                                      bool
 }
 
 // New returns a keeper with an empty configuration of version 0.
@@ -99,6 +100,7 @@
 func (k *Keeper) Accept(ctx context.Context, c change.Change) (*fleet.Config, error) {
 	c.At = time.Now().UTC()
 	floor := k.Config().Version
+	fault := errNoClearAnswer
 	var large *store.TooLargeError
 	for range acceptTries {
 		cfg, revision, err := k.read(ctx)
@@ -106,9 +108,10 @@
 			return nil, &AcceptError{ChangeID: c.ID, Err: err}
 		}
 		if cfg.Version < floor && !k.broken.acceptOldReads {
+			fault = &OldValueError{Stored: cfg.Version, Known: floor}
 			continue
 		}
-		floor = cfg.Version
+		floor, fault = cfg.Version, errNoClearAnswer
 		known, err := k.holds(ctx, cfg, c.ID, c.Version)
 		if err != nil {
 			return nil, &AcceptError{ChangeID: c.ID, Err: err}
@@ -131,7 +134,7 @@
 			return nil, &AcceptError{ChangeID: c.ID, Err: err}
 		}
 	}
-	return nil, &AcceptError{ChangeID: c.ID, Err: errNoClearAnswer}
+	return nil, &AcceptError{ChangeID: c.ID, Err: fault}
 }
 
 // commit writes the changes that leave the document to an audit key, then the document.
@@ -141,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	if len(b) > store.MaxValueBytes {
+	if len(b) > store.MaxValueBytes && !k.broken.archiveFirst {
 		return &store.TooLargeError{Key: configKey, Bytes: len(b)}
 	}
 	if err := k.archive(ctx, cfg); err != nil {
@@ -175,8 +178,12 @@
 		return nil, 0, err
 	}
 	cfg, err := fleet.Decode(b)
-	if err != nil {
+	switch {
+	case err == nil:
+		return cfg, revision, nil
+	case k.broken.trustDamaged:
+		return &fleet.Config{Version: k.Config().Version + 1}, revision, nil
+	default:
 		return nil, 0, &ValueError{Key: configKey, Err: err}
 	}
-	return cfg, revision, nil
 }
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -40,19 +40,27 @@
 func (s *silent) Logf(string, ...any)   {}
 func (s *silent) Errorf(string, ...any) { s.failed = true }
 func (s *silent) Fatalf(string, ...any) { s.failed = true; runtime.Goexit() }
+func (s *silent) Error(...any)          { s.failed = true }
+func (s *silent) Fatal(...any)          { s.failed = true; runtime.Goexit() }
 func (s *silent) FailNow()              { s.failed = true; runtime.Goexit() }
 func (s *silent) Failed() bool          { return s.failed }
 
-func fails(t *testing.T, prop func(*rapid.T)) bool {
+// fails reports whether a test fails.
+func fails(t *testing.T, test func(testing.TB)) bool {
 	s, done := &silent{TB: t}, make(chan bool)
 	go func() {
 		defer close(done)
-		rapid.Check(s, prop)
+		test(s)
 	}()
 	<-done
 	return s.failed
 }
 
+// property makes a test of the rules of b.
+func property(b broken) func(testing.TB) {
+	return func(t testing.TB) { rapid.Check(t, keeperProperty(b)) }
+}
+
 var errCrash = errors.New("crash between the two writes")
 
 // outcome is what the operator was told about one change.
@@ -288,7 +296,7 @@
 
 // TestKeeper guards against a change that is lost, applied twice or audited twice, and
 // against a host that goes back to an older version.
-func TestKeeper(t *testing.T) { rapid.Check(t, keeperProperty(broken{})) }
+func TestKeeper(t *testing.T) { property(broken{})(t) }
 
 // TestKeeperBroken shows that TestKeeper fails without each of its rules.
 func TestKeeperBroken(t *testing.T) {
@@ -299,7 +307,7 @@
 		"changes leave the document without an archive":   {skipArchive: true},
 		"a read older than the host's version is trusted": {acceptOldReads: true},
 	} {
-		t.Run(name, func(t *testing.T) { qt.Check(t, fails(t, keeperProperty(b)), qt.IsTrue) })
+		t.Run(name, func(t *testing.T) { qt.Check(t, fails(t, property(b)), qt.IsTrue) })
 	}
 }
 
@@ -350,8 +358,27 @@
 	qt.Check(t, err, qt.ErrorMatches, `pool a/p was changed by op-0 in version 1 .*portal for the open.*expected no such object.*`)
 }
 
-// TestUnusableValue guards against a damaged or oversized value that replaces the last
-// good configuration, and against an error that does not name the key and the place.
+// checkUnusable checks that a stored value leaves the last good configuration in force,
+// and that a change on top of it alters nothing.
+func checkUnusable(value []byte, want string, b broken) func(testing.TB) {
+	return func(t testing.TB) {
+		x := newBench(1, b)
+		defer x.server.Close()
+		qt.Assert(t, x.accept(0, x.change(0, "a/p", true)), qt.IsNil)
+		good := x.keepers[0].Config()
+		x.platform.SetValue(configKey, value)
+		if err := x.keepers[0].Refresh(context.Background()); value != nil {
+			qt.Check(t, err, qt.ErrorMatches, want)
+		}
+		qt.Check(t, x.accept(0, x.change(0, "b/p", true)), qt.ErrorMatches, want)
+		qt.Check(t, x.keepers[0].Config(), qt.Equals, good)
+		qt.Check(t, string(x.platform.Value(configKey)), qt.Equals, string(value))
+	}
+}
+
+// TestUnusableValue guards against a damaged, oversized or removed value that replaces
+// the last good configuration, and against an error that does not name the key and the
+// place. In the broken variant a damaged value counts as an empty document.
 func TestUnusableValue(t *testing.T) {
 	for name, test := range map[string]struct {
 		value []byte
@@ -362,44 +389,52 @@
 		"not valid":  {[]byte(`{"version": 9, "services": {"a/s": {"pool": "a/none"}}}`), `.*store key config: service a/s refers to pool "a/none".*`},
 		"over 1 MB":  {[]byte(strings.Repeat(" ", store.MaxValueBytes+2)), ".*value of config has .*"},
 		"wrong kind": {[]byte("[]"), ".*store key config: .*line 1, .*"},
+		"removed":    {nil, ".*store key config has version 0, older than version 1 .*"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			x := newBench(1, broken{})
-			defer x.server.Close()
-			qt.Assert(t, x.accept(0, x.change(0, "a/p", true)), qt.IsNil)
-			good := x.keepers[0].Config()
-			x.platform.SetValue(configKey, test.value)
-			qt.Check(t, x.keepers[0].Refresh(context.Background()), qt.ErrorMatches, test.want)
-			qt.Check(t, x.accept(0, x.change(0, "b/p", true)), qt.ErrorMatches, test.want)
-			qt.Check(t, x.keepers[0].Config(), qt.Equals, good)
-			qt.Check(t, string(x.platform.Value(configKey)), qt.Equals, string(test.value))
-		})
+		t.Run(name, func(t *testing.T) { checkUnusable(test.value, test.want, broken{})(t) })
 	}
+	qt.Check(t, fails(t, checkUnusable([]byte("oops"), ".*", broken{trustDamaged: true})), qt.IsTrue)
 }
 
-// TestTooLarge guards against a refused change that writes an audit key.
-func TestTooLarge(t *testing.T) {
-	x := newBench(1, broken{})
-	defer x.server.Close()
+// fullDocument returns a bench whose next change moves others to the audit keys.
+func fullDocument(t testing.TB, b broken) *bench {
+	x := newBench(1, b)
 	for x.keepers[0].Config().Version < fleet.RecentChanges {
 		qt.Assert(t, x.accept(0, x.change(0, "a/p", x.n%2 == 0)), qt.IsNil)
 	}
-	c := x.change(0, "b/p", true)
-	c.Operator = strings.Repeat("x", store.MaxValueBytes)
-	var large *store.TooLargeError
-	qt.Check(t, errors.As(x.accept(0, c), &large), qt.IsTrue)
-	qt.Check(t, x.platform.Value(auditKey(1)), qt.IsNil)
-	qt.Check(t, x.keepers[0].Config().Version, qt.Equals, uint64(fleet.RecentChanges))
+	return x
+}
+
+// TestTooLarge guards against a refused change that writes an audit key. In the broken
+// variant the size is left to the store.
+func TestTooLarge(t *testing.T) {
+	test := func(b broken) func(testing.TB) {
+		return func(t testing.TB) {
+			x := fullDocument(t, b)
+			defer x.server.Close()
+			c := x.change(0, "b/p", true)
+			c.Operator = strings.Repeat("x", store.MaxValueBytes)
+			var large *store.TooLargeError
+			qt.Check(t, errors.As(x.accept(0, c), &large), qt.IsTrue)
+			qt.Check(t, x.platform.Value(auditKey(1)), qt.IsNil)
+			qt.Check(t, x.keepers[0].Config().Version, qt.Equals, uint64(fleet.RecentChanges))
+		}
+	}
+	test(broken{})(t)
+	qt.Check(t, fails(t, test(broken{archiveFirst: true})), qt.IsTrue)
 }
 
 // TestOtherHistory guards against dropping changes after a restored backup, whose audit
-// keys belong to another history.
+// keys belong to another history. In the broken variant any content of the key will do.
 func TestOtherHistory(t *testing.T) {
-	x := newBench(1, broken{})
-	defer x.server.Close()
-	x.platform.SetValue(auditKey(1), []byte(`[]`))
-	for x.keepers[0].Config().Version < fleet.RecentChanges {
-		qt.Assert(t, x.accept(0, x.change(0, "a/p", x.n%2 == 0)), qt.IsNil)
+	test := func(b broken) func(testing.TB) {
+		return func(t testing.TB) {
+			x := fullDocument(t, b)
+			defer x.server.Close()
+			x.platform.SetValue(auditKey(1), []byte(`[]`))
+			qt.Check(t, x.accept(0, x.change(0, "a/p", true)), qt.ErrorMatches, ".*store key "+auditKey(1)+": holds other changes.*")
+		}
 	}
-	qt.Check(t, x.accept(0, x.change(0, "a/p", true)), qt.ErrorMatches, ".*store key "+auditKey(1)+": holds other changes.*")
+	test(broken{})(t)
+	qt.Check(t, fails(t, test(broken{anyArchive: true})), qt.IsTrue)
 }
