Handle the messages of one peer in order over a replaced connection

Cause: while the handler still held a message of a replaced connection, the reader of its successor could call the handler at the same time, against the promise of Config.Handle.

Change: a mutex for each peer is held while a message is handled, and a connection that was replaced while it waited delivers nothing more.

--- a/peer/link.go
+++ b/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	session     *session           // nil while not connected
 	stopDialing context.CancelFunc // nil if no goroutine of this side dials
 	counters    *counters
+	handling    *sync.Mutex // held while a message of this peer is handled
 }
 
 type counters struct {
@@ -40,7 +42,7 @@
 }
 
 func newLink(p Peer) *link {
-	return &link{peer: p, counters: &counters{}}
+	return &link{peer: p, counters: &counters{}, handling: &sync.Mutex{}}
 }
 
 // end ends the session before the dialing, so that the reason is not lost.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -30,7 +30,8 @@
 	// closes the link.
 	Handle func(Message) error
 	// Up and Down, if set, report links that were established, and links and attempts
-	// that failed.
+	// that failed. The Down of a replaced connection may follow the Up of its successor;
+	// Status tells which state holds.
 	Up   func(peer string, incarnation uint64)
 	Down func(peer string, err error)
 }
@@ -156,8 +157,9 @@
 	}
 	if l.peer.Address != p.Address {
 		l.end(&ClosedError{Peer: p.Name, Reason: "address changed"})
-		m.links[p.Name] = newLink(p)
-		m.links[p.Name].counters = l.counters
+		moved := newLink(p)
+		moved.counters, moved.handling = l.counters, l.handling
+		m.links[p.Name] = moved
 		return
 	}
 	// An older list that arrives late does not bring a replaced incarnation back.
@@ -322,7 +324,7 @@
 		l.session.cancel(&ClosedError{Peer: s.peer, Reason: "replaced by a newer connection"})
 	}
 	l.session = s
-	s.counters = l.counters
+	s.counters, s.handling = l.counters, l.handling
 	s.counters.established.Add(1)
 	return l, nil
 }
--- a/peer/session.go
+++ b/peer/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -17,6 +18,7 @@
 	queue       chan []byte
 	cancel      context.CancelCauseFunc
 	counters    *counters
+	handling    *sync.Mutex
 	tuning      tuning
 	handle      func(Message) error
 }
@@ -54,13 +56,13 @@
 		}
 		s.counters.messagesReceived.Add(1)
 		s.counters.bytesReceived.Add(uint64(len(b)))
-		if err := s.receive(b); err != nil {
+		if err := s.receive(ctx, b); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *session) receive(b []byte) error {
+func (s *session) receive(ctx context.Context, b []byte) error {
 	msg, err := decode(s.peer, b)
 	if err != nil {
 		return err
@@ -69,7 +71,7 @@
 		return &MalformedError{Peer: s.peer, Kind: msg.Kind, Place: "version", Err: errors.New("not the version chosen for this link")}
 	}
 	msg.Incarnation = s.incarnation
-	err = s.handle(msg)
+	err = s.deliver(ctx, msg)
 	var unknown *UnknownKindError
 	if errors.As(err, &unknown) {
 		s.counters.unknownKinds.Add(1)
@@ -82,6 +84,17 @@
 	return &LinkError{Peer: s.peer, Op: "handle " + msg.Kind, Err: err}
 }
 
+// deliver keeps the order of messages over a replacement: a connection that was replaced
+// while it waited delivers nothing more.
+func (s *session) deliver(ctx context.Context, msg Message) error {
+	s.handling.Lock()
+	defer s.handling.Unlock()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return s.handle(msg)
+}
+
 func (s *session) write(ctx context.Context) error {
 	for {
 		select {
