Let a replaced connection end while its peer's handler is busy

Change: the handler is guarded by a channel, which a reader stops waiting for when its connection ends. TestReplacedConnectionKeepsOrder guards the order; it fails with two handlers at once when the guard is taken out.

--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -165,8 +165,7 @@
 	case n < 5:
 		w.change()
 	case n < 9:
-		names := slices.Sorted(maps.Keys(w.hosts))
-		name := names[w.draw(len(names))]
+		name := slices.Sorted(maps.Keys(w.hosts))[w.draw(len(w.hosts))]
 		w.adopt(name)
 		if s := w.syncs[name]; len(s) > 0 {
 			_ = w.hosts[name].Accept(w.now, s[len(s)-1-w.draw(min(len(s), 8))])
--- a/peer/link.go
+++ b/peer/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +16,7 @@
 	session     *session           // nil while not connected
 	stopDialing context.CancelFunc // nil if no goroutine of this side dials
 	counters    *counters
-	handling    *sync.Mutex // held while a message of this peer is handled
+	handling    chan struct{} // holds one value while a message of this peer is handled
 }
 
 type counters struct {
@@ -42,7 +41,7 @@
 }
 
 func newLink(p Peer) *link {
-	return &link{peer: p, counters: &counters{}, handling: &sync.Mutex{}}
+	return &link{peer: p, counters: &counters{}, handling: make(chan struct{}, 1)}
 }
 
 // end ends the session before the dialing, so that the reason is not lost.
--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -24,8 +24,7 @@
 			return
 		}
 		qt.Assert(t, msg.Kind != "" && len(msg.Body) > 0, qt.IsTrue)
-		_ = msg.Decode(&hello{})
-		_ = msg.Decode(&proof{})
+		_, _ = msg.Decode(&hello{}), msg.Decode(&proof{})
 	})
 }
 
@@ -68,8 +67,7 @@
 		m.SetPeers([]Peer{{"a", 1, netip.AddrPort{}}, {"b", 1, netip.MustParseAddrPort(server.Listener.Addr().String())}})
 	}
 	<-up
-	heartbeat := make([]byte, 200)
-	times := make([]time.Duration, 0, b.N)
+	heartbeat, times := make([]byte, 200), make([]time.Duration, 0, b.N)
 	var before, after syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
 	written.Store(0)
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -46,16 +46,13 @@
 // pump writes what was buffered before Close, then closes.
 func (f *faultConn) pump() {
 	for {
-		select {
-		case b := <-f.out:
-			_, _ = f.Conn.Write(b)
-			continue
-		default:
-		}
 		select {
 		case b := <-f.out:
 			_, _ = f.Conn.Write(b)
 		case <-f.closed:
+			for len(f.out) > 0 {
+				_, _ = f.Conn.Write(<-f.out)
+			}
 			_ = f.Conn.Close()
 			return
 		}
@@ -241,8 +238,7 @@
 }
 
 func TestWrongSecretIsRefusedByBothSides(t *testing.T) {
-	other := func(m *Mesh) { m.cfg.Secret = []byte("another secret") }
-	run(t, other, nil, func(n *network, a, b *host) {
+	run(t, func(m *Mesh) { m.cfg.Secret = []byte("another secret") }, nil, func(n *network, a, b *host) {
 		assertRefused[*AuthError](n, a, b, a)
 		n.c.Check(b.received, qt.HasLen, 0)
 	})
@@ -255,8 +251,7 @@
 		a.stop()
 		conn, _, err := websocket.Dial(context.Background(), "ws://"+b.peer.Address.String(), &websocket.DialOptions{HTTPClient: a.client})
 		n.c.Assert(err, qt.IsNil)
-		h := hello{1, 1, "a", 2, "", make([]byte, nonceBytes)}
-		raw, _ := encode(0, kindHello, h)
+		raw, _ := encode(0, kindHello, hello{1, 1, "a", 2, "", make([]byte, nonceBytes)})
 		n.c.Assert(conn.Write(context.Background(), websocket.MessageBinary, raw), qt.IsNil)
 		for range 2 { // b's hello and proof
 			_, raw, err = conn.Read(context.Background())
@@ -270,16 +265,14 @@
 }
 
 func TestNoCommonVersionNamesBothRanges(t *testing.T) {
-	next := func(m *Mesh) { m.tuning.lowest, m.tuning.highest = 2, 3 }
-	run(t, next, nil, func(n *network, a, b *host) {
+	run(t, func(m *Mesh) { m.tuning.lowest, m.tuning.highest = 2, 3 }, nil, func(n *network, a, b *host) {
 		assertRefused[*VersionError](n, a, b, a, b)
 		n.c.Check(assertDown[*VersionError](n, a), qt.ErrorMatches, ".*own 2 to 3, peer's 1 to 1")
 	})
 }
 
 func TestHighestCommonVersionIsChosen(t *testing.T) {
-	next := func(m *Mesh) { m.tuning.highest = 3 }
-	run(t, next, func(m *Mesh) { m.tuning.highest = 2 }, func(n *network, a, b *host) {
+	run(t, func(m *Mesh) { m.tuning.highest = 3 }, func(m *Mesh) { m.tuning.highest = 2 }, func(n *network, a, b *host) {
 		n.assertPasses(a, b)
 		n.c.Check(a.Status()["b"].Version, qt.Equals, uint16(2))
 	})
@@ -330,8 +323,7 @@
 }
 
 func TestUnknownKindIsCountedAndIgnored(t *testing.T) {
-	ignore := func(m *Mesh) { m.cfg.Handle = func(msg Message) error { return &UnknownKindError{msg.Kind} } }
-	run(t, nil, ignore, func(n *network, a, b *host) {
+	run(t, nil, func(m *Mesh) { m.cfg.Handle = func(msg Message) error { return &UnknownKindError{msg.Kind} } }, func(n *network, a, b *host) {
 		n.c.Assert(a.Send("b", "future", 1), qt.IsNil)
 		settle(time.Second)
 		n.c.Check(b.Status()["a"].UnknownKinds, qt.Equals, uint64(1))
@@ -377,6 +369,27 @@
 	})
 }
 
+// TestReplacedConnectionKeepsOrder guards against two handlers at once for one peer.
+func TestReplacedConnectionKeepsOrder(t *testing.T) {
+	var running, peak atomic.Int32
+	run(t, nil, func(m *Mesh) {
+		m.cfg.Handle = func(Message) error {
+			peak.Store(max(peak.Load(), running.Add(1)))
+			time.Sleep(10 * time.Second)
+			running.Add(-1)
+			return nil
+		}
+	}, func(n *network, a, _ *host) {
+		for range 2 {
+			n.c.Check(a.Send("b", "x", 1), qt.IsNil)
+			settle(time.Second)
+			a.established("b").cancel(&ClosedError{"b", "test"})
+			settle(500 * time.Millisecond)
+		}
+		n.c.Check(peak.Load(), qt.Equals, int32(1))
+	})
+}
+
 // TestRestartedPeerIsReached guards against a link that is not dialed again, and against
 // a predecessor that is accepted after its successor.
 func TestRestartedPeerIsReached(t *testing.T) {
@@ -393,8 +406,7 @@
 						n.assertPasses(hosts["a"], hosts["b"])
 					}
 				}
-				other := map[string]string{"a": "b", "b": "a"}[name]
-				assertRefused[*IncarnationError](n, hosts["a"], hosts["b"], hosts[other])
+				assertRefused[*IncarnationError](n, hosts["a"], hosts["b"], map[string]*host{"a": b, "b": a}[name])
 			})
 		})
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -18,7 +17,7 @@
 	queue       chan []byte
 	cancel      context.CancelCauseFunc
 	counters    *counters
-	handling    *sync.Mutex
+	handling    chan struct{}
 	tuning      tuning
 	handle      func(Message) error
 }
@@ -87,8 +86,12 @@
 // deliver keeps the order of messages over a replacement: a connection that was replaced
 // while it waited delivers nothing more.
 func (s *session) deliver(ctx context.Context, msg Message) error {
-	s.handling.Lock()
-	defer s.handling.Unlock()
+	select {
+	case s.handling <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.handling }()
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
