--- a/peer/link.go
+++ b/peer/link.go
@@ -16,6 +16,7 @@
 	session     *session           // nil while not connected
 	stopDialing context.CancelFunc // nil if no goroutine of this side dials
 	counters    *counters
+	handling    chan struct{} // holds one value while a message of this peer is handled
 }
 
 type counters struct {
@@ -40,7 +41,7 @@
 }
 
 func newLink(p Peer) *link {
-	return &link{peer: p, counters: &counters{}}
+	return &link{peer: p, counters: &counters{}, handling: make(chan struct{}, 1)}
 }
 
 // end ends the session before the dialing, so that the reason is not lost.
