Add the epoch document with its membership steps

Cause: limits across the fleet need one durable list of entry hosts and of the credits minted for them.

A removal folds the edges of the lost members into the accounts of the remaining ones, so that the sum of the accounts is always the total. Mint steps add no history.

--- /dev/null
+++ b/epoch/decode.go
@@ -0,0 +1,90 @@
+package epoch
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Decode reads a stored document and checks it as a whole.
+func Decode(b []byte) (*Epoch, error) {
+	if len(b) > MaxBytes {
+		return nil, &BoundError{Field: "document", Size: len(b), Limit: MaxBytes}
+	}
+	e := &Epoch{}
+	if err := json.Unmarshal(b, e); err != nil {
+		return nil, &DecodeError{Place: place(err), Err: err}
+	}
+	return e, e.validate()
+}
+
+// Encode returns the stored form, or an error if the store would refuse its size.
+func (e *Epoch) Encode() ([]byte, error) {
+	b, err := json.Marshal(e)
+	if err != nil {
+		return nil, &DecodeError{Place: "document", Err: err}
+	}
+	if len(b) > MaxBytes {
+		return nil, &BoundError{Field: "document", Size: len(b), Limit: MaxBytes}
+	}
+	return b, nil
+}
+
+func place(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return fmt.Sprintf("%s at byte %d", wrongType.Field, wrongType.Offset)
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return fmt.Sprintf("byte %d", syntax.Offset)
+	}
+	return "document"
+}
+
+func (e *Epoch) validate() error {
+	if n := len(e.Members) + len(e.Departed); n > MaxMembers {
+		return &BoundError{Field: "members and departed", Size: n, Limit: MaxMembers}
+	}
+	if n := len(e.History); n > HistoryLength {
+		return &BoundError{Field: "history", Size: n, Limit: HistoryLength}
+	}
+	names := make(map[string]bool, len(e.Members))
+	known := make(map[ID]bool, len(e.Members)+len(e.Departed))
+	for i, m := range e.Members {
+		if m.Name == "" || names[m.Name] {
+			return fault(fmt.Sprintf("members[%d].name", i), "%q is empty or not unique", m.Name)
+		}
+		if !m.Peer.IsValid() {
+			return fault(fmt.Sprintf("members[%d].peer-address", i), "missing")
+		}
+		names[m.Name], known[m.ID()] = true, true
+	}
+	for _, id := range e.Departed {
+		known[id] = true
+	}
+	return e.validateReferences(known)
+}
+
+func (e *Epoch) validateReferences(known map[ID]bool) error {
+	for team, per := range e.Minted {
+		for id := range per {
+			if !known[id] {
+				return fault(fmt.Sprintf("minted[%q]", team), "%q is no member", id)
+			}
+		}
+	}
+	for i, p := range e.History {
+		if p.Number > e.Number || i > 0 && p.Number <= e.History[i-1].Number {
+			return fault(fmt.Sprintf("history[%d].number", i), "%d is out of order", p.Number)
+		}
+		if p.UsableAfter < 0 {
+			return fault(fmt.Sprintf("history[%d].usable-after", i), "%d is negative", p.UsableAfter)
+		}
+	}
+	return nil
+}
+
+func fault(place, format string, args ...any) error {
+	return &DecodeError{Place: place, Err: fmt.Errorf(format, args...)}
+}
--- /dev/null
+++ b/epoch/epoch.go
@@ -0,0 +1,150 @@
+// Package epoch holds the numbered member list of the entry hosts together with the
+// credits minted for them. The document lives under one store key and every step is a
+// pure function from one version to the next, so one compare-and-swap decides it.
+package epoch
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// HistoryLength is the number of member lists that stay in the document.
+	HistoryLength = 32
+	// MaxMembers bounds one region's mesh, departed members included.
+	MaxMembers = 64
+	// MaxBytes is the largest value that the store accepts.
+	MaxBytes = 1_000_000
+	// LongestWork is the delay before credits of a lost member are usable: the longest
+	// request deadline of 60 s plus 10% for clocks that run at different rates.
+	LongestWork = 66 * time.Second
+)
+
+// ID names one incarnation of an entry host, in the form name/incarnation.
+type ID string
+
+// Member is one entry host of the epoch.
+type Member struct {
+	Name        string         `json:"name" cbor:"name"`
+	Incarnation uint64         `json:"incarnation" cbor:"incarnation"`
+	Zone        string         `json:"zone" cbor:"zone"`
+	Peer        netip.AddrPort `json:"peer-address" cbor:"peer-address"`
+	Operator    netip.AddrPort `json:"operator-address" cbor:"operator-address"`
+}
+
+// ID returns the identity of this incarnation.
+func (m Member) ID() ID { return ID(m.Name + "/" + strconv.FormatUint(m.Incarnation, 10)) }
+
+// Past is the member list that was in force from the epoch Number onwards. Ended lists
+// the members that this step removed after their process is known to have ended.
+type Past struct {
+	Number      uint64        `json:"number" cbor:"number"`
+	Members     []ID          `json:"members" cbor:"members"`
+	Ended       []ID          `json:"ended,omitempty" cbor:"ended,omitempty"`
+	UsableAfter time.Duration `json:"usable-after,omitempty" cbor:"usable-after,omitempty"`
+}
+
+// Epoch is one version of the document. It is not changed after it was made.
+//
+// Minted holds, per team, what each member would hold without transfers and burns since
+// the edges with removed members were folded in; an entry may be negative. History ends
+// with the current member list; steps that only mint add no entry, so that frequent
+// limit changes do not push out the lists that a reclaim needs.
+type Epoch struct {
+	Number   uint64                  `json:"number" cbor:"number"`
+	Members  []Member                `json:"members" cbor:"members"`
+	Departed []ID                    `json:"departed,omitempty" cbor:"departed,omitempty"`
+	Minted   map[string]map[ID]int64 `json:"minted" cbor:"minted"`
+	History  []Past                  `json:"history" cbor:"history"`
+	faults   faults
+}
+
+// faults are deliberately broken variants, set only by tests.
+type faults struct {
+	countCurrentOnly, forgetEdges bool
+}
+
+// Has reports whether id is a member.
+func (e *Epoch) Has(id ID) bool {
+	return slices.ContainsFunc(e.Members, func(m Member) bool { return m.ID() == id })
+}
+
+// Majority is the smallest number of members that is more than half of n.
+func Majority(n int) int { return n/2 + 1 }
+
+// Total is the number of credits minted for a team, burned ones included.
+func (e *Epoch) Total(team string) int64 {
+	var sum int64
+	for _, n := range e.Minted[team] {
+		sum += n
+	}
+	return sum
+}
+
+// UsableAfter is the delay for credits that a holder at epoch since finds added to its
+// account. It is the longest delay of the steps in between, or LongestWork when the
+// history does not reach back far enough.
+func (e *Epoch) UsableAfter(since uint64) time.Duration {
+	if since > 0 && len(e.History) > 0 && e.History[0].Number > since && e.History[0].Number > 1 {
+		return LongestWork
+	}
+	var longest time.Duration
+	for _, p := range e.History {
+		if p.Number > since {
+			longest = max(longest, p.UsableAfter)
+		}
+	}
+	return longest
+}
+
+func (e *Epoch) ids() []ID {
+	ids := make([]ID, len(e.Members))
+	for i, m := range e.Members {
+		ids[i] = m.ID()
+	}
+	return ids
+}
+
+// next returns a deep copy with the following number.
+func (e *Epoch) next() *Epoch {
+	n := &Epoch{
+		Number:   e.Number + 1,
+		Members:  slices.Clone(e.Members),
+		Departed: slices.Clone(e.Departed),
+		Minted:   make(map[string]map[ID]int64, len(e.Minted)),
+		History:  slices.Clone(e.History),
+		faults:   e.faults,
+	}
+	for team, per := range e.Minted {
+		n.Minted[team] = maps.Clone(per)
+	}
+	return n
+}
+
+// record appends the current member list to the history.
+func (e *Epoch) record(ended []ID, usableAfter time.Duration) *Epoch {
+	e.History = append(e.History, Past{Number: e.Number, Members: e.ids(), Ended: ended, UsableAfter: usableAfter})
+	if extra := len(e.History) - HistoryLength; extra > 0 {
+		e.History = slices.Delete(e.History, 0, extra)
+	}
+	return e
+}
+
+// add changes an account and drops entries that became zero, to keep the document small.
+func (e *Epoch) add(team string, id ID, n int64) {
+	per := e.Minted[team]
+	if per == nil {
+		per = make(map[ID]int64)
+		e.Minted[team] = per
+	}
+	per[id] += n
+	if per[id] == 0 {
+		delete(per, id)
+	}
+	if len(per) == 0 {
+		delete(e.Minted, team)
+	}
+}
--- /dev/null
+++ b/epoch/reclaim.go
@@ -0,0 +1,131 @@
+package epoch
+
+import "slices"
+
+// Ask requests confirmations for a reclaim that is to follow the epoch Number. Planned
+// means that the only lost member asks for itself and admits nothing any more.
+type Ask struct {
+	Number  uint64 `cbor:"epoch"`
+	Lost    []ID   `cbor:"lost"`
+	Planned bool   `cbor:"planned,omitempty"`
+}
+
+// Edge is what passed between a confirming and a lost member for one team, and what the
+// lost one is known to have burned.
+type Edge struct {
+	Team     string `cbor:"team"`
+	Lost     ID     `cbor:"lost"`
+	Given    int64  `cbor:"given"`
+	Received int64  `cbor:"received"`
+	Burned   int64  `cbor:"burned"`
+}
+
+// Confirm is a member's promise to give no peer lease to the lost members, and to keep
+// its edges with them unchanged, until it has adopted an epoch after Number. A reclaim
+// may only follow the epoch Number, so an outdated promise cannot be used.
+type Confirm struct {
+	Member ID            `cbor:"member"`
+	Number uint64        `cbor:"epoch"`
+	Lost   []ID          `cbor:"lost"`
+	Seen   map[ID]uint64 `cbor:"seen"`
+	Edges  []Edge        `cbor:"edges"`
+}
+
+func (c Confirm) covers(number uint64, gone []ID) bool {
+	if c.Number != number {
+		return false
+	}
+	return !slices.ContainsFunc(gone, func(id ID) bool { return !slices.Contains(c.Lost, id) })
+}
+
+func (e *Epoch) checkConfirms(gone []ID, confirms []Confirm) error {
+	for _, id := range e.ids() {
+		if slices.Contains(gone, id) {
+			continue
+		}
+		n := 0
+		for _, c := range confirms {
+			if c.Member == id && c.covers(e.Number, gone) {
+				n++
+			}
+		}
+		if n != 1 {
+			return &MemberError{Member: id, Problem: "needs exactly one confirmation for this epoch"}
+		}
+	}
+	return nil
+}
+
+// checkLost applies the rule unknown + 1 < majority(smallest size) to one lost member.
+func (e *Epoch) checkLost(lost ID, together []ID, confirms []Confirm) error {
+	if !e.Has(lost) {
+		return &MemberError{Member: lost, Problem: "not a member"}
+	}
+	confirmed := make(map[ID]bool)
+	since := e.joined(lost)
+	for _, c := range confirms {
+		if c.covers(e.Number, together) {
+			confirmed[c.Member] = true
+			since = max(since, c.Seen[lost])
+		}
+	}
+	lists, ok := e.listsSince(since)
+	if !ok {
+		return &MemberError{Member: lost, Problem: "last adopted an epoch before the recorded history"}
+	}
+	if e.faults.countCurrentOnly {
+		lists = lists[len(lists)-1:]
+	}
+	unknown, smallest := countUnknown(lost, lists, confirmed)
+	if unknown+1 >= Majority(smallest) {
+		return &ReclaimError{Member: lost, Unknown: unknown, SmallestSize: smallest}
+	}
+	return nil
+}
+
+// joined returns the first recorded epoch of a member, which it adopted on joining, or
+// zero when the history does not show a list without it.
+func (e *Epoch) joined(id ID) uint64 {
+	for i, p := range e.History {
+		if slices.Contains(p.Members, id) {
+			if i == 0 && p.Number > 1 {
+				return 0
+			}
+			return p.Number
+		}
+	}
+	return 0
+}
+
+// listsSince returns the member lists that were in force at the epoch since or later.
+func (e *Epoch) listsSince(since uint64) ([]Past, bool) {
+	for i := len(e.History) - 1; i >= 0; i-- {
+		if e.History[i].Number <= since {
+			return e.History[i:], true
+		}
+	}
+	return nil, false
+}
+
+// countUnknown counts the members that may still have a peer lease to lost outstanding.
+func countUnknown(lost ID, lists []Past, confirmed map[ID]bool) (unknown, smallest int) {
+	smallest = len(lists[0].Members)
+	may := make(map[ID]bool)
+	for _, p := range lists {
+		smallest = min(smallest, len(p.Members))
+		for _, id := range p.Members {
+			may[id] = id != lost && !confirmed[id]
+		}
+	}
+	for _, p := range lists {
+		for _, id := range p.Ended {
+			may[id] = false
+		}
+	}
+	for _, m := range may {
+		if m {
+			unknown++
+		}
+	}
+	return unknown, smallest
+}
--- /dev/null
+++ b/epoch/step.go
@@ -0,0 +1,119 @@
+package epoch
+
+import (
+	"slices"
+	"time"
+)
+
+// Join adds a member. A member of the same name becomes departed at once, because a new
+// incarnation under the same name and address shows that its predecessor has ended; its
+// credits are recovered by the next Reclaim.
+func (e *Epoch) Join(m Member) (*Epoch, error) {
+	if e.Has(m.ID()) || slices.Contains(e.Departed, m.ID()) {
+		return nil, &MemberError{Member: m.ID(), Problem: "already joined"}
+	}
+	n := e.next()
+	var ended []ID
+	if i := slices.IndexFunc(n.Members, func(o Member) bool { return o.Name == m.Name }); i >= 0 {
+		ended = append(ended, n.Members[i].ID())
+		n.Departed = append(n.Departed, ended...)
+		n.Members = slices.Delete(n.Members, i, i+1)
+	}
+	n.Members = append(n.Members, m)
+	n.record(ended, 0)
+	return n, n.validate()
+}
+
+// Touch makes a version without changes. A member whose store lease lapsed does this
+// after it has created a new one and before it uses it: a reclaim that did not yet see
+// the new lease then loses the compare-and-swap.
+func (e *Epoch) Touch(id ID) (*Epoch, error) {
+	if !e.Has(id) {
+		return nil, &MemberError{Member: id, Problem: "removed"}
+	}
+	return e.next(), nil
+}
+
+// Mint adds credits to the account of one member.
+func (e *Epoch) Mint(id ID, amounts map[string]int64) (*Epoch, error) {
+	if !e.Has(id) {
+		return nil, &MemberError{Member: id, Problem: "removed"}
+	}
+	n := e.next()
+	for team, amount := range amounts {
+		if amount < 0 {
+			return nil, &MemberError{Member: id, Problem: "negative mint for " + team}
+		}
+		n.add(team, id, amount)
+	}
+	return n, nil
+}
+
+// Leave removes a member after a planned stop. It needs the frozen edges of every other
+// member and has the successor take what the member still held, usable at once, because
+// the leaving member has no running work. It also must have waited until its own peer
+// leases ended.
+func (e *Epoch) Leave(id, successor ID, confirms []Confirm) (*Epoch, error) {
+	return e.remove(successor, []ID{id}, confirms, 0, []ID{id})
+}
+
+// Reclaim removes lost members and moves their credits, and those of departed members,
+// to the proposer. Lost members are handled together, because edges between two of them
+// are unknown but cancel out in the sum. Every remaining member must have confirmed.
+func (e *Epoch) Reclaim(proposer ID, lost []ID, confirms []Confirm, usableAfter time.Duration) (*Epoch, error) {
+	for _, id := range lost {
+		if err := e.checkLost(id, lost, confirms); err != nil {
+			return nil, err
+		}
+	}
+	return e.remove(proposer, lost, confirms, usableAfter, nil)
+}
+
+func (e *Epoch) remove(heir ID, lost []ID, confirms []Confirm, usableAfter time.Duration, ended []ID) (*Epoch, error) {
+	if slices.Contains(lost, heir) || !e.Has(heir) {
+		return nil, &MemberError{Member: heir, Problem: "not a remaining member"}
+	}
+	gone := slices.Concat(lost, e.Departed)
+	if ended != nil {
+		gone = lost
+	}
+	if err := e.checkConfirms(gone, confirms); err != nil {
+		return nil, err
+	}
+	n := e.next()
+	n.Members = slices.DeleteFunc(n.Members, func(m Member) bool { return slices.Contains(lost, m.ID()) })
+	n.Departed = slices.DeleteFunc(n.Departed, func(id ID) bool { return slices.Contains(gone, id) })
+	n.fold(gone, confirms, heir)
+	return n.record(ended, usableAfter), n.validate()
+}
+
+// fold moves the accounts of gone members: each edge to the account of the remaining
+// member, the rest to the heir. The sum stays the same, less what the gone ones burned.
+func (e *Epoch) fold(gone []ID, confirms []Confirm, heir ID) {
+	burned := make(map[Edge]int64)
+	for _, c := range confirms {
+		for _, edge := range c.Edges {
+			if !slices.Contains(gone, edge.Lost) {
+				continue
+			}
+			net := edge.Received - edge.Given
+			if e.faults.forgetEdges {
+				net = 0
+			}
+			e.add(edge.Team, c.Member, net)
+			e.add(edge.Team, heir, -net)
+			key := Edge{Team: edge.Team, Lost: edge.Lost}
+			burned[key] = max(burned[key], edge.Burned)
+		}
+	}
+	for key, n := range burned {
+		e.add(key.Team, heir, -n)
+	}
+	for team, per := range e.Minted {
+		for _, id := range gone {
+			n := per[id]
+			e.add(team, id, -n)
+			e.add(team, heir, n)
+		}
+	}
+}
