Add the credit ledger of the team limits

Cause: no team may have more running across the fleet than its limit, also while hosts, links or the store fail.

Change: package credit with cumulative transfers per pair, mint and burn, block and unblock on limit changes, recovery with a delay, distribution by demand and hand-over at a planned stop. The epoch document now records the delay of members that took over credits: the property test found that the loss of such a member made credits usable while the work of the first lost host was still running. Minted credits wait until every member has reported the epoch, because a host that missed a raise and a lowering could otherwise admit above the limit. A host that stops grants no peer leases.

--- /dev/null
+++ b/credit/receive.go
@@ -0,0 +1,127 @@
+package credit
+
+import (
+	"time"
+
+	"egretdrum.example/epoch"
+)
+
+// Receive takes a message from a peer and returns the answer, if there is one.
+func (l *Ledger) Receive(now time.Time, m Message) []Message {
+	if m.To != l.self || !l.ep.Has(m.From) || !l.ep.Has(l.self) {
+		return nil
+	}
+	p := l.peer(m.From)
+	p.epoch, p.heard, p.leaving = max(p.epoch, m.Epoch), now, p.leaving || m.Leaving
+	if p.frozen {
+		return nil
+	}
+	reply := l.message(m.From)
+	l.receiveTotals(m, &reply)
+	for _, f := range m.Free {
+		l.account(f.Team).edge(m.From).free = f.N
+	}
+	for _, ask := range m.Asks {
+		l.answer(now, m.From, ask, &reply)
+	}
+	if reply.empty() {
+		return nil
+	}
+	return []Message{reply}
+}
+
+func (l *Ledger) receiveTotals(m Message, reply *Message) {
+	for _, g := range m.Gives {
+		a := l.account(g.Team)
+		e := a.edge(m.From)
+		if l.faults.addTotals {
+			a.usable.Add(g.N)
+		} else if g.N > e.received {
+			a.usable.Add(g.N - e.received)
+			e.received = g.N
+		}
+		reply.GiveAcks = append(reply.GiveAcks, Amount{g.Team, e.received})
+	}
+	for _, g := range m.GiveAcks {
+		e := l.account(g.Team).edge(m.From)
+		e.givenAcked = max(e.givenAcked, g.N)
+	}
+	for _, b := range m.Burns {
+		a := l.account(b.Team)
+		e := a.edge(m.From)
+		e.burned = max(e.burned, b.N)
+		l.checkLimit(a)
+		reply.BurnAcks = append(reply.BurnAcks, Amount{b.Team, e.burned})
+	}
+	for _, b := range m.BurnAcks {
+		e := l.account(b.Team).edge(m.From)
+		e.burnAcked = max(e.burnAcked, b.N)
+	}
+}
+
+// answer gives half of the free credits, or all of them without recent demand. Without
+// free ones it reserves credits in use for a peer that has fewer, so that a busy host
+// does not keep a team's whole limit.
+func (l *Ledger) answer(now time.Time, to epoch.ID, ask Ask, reply *Message) {
+	a := l.account(ask.Team)
+	if a.isBlocked || ask.Wanted <= 0 || !l.mayGive(to) {
+		return
+	}
+	free := a.free()
+	part := (free + 1) / 2
+	if now.Sub(a.lastDemand) >= idleAfter && a.waiting.Load() == 0 {
+		part = free
+	}
+	if n := l.give(a, to, min(ask.Wanted, part)); n > 0 {
+		reply.Gives = append(reply.Gives, Amount{a.team, a.edge(to).given})
+		return
+	}
+	surplus := (a.holding() - a.reserved - ask.Holding) / 2
+	a.reserve(a.edge(to), min(ask.Wanted, surplus/int64(len(l.ep.Members))+min(1, surplus)))
+}
+
+func (l *Ledger) mayGive(to epoch.ID) bool {
+	return l.ep.Has(to) && !l.peer(to).frozen && !l.peer(to).leaving
+}
+
+// give moves up to n free credits to a peer. They are subtracted here, before the total
+// is sent.
+func (l *Ledger) give(a *account, to epoch.ID, n int64) int64 {
+	if n <= 0 || !l.mayGive(to) {
+		return 0
+	}
+	if l.faults.keepGiven {
+		a.edge(to).given += n
+		return n
+	}
+	n = a.take(n)
+	a.edge(to).given += n
+	return n
+}
+
+// reserve marks credits in use for a peer: the next releases go there.
+func (a *account) reserve(e *edge, n int64) {
+	if n <= e.owed {
+		return
+	}
+	a.usable.Add(e.owed - n)
+	a.reserved += n - e.owed
+	e.owed = n
+}
+
+func (a *account) cancelOwed(e *edge) {
+	a.usable.Add(e.owed)
+	a.reserved -= e.owed
+	e.owed = 0
+}
+
+// payOwed passes on reserved credits whose requests have ended.
+func (a *account) payOwed(e *edge) {
+	n := min(e.owed, a.reserved+min(0, a.free()))
+	if n <= 0 {
+		return
+	}
+	e.owed -= n
+	a.reserved -= n
+	e.given += n
+}
--- /dev/null
+++ b/credit/tick.go
@@ -0,0 +1,155 @@
+package credit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretdrum.example/epoch"
+)
+
+// Tick is called every TickInterval. It repeats what peers have not acknowledged, asks
+// for credits where requests wait, and does the coordinator's part for its teams.
+func (l *Ledger) Tick(now time.Time) Actions {
+	acts := Actions{Mint: make(map[string]int64)}
+	if !l.ep.Has(l.self) {
+		return acts
+	}
+	out := make(map[epoch.ID]*Message, len(l.ep.Members))
+	for _, m := range l.ep.Members {
+		if id := m.ID(); id != l.self {
+			msg := l.message(id)
+			out[id] = &msg
+		}
+	}
+	for _, a := range *l.accounts.Load() {
+		l.tickAccount(now, a, out, acts.Mint)
+	}
+	for _, m := range l.ep.Members {
+		msg := out[m.ID()]
+		if msg == nil || msg.empty() && now.Sub(l.peer(msg.To).sent) < reportInterval {
+			continue
+		}
+		l.peer(msg.To).sent = now
+		acts.Messages = append(acts.Messages, *msg)
+	}
+	return acts
+}
+
+func (l *Ledger) message(to epoch.ID) Message {
+	return Message{From: l.self, To: to, Epoch: l.ep.Number, Leaving: l.leaving}
+}
+
+func (l *Ledger) tickAccount(now time.Time, a *account, out map[epoch.ID]*Message, mint map[string]int64) {
+	l.usePending(now, a)
+	l.burnPending(now, a)
+	coordinator := l.coordinator(now, a)
+	if coordinator == l.self {
+		l.coordinate(a, mint)
+	} else if a.isBlocked {
+		l.give(a, coordinator, a.free())
+	}
+	wanted := l.wanted(now, a)
+	if wanted > 0 {
+		l.ask(now, a, wanted, out)
+	}
+	recent := now.Sub(a.lastDemand) < idleAfter
+	for id, msg := range out {
+		e := a.edges[id]
+		if e == nil {
+			e = &edge{}
+		}
+		if !l.peer(id).frozen {
+			a.payOwed(e)
+		}
+		if e.given > e.givenAcked {
+			msg.Gives = append(msg.Gives, Amount{a.team, e.given})
+		}
+		if a.burned > e.burnAcked {
+			msg.Burns = append(msg.Burns, Amount{a.team, a.burned})
+		}
+		if recent && now.Sub(l.peer(id).sent) >= reportInterval {
+			msg.Free = append(msg.Free, Amount{a.team, max(0, a.usable.Load())})
+		}
+	}
+}
+
+// coordinate mints up to the limit or burns down to it. Two hosts that both regard
+// themselves as coordinator may burn too much; the difference is then minted again.
+func (l *Ledger) coordinate(a *account, mint map[string]int64) {
+	excess := l.excess(a)
+	if excess < 0 && !l.leaving {
+		mint[a.team] = -excess
+		return
+	}
+	a.burned += a.take(max(0, excess))
+	l.checkLimit(a)
+}
+
+// burnPending burns minted credits above the limit that wait for a member's report. They
+// were never usable, so no host needs the coordinator for it; otherwise a member that
+// never reports could keep the account blocked.
+func (l *Ledger) burnPending(now time.Time, a *account) {
+	for i := range a.pending {
+		b := &a.pending[i]
+		if n := min(b.n, l.excess(a)); n > 0 && !now.Before(b.readyAt) {
+			b.n -= n
+			a.burned += n
+		}
+	}
+	l.checkLimit(a)
+}
+
+// coordinator returns the first live member in the rendezvous order of the team.
+func (l *Ledger) coordinator(now time.Time, a *account) epoch.ID {
+	for _, id := range a.order {
+		if id == l.self && !l.leaving {
+			return id
+		}
+		if p := l.peers[id]; id != l.self && p != nil && !p.heard.IsZero() && now.Sub(p.heard) < lostAfter && l.mayGive(id) {
+			return id
+		}
+	}
+	return l.self
+}
+
+// wanted returns how many credits are missing and notes when there was demand.
+func (l *Ledger) wanted(now time.Time, a *account) int64 {
+	misses, waiting := a.misses.Swap(0), a.waiting.Load()
+	if a.touched.Swap(false) || misses > 0 || waiting > 0 || a.running.Load() > 0 {
+		a.lastDemand = now
+	}
+	if a.isBlocked {
+		return 0
+	}
+	return min(max(misses, waiting)-max(0, a.usable.Load()), a.limit-a.holding())
+}
+
+// ask requests credits from peers that are known to have free ones, the one with the
+// most first, and if those do not suffice from all others.
+func (l *Ledger) ask(now time.Time, a *account, wanted int64, out map[epoch.ID]*Message) {
+	ids := make([]epoch.ID, 0, len(out))
+	for id := range out {
+		if e := a.edge(id); now.Sub(e.askedAt) < askInterval {
+			wanted -= e.asked
+		} else if l.mayGive(id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(x, y epoch.ID) int {
+		return cmp.Or(cmp.Compare(a.edge(y).free, a.edge(x).free), cmp.Compare(x, y))
+	})
+	for _, id := range ids {
+		e := a.edge(id)
+		if wanted <= 0 {
+			return
+		}
+		n := wanted
+		if e.free > 0 {
+			n = min(wanted, e.free)
+			wanted -= n
+		}
+		e.askedAt, e.asked, e.free = now, min(n, e.free), 0
+		out[id].Asks = append(out[id].Asks, Ask{Team: a.team, Wanted: n, Holding: a.holding()})
+	}
+}
--- a/epoch/decode.go
+++ b/epoch/decode.go
@@ -74,6 +74,11 @@
 			}
 		}
 	}
+	for id, d := range e.Delayed {
+		if !known[id] || d < 0 {
+			return fault("delayed", "%q is no member or its delay %s is negative", id, d)
+		}
+	}
 	for i, p := range e.History {
 		if p.Number > e.Number || i > 0 && p.Number <= e.History[i-1].Number {
 			return fault(fmt.Sprintf("history[%d].number", i), "%d is out of order", p.Number)
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -59,12 +59,15 @@
 	Departed []ID                    `json:"departed,omitempty" cbor:"departed,omitempty"`
 	Minted   map[string]map[ID]int64 `json:"minted" cbor:"minted"`
 	History  []Past                  `json:"history" cbor:"history"`
-	faults   faults
+	// Delayed holds the delay of members that took over credits of lost ones. If such a
+	// member is lost as well, its own credits need at least the same delay.
+	Delayed map[ID]time.Duration `json:"delayed,omitempty" cbor:"delayed,omitempty"`
+	faults  faults
 }
 
 // faults are deliberately broken variants, set only by tests.
 type faults struct {
-	countCurrentOnly, forgetEdges bool
+	countCurrentOnly, forgetEdges, forgetDelay bool
 }
 
 // Has reports whether id is a member.
@@ -121,6 +124,7 @@
 	for team, per := range e.Minted {
 		n.Minted[team] = maps.Clone(per)
 	}
+	n.Delayed = maps.Clone(e.Delayed)
 	return n
 }
 
--- a/epoch/epoch_test.go
+++ b/epoch/epoch_test.go
@@ -257,6 +257,14 @@
 	c.Check(n.Departed, qt.HasLen, 0)
 	c.Check(n.Minted["t"], qt.DeepEquals, map[ID]int64{"e0/2": 90})
 	c.Check(n.UsableAfter(e.Number), qt.Equals, LongestWork)
+	for _, f := range []faults{{}, {forgetDelay: true}} {
+		n.faults = f
+		e = must(c, n.Join)(member("e0", 3, "z"))
+		again, err := e.Reclaim("e1/2", nil, confirms(e, e.Departed, nil, nil), 0)
+		c.Assert(err, qt.IsNil)
+		// Guards against a second removal that shortens the delay of the first.
+		c.Check(again.UsableAfter(e.Number) == LongestWork, qt.Equals, !f.forgetDelay)
+	}
 	b, err := json.Marshal(n)
 	c.Assert(err, qt.IsNil)
 	c.Check(strings.Contains(string(b), "faults"), qt.IsFalse)
--- a/epoch/step.go
+++ b/epoch/step.go
@@ -84,9 +84,27 @@
 	n.Members = slices.DeleteFunc(n.Members, func(m Member) bool { return slices.Contains(lost, m.ID()) })
 	n.Departed = slices.DeleteFunc(n.Departed, func(id ID) bool { return slices.Contains(gone, id) })
 	n.fold(gone, confirms, heir)
+	usableAfter = n.inherit(gone, heir, usableAfter)
 	return n.record(ended, usableAfter), n.validate()
 }
 
+// inherit passes on the delay of gone members to the heir and returns the longest.
+func (e *Epoch) inherit(gone []ID, heir ID, delay time.Duration) time.Duration {
+	for _, id := range gone {
+		if !e.faults.forgetDelay {
+			delay = max(delay, e.Delayed[id])
+		}
+		delete(e.Delayed, id)
+	}
+	if delay > 0 {
+		if e.Delayed == nil {
+			e.Delayed = make(map[ID]time.Duration)
+		}
+		e.Delayed[heir] = max(e.Delayed[heir], delay)
+	}
+	return delay
+}
+
 // fold moves the accounts of gone members: each edge to the account of the remaining
 // member, the rest to the heir. The sum stays the same, less what the gone ones burned.
 func (e *Epoch) fold(gone []ID, confirms []Confirm, heir ID) {
--- a/lease/beat.go
+++ b/lease/beat.go
@@ -7,13 +7,14 @@
 )
 
 // Beat makes the next heartbeat to a peer. It grants a lease if the peer is a member,
-// has sent a heartbeat since the last grant and is not being reclaimed.
+// has sent a heartbeat since the last grant and is not being reclaimed. A host that stops
+// grants none, so that it may leave soon.
 func (l *Lease) Beat(now time.Time, to epoch.ID) Beat {
 	p := l.peer(to)
 	p.number++
 	p.sent[p.number%sentKept] = now
 	b := Beat{Number: p.number, Epoch: l.ep.Number, Config: l.config, Echo: p.heard, Reclaiming: p.reclaim}
-	if p.heard > p.answered && l.ep.Has(to) && (!p.reclaim || l.faults.grantAfterConfirm) {
+	if p.heard > p.answered && l.ep.Has(to) && !l.stopped && (!p.reclaim || l.faults.grantAfterConfirm) {
 		p.answered, p.granted, b.Granted = p.heard, now, true
 	}
 	return b
