Connect slots, credits, leases and claims in every entry host

Cause: entry hosts counted limits and slots each for itself; the demo showed 43 running for a limit of 8 and 22 in 8 slots. Change: package node connects the decision logic, package membership joins and leaves the epoch, package entry serves callers with retries, registration of request ids, metrics and a graceful shutdown. Found by the demo: a reply to an attempt that had just ended was dereferenced; the registration loop used an attempt that its first reply had ended. Both are guarded. Conclusion: open are slots freed while a cancelled run still goes on, requests started too late to finish, and idle slots under load.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -33,7 +33,9 @@
 func (e *StepError) Unwrap() error { return e.Err }
 
 // New returns a demo that prints its progress and its table to out.
-func New(out io.Writer) *Demo { return &Demo{out: out} }
+func New(out io.Writer) *Demo {
+	return &Demo{out: out, report: report{reasons: make(map[string]int)}}
+}
 
 // step is one action during the run.
 type step struct {
--- a/demo/report.go
+++ b/demo/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -14,6 +15,7 @@
 // report is the result of one run.
 type report struct {
 	sent, answered, refused, unknown, lost, twice int
+	reasons                                       map[string]int
 
 	withdrawn, givenAgain time.Time
 	withdrawal            time.Duration
@@ -32,6 +34,9 @@
 	row("answered by a minion", r.answered)
 	row("refused as not run", r.refused)
 	row("outcome unknown", r.unknown)
+	for _, reason := range slices.Sorted(maps.Keys(r.reasons)) {
+		row("  "+reason, r.reasons[reason])
+	}
 	row("lost", r.lost)
 	row("run twice", r.twice)
 	row("key withdrawal time", r.withdrawal.Round(time.Millisecond))
--- a/entry/host.go
+++ b/entry/host.go
@@ -5,18 +5,19 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"egretdrum.example/hostlist"
+	"egretdrum.example/certificate"
+	"egretdrum.example/epoch"
+	"egretdrum.example/membership"
 	"egretdrum.example/minion"
+	"egretdrum.example/node"
 	"egretdrum.example/operator"
+	"egretdrum.example/peer"
 	"egretdrum.example/rollout"
 	"egretdrum.example/settings"
 	"egretdrum.example/store"
@@ -30,16 +31,23 @@
 	log      *zap.Logger
 	store    *store.Client
 	keeper   *rollout.Keeper
+	agent    *membership.Agent
 	minions  *minion.Client
 	api      *operator.API
-
-	mu      sync.Mutex
-	hosts   []hostlist.Host
-	running map[string]int // by worker
-
-	ready     atomic.Bool
-	callers   net.Listener
-	operators net.Listener
+	retries  retryBudgets
+	acks     *acks
+	metrics  *meter
+	recent   *recent
+
+	node  *node.Node
+	mesh  *peer.Mesh
+	self  epoch.Member
+	ready atomic.Bool
+	// stopping is set before readiness fails, so that new callers are refused.
+	stopping  atomic.Bool
+	listeners listeners
+	// pair holds the certificate; nil without TLS.
+	pair *certificate.Pair
 }
 
 // New returns a host that is not listening yet.
@@ -47,93 +55,132 @@
 	client := store.New(s.StoreURL, s.StoreTimeout)
 	h := &Host{
 		settings: s,
-		log:      log,
+		log:      log.With(zap.String("host", s.Name)),
 		store:    client,
 		keeper:   rollout.New(client),
 		minions:  minion.New(),
-		running:  make(map[string]int),
+		retries:  newRetryBudgets(),
+		acks:     newAcks(),
+		metrics:  newMeter(),
+		recent:   newRecent(),
 	}
+	h.agent = membership.New(client, h.log)
 	h.api = operator.New(h.keeper)
+	h.api.Push = h.push
+	h.api.Admitting = func() error {
+		if h.node.MayAdmit(time.Now()) {
+			return nil
+		}
+		return errNotAdmitting
+	}
+	h.api.Behind = func(_ context.Context, version uint64) ([]string, error) { return h.behind(version), nil }
+	h.api.Status = func(context.Context) (operator.Status, error) { return h.status(), nil }
+	h.api.Explain = func(_ context.Context, kind, name string) (operator.Explanation, error) { return h.explain(kind, name) }
 	return h
 }
 
 // CallersAddr returns the address for callers after Listen.
-func (h *Host) CallersAddr() netip.AddrPort { return addrPort(h.callers) }
+func (h *Host) CallersAddr() netip.AddrPort { return addrPort(h.listeners.callers) }
 
 // OperatorAddr returns the address of the operator API after Listen.
-func (h *Host) OperatorAddr() netip.AddrPort { return addrPort(h.operators) }
-
-func addrPort(l net.Listener) netip.AddrPort {
-	return netip.MustParseAddrPort(l.Addr().String())
-}
+func (h *Host) OperatorAddr() netip.AddrPort { return addrPort(h.listeners.operators) }
 
 // Ready reports whether the balancer may send callers here.
-func (h *Host) Ready() bool { return h.ready.Load() }
+func (h *Host) Ready() bool { return h.ready.Load() && h.node.MayAdmit(time.Now()) }
 
 // ConfigVersion returns the version of the configuration in force on this host.
 func (h *Host) ConfigVersion() uint64 { return h.keeper.Config().Version }
 
 // Run serves until ctx ends, then shuts down gracefully. Listen must have succeeded.
 func (h *Host) Run(ctx context.Context) error {
-	h.refresh(ctx)
+	h.self = epoch.Member{
+		Name: h.settings.Name, Zone: h.settings.Zone,
+		Peer: addrPort(h.listeners.peers), Operator: h.OperatorAddr(),
+	}
+	if err := h.join(ctx); err != nil {
+		return err
+	}
+	// The loops outlive ctx: a graceful shutdown still needs the links and the ticks.
+	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := h.startLoops(loops)
+	membership := make(chan error, 1)
+	memberCtx, stopMember := context.WithCancel(loops)
+	defer stopMember()
+	go func() { membership <- h.agent.Run(memberCtx) }()
+	servers := h.startServers()
 	h.ready.Store(true)
-	callers := h.serve(h.callers, http.HandlerFunc(h.serveCaller))
-	operators := h.serve(h.operators, h.api.Handler())
-	h.log.Info("entry-started", zap.String("name", h.settings.Name), zap.Stringer("callers", h.callers.Addr()))
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			h.refresh(ctx)
-		case <-ctx.Done():
-			h.ready.Store(false)
-			return h.shutdown(callers, operators)
-		}
+	h.log.Info("entry-started", zap.Stringer("callers", h.CallersAddr()))
+
+	var removed error
+	select {
+	case <-ctx.Done():
+		stopMember()
+		<-membership
+	case removed = <-membership:
+		h.log.Error("entry-removed", zap.Error(removed))
+	}
+	err := h.shutdown(servers, removed == nil)
+	stop()
+	for range ended.count {
+		<-ended.done
 	}
+	h.log.Info("entry-stopped")
+	return errors.Join(removed, err)
 }
 
-// Listen opens the addresses of the settings.
-func (h *Host) Listen(ctx context.Context) error {
-	var lc net.ListenConfig
-	var err error
-	if h.callers, err = lc.Listen(ctx, "tcp", h.settings.CallersAddress.String()); err != nil {
-		return &StartError{Part: "callers", Err: err}
-	}
-	if h.operators, err = lc.Listen(ctx, "tcp", h.settings.OperatorAddress.String()); err != nil {
-		return &StartError{Part: "operators", Err: err}
+// join reads the configuration and becomes a member. Until both have succeeded the host
+// is not ready.
+func (h *Host) join(ctx context.Context) error {
+	n, err := h.agent.Join(ctx, h.self)
+	if err != nil {
+		return err
 	}
+	h.node = n
+	h.self.Incarnation = h.agent.Incarnation()
+	h.startMesh()
+	h.keeper.Changed = h.configChanged
+	h.refresh(ctx)
 	return nil
 }
 
-// server is a running HTTP server; done yields its end.
-type server struct {
-	http *http.Server
-	done chan error
+// loops are the goroutines of the host; each reports its end on done.
+type loops struct {
+	count int
+	done  chan struct{}
 }
 
-func (h *Host) serve(l net.Listener, handler http.Handler) *server {
-	s := &server{
-		http: &http.Server{Handler: handler, ReadHeaderTimeout: h.settings.HeaderTimeout},
-		done: make(chan error, 1),
+func (h *Host) startLoops(ctx context.Context) loops {
+	l := loops{done: make(chan struct{})}
+	start := func(run func(context.Context)) {
+		l.count++
+		go func() { run(ctx); l.done <- struct{}{} }()
 	}
-	go func() { s.done <- s.http.Serve(l) }()
-	return s
+	start(h.mesh.Run)
+	start(func(ctx context.Context) {
+		every(ctx, node.TickInterval, func() { h.node.Tick(time.Now()) })
+	})
+	start(func(ctx context.Context) {
+		every(ctx, refreshInterval, func() { h.refresh(ctx) })
+	})
+	if h.pair != nil {
+		start(h.watchCertificate)
+	}
+	return l
 }
 
-func (h *Host) shutdown(servers ...*server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), h.settings.StopTimeout)
-	defer cancel()
-	var errs []error
-	for _, s := range servers {
-		errs = append(errs, s.http.Shutdown(ctx))
-		if err := <-s.done; !errors.Is(err, http.ErrServerClosed) {
-			errs = append(errs, err)
+// every calls f at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-ctx.Done():
+			return
 		}
 	}
-	h.minions.Close()
-	h.log.Info("entry-stopped", zap.String("name", h.settings.Name))
-	return errors.Join(errs...)
 }
 
 // refresh reads the configuration and the host list; on a failure the last good values
@@ -147,7 +194,5 @@
 		h.log.Warn("host-list-refresh-failed", zap.Error(err))
 		return
 	}
-	h.mu.Lock()
-	h.hosts = hosts
-	h.mu.Unlock()
+	h.node.SetHosts(time.Now(), hosts)
 }
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/pprof"
+	"strconv"
+	"time"
+
+	"egretdrum.example/operator"
+)
+
+// operatorHandler serves the operator API, health, metrics and profiles. All of it is on
+// the operators' address only.
+func (h *Host) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", h.api.Handler())
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	metrics := h.metrics.handler()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		h.gauges()
+		metrics.ServeHTTP(w, r)
+	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// gauges updates the values that are read rather than counted.
+func (h *Host) gauges() {
+	now := time.Now()
+	live, lost := h.node.Peers(now)
+	h.metrics.gauge("running", float64(h.node.Running()))
+	h.metrics.gauge("waiting", float64(h.node.Waiting()))
+	h.metrics.gauge("peers_live", float64(len(live)))
+	h.metrics.gauge("peers_lost", float64(len(lost)))
+	h.metrics.gauge("config_version", float64(h.ConfigVersion()))
+	h.metrics.gauge("epoch", float64(h.node.Epoch().Number))
+	h.metrics.gauge("store_calls", float64(h.store.Calls()))
+	admitting := 0.0
+	if h.node.MayAdmit(now) {
+		admitting = 1
+	}
+	h.metrics.gauge("admitting", admitting)
+}
+
+// status adds members and present use to what the configuration says.
+func (h *Host) status() operator.Status {
+	now := time.Now()
+	s := operator.StatusOf(h.keeper.Config())
+	s.Host, s.Epoch = h.self.Name, h.node.Epoch().Number
+	live, _ := h.node.Peers(now)
+	heard := map[string]bool{}
+	for _, name := range live {
+		heard[name] = true
+	}
+	for _, m := range h.node.Epoch().Members {
+		status := operator.MemberStatus{Name: m.Name, Zone: m.Zone, Version: max(h.acks.version(m.Name), h.node.ConfigOf(m.Name)), Admitting: heard[m.Name]}
+		if m.Name == h.self.Name {
+			status.Version, status.Admitting = h.ConfigVersion(), h.node.MayAdmit(now)
+		}
+		s.Members = append(s.Members, status)
+	}
+	for n := range s.Teams {
+		s.Teams[n].Running, s.Teams[n].Waiting = h.node.Use(s.Teams[n].Name)
+	}
+	return s
+}
+
+// explain adds what this host knows to what the configuration says.
+func (h *Host) explain(kind, name string) (operator.Explanation, error) {
+	if kind == operator.KindRequest {
+		n, ok := h.recent.find(name)
+		if !ok {
+			return operator.Explanation{}, &operator.NotFoundError{Kind: kind, Name: name, Reason: "this entry host refused no such request lately"}
+		}
+		return operator.Explanation{Kind: kind, Name: name, Summary: "refused: " + n.text, Facts: []operator.Fact{{Name: "team", Value: n.team}}}, nil
+	}
+	e, err := operator.ExplanationOf(h.keeper.Config(), kind, name)
+	if err != nil || kind != operator.KindTeam {
+		return e, err
+	}
+	running, waiting := h.node.Use(name)
+	held := h.node.Held(name)
+	e.Facts = append(e.Facts,
+		operator.Fact{Name: "running here", Value: strconv.Itoa(running)},
+		operator.Fact{Name: "waiting here", Value: strconv.Itoa(waiting)},
+		operator.Fact{Name: "credits held here", Value: strconv.Itoa(held)})
+	return e, nil
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"net/http"
+	"net/url"
 	"regexp"
 	"strings"
 	"time"
@@ -23,6 +24,7 @@
 	id       string
 	service  string
 	path     string
+	rawPath  string
 	secret   string
 	urgent   bool
 	deadline time.Time
@@ -56,9 +58,12 @@
 		return req, &RequestError{Field: "path", Accepted: "/<side>/<service>/<path>"}
 	}
 	req.service = parts[0] + "/" + parts[1]
-	req.path = "/"
+	req.rawPath = "/"
 	if len(parts) == 3 {
-		req.path += parts[2]
+		req.rawPath += parts[2]
+	}
+	if req.path, err = url.PathUnescape(req.rawPath); err != nil {
+		return req, &RequestError{Field: "path", Accepted: "a valid URL path"}
 	}
 	return req, nil
 }
--- /dev/null
+++ b/entry/servers.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/certificate"
+	"egretdrum.example/intake"
+)
+
+const (
+	maxHeaderBytes = 64 << 10
+	bodyTimeout    = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+)
+
+// listeners are the open addresses of the host.
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+func addrPort(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Listen opens the addresses of the settings.
+func (h *Host) Listen(ctx context.Context) error {
+	var lc net.ListenConfig
+	for _, open := range []struct {
+		part    string
+		address netip.AddrPort
+		to      *net.Listener
+	}{
+		{"callers", h.settings.CallersAddress, &h.listeners.callers},
+		{"operators", h.settings.OperatorAddress, &h.listeners.operators},
+		{"peers", h.settings.PeerAddress, &h.listeners.peers},
+	} {
+		l, err := lc.Listen(ctx, "tcp", open.address.String())
+		if err != nil {
+			return &StartError{Part: open.part, Err: err}
+		}
+		*open.to = l
+	}
+	return h.loadCertificate()
+}
+
+func (h *Host) loadCertificate() error {
+	if h.settings.CertificateFile == "" {
+		return nil
+	}
+	pair, err := certificate.Load(h.settings.CertificateFile, h.settings.KeyFile, h.settings.PeerCAFile)
+	if err != nil {
+		return &StartError{Part: "tls", Err: err}
+	}
+	h.pair = pair
+	return nil
+}
+
+// watchCertificate follows changes of the certificate files.
+func (h *Host) watchCertificate(ctx context.Context) {
+	<-h.pair.Watch(ctx, refreshInterval, func(err error) {
+		if err != nil {
+			h.log.Error("certificate-refused", zap.Error(err))
+			return
+		}
+		h.log.Info("certificate-in-force")
+	})
+}
+
+// server is a running HTTP server; done yields its end.
+type server struct {
+	http *http.Server
+	done chan error
+}
+
+type servers struct {
+	callers, operators, peers *server
+}
+
+func (h *Host) startServers() servers {
+	limits := intake.Limits{
+		Conns: h.settings.MaxConnections, HeaderTimeout: h.settings.HeaderTimeout, HeaderBytes: maxHeaderBytes,
+		BodyBytes: h.settings.MaxBodyBytes, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+	}
+	var callers, peers *tls.Config
+	if h.pair != nil {
+		callers = h.pair.Server()
+	}
+	if h.settings.PeerCAFile != "" {
+		peers = h.pair.PeerServer()
+	}
+	plain := func(handler http.Handler) *http.Server {
+		return &http.Server{Handler: handler, ReadHeaderTimeout: h.settings.HeaderTimeout}
+	}
+	return servers{
+		callers:   serve(limits.Server(http.HandlerFunc(h.serveCaller)), limits.Listen(h.listeners.callers), callers),
+		operators: serve(plain(h.operatorHandler()), h.listeners.operators, callers),
+		peers:     serve(plain(h.mesh), h.listeners.peers, peers),
+	}
+}
+
+// serve runs a server, with TLS if a configuration is given.
+func serve(s *http.Server, l net.Listener, cfg *tls.Config) *server {
+	if cfg != nil {
+		s.TLSConfig = cfg
+		l = tls.NewListener(l, cfg)
+	}
+	running := &server{http: s, done: make(chan error, 1)}
+	go func() { running.done <- s.Serve(l) }()
+	return running
+}
+
+// shutdown ends the host in the order that cuts no request: readiness fails, waiting
+// requests are refused, running ones finish, slots and credits pass to the others, and
+// the host leaves the epoch.
+func (h *Host) shutdown(s servers, leave bool) error {
+	h.ready.Store(false)
+	h.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.StopTimeout)
+	defer cancel()
+	h.node.Drain(time.Now())
+	h.log.Info("draining", zap.Int("running", h.node.Running()))
+	errs := []error{s.callers.http.Shutdown(ctx)}
+	if leave {
+		errs = append(errs, h.agent.Leave(ctx))
+	}
+	errs = append(errs, s.operators.http.Shutdown(ctx), s.peers.http.Close())
+	for _, server := range []*server{s.callers, s.operators, s.peers} {
+		if err := <-server.done; !errors.Is(err, http.ErrServerClosed) {
+			errs = append(errs, err)
+		}
+	}
+	h.minions.Close()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/membership/agent.go
@@ -0,0 +1,275 @@
+// Package membership keeps one entry host in the epoch: it joins, renews the host's
+// lease at the store, removes lost members, mints credits and leaves at a planned stop.
+// Each lasting step is one compare-and-swap of the epoch document.
+package membership
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/epoch"
+	"egretdrum.example/lease"
+	"egretdrum.example/node"
+	"egretdrum.example/store"
+)
+
+const (
+	epochKey   = "epoch"
+	hostPrefix = "host/"
+	// stepInterval is how often the agent looks for work; a store lease of 4 s is
+	// renewed four times in its life.
+	stepInterval = 250 * time.Millisecond
+	renewEvery   = time.Second
+	joinPause    = 200 * time.Millisecond
+)
+
+// Agent keeps one entry host in the epoch. It is not safe for concurrent use.
+type Agent struct {
+	store *store.Client
+	log   *zap.Logger
+	node  *node.Node
+	self  epoch.Member
+
+	leaseID  string
+	renewed  time.Time
+	read     time.Time
+	revision uint64 // of the epoch document that the node has adopted
+}
+
+// New returns an agent that has not joined.
+func New(s *store.Client, log *zap.Logger) *Agent { return &Agent{store: s, log: log} }
+
+// Join adds the host to the epoch under the next epoch number as its incarnation, which
+// no other process can have, and returns its node.
+func (a *Agent) Join(ctx context.Context, self epoch.Member) (*node.Node, error) {
+	for {
+		n, err := a.tryJoin(ctx, self)
+		if err == nil {
+			return n, nil
+		}
+		a.log.Warn("join-failed", zap.Error(err))
+		select {
+		case <-time.After(joinPause):
+		case <-ctx.Done():
+			return nil, &JoinError{Err: errors.Join(ctx.Err(), err)}
+		}
+	}
+}
+
+func (a *Agent) tryJoin(ctx context.Context, self epoch.Member) (*node.Node, error) {
+	started := time.Now()
+	if err := a.createLease(ctx, self.Name); err != nil {
+		return nil, err
+	}
+	e, revision, err := a.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	self.Incarnation = e.Number + 1
+	next, err := e.Join(self)
+	if err != nil {
+		return nil, &StepError{Step: "join", Err: err}
+	}
+	if err := a.swap(ctx, next, revision); err != nil {
+		return nil, err
+	}
+	a.self = self
+	a.node = node.New(started, self)
+	a.node.StoreCreated(started)
+	a.node.AdoptEpoch(time.Now(), next)
+	a.node.StoreConfirmed()
+	a.renewed = started
+	return a.node, nil
+}
+
+// createLease grants a store lease and puts the host's key under it. The key stands
+// before the epoch step, so that no other host takes the new member for a lost one.
+func (a *Agent) createLease(ctx context.Context, name string) error {
+	id, err := a.store.GrantLease(ctx, lease.StoreTTL)
+	if err != nil {
+		return &StepError{Step: "grant store lease", Err: err}
+	}
+	a.leaseID = id
+	_, revision, err := a.store.Get(ctx, hostPrefix+name)
+	var missing *store.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return &StepError{Step: "read host key", Err: err}
+	}
+	if _, err := a.store.Put(ctx, hostPrefix+name, []byte(id), revision, id); err != nil {
+		return &StepError{Step: "write host key", Err: err}
+	}
+	return nil
+}
+
+// load reads the epoch document; an absent one is epoch 0.
+func (a *Agent) load(ctx context.Context) (*epoch.Epoch, uint64, error) {
+	b, revision, err := a.store.Get(ctx, epochKey)
+	var missing *store.NotFoundError
+	if errors.As(err, &missing) {
+		return &epoch.Epoch{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, &StepError{Step: "read epoch", Err: err}
+	}
+	e, err := epoch.Decode(b)
+	if err != nil {
+		return nil, 0, &StepError{Step: "decode epoch", Err: err}
+	}
+	return e, revision, nil
+}
+
+// swap writes the next epoch. After a lost answer it reads back: the write took effect
+// if the document is the one that was written.
+func (a *Agent) swap(ctx context.Context, next *epoch.Epoch, revision uint64) error {
+	b, err := next.Encode()
+	if err != nil {
+		return &StepError{Step: "encode epoch", Err: err}
+	}
+	newRevision, err := a.store.Put(ctx, epochKey, b, revision, "")
+	var unavailable *store.UnavailableError
+	if errors.As(err, &unavailable) {
+		found, foundRevision, getErr := a.store.Get(ctx, epochKey)
+		if getErr == nil && slices.Equal(found, b) {
+			newRevision, err = foundRevision, nil
+		}
+	}
+	if err != nil {
+		return &StepError{Step: "write epoch", Err: err}
+	}
+	a.revision = newRevision
+	return nil
+}
+
+// Incarnation returns the incarnation of this host after Join.
+func (a *Agent) Incarnation() uint64 { return a.self.Incarnation }
+
+// Run keeps the membership until ctx ends or the host is removed from the epoch.
+func (a *Agent) Run(ctx context.Context) error {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if a.node.Removed() {
+				return &RemovedError{Member: string(a.self.ID())}
+			}
+			a.step(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// step does what is due. A failed step is logged and repeated at a later tick.
+func (a *Agent) step(ctx context.Context) {
+	for _, do := range []func(context.Context) error{a.renew, a.refresh, a.mint, a.reclaim} {
+		if err := do(ctx); err != nil {
+			a.log.Warn("membership-step-failed", zap.Error(err))
+		}
+	}
+}
+
+func (a *Agent) renew(ctx context.Context) error {
+	now := time.Now()
+	if now.Sub(a.renewed) < renewEvery {
+		return nil
+	}
+	a.renewed = now
+	err := a.store.RenewLease(ctx, a.leaseID)
+	var missing *store.NotFoundError
+	switch {
+	case err == nil:
+		a.node.StoreRenewed(now)
+		return nil
+	case errors.As(err, &missing):
+		return a.replaceLease(ctx)
+	default:
+		return &StepError{Step: "renew store lease", Err: err}
+	}
+}
+
+// replaceLease makes a new store lease after the old one lapsed. The epoch is touched
+// before the lease counts, so that a reclaim that saw the lapse loses its swap.
+func (a *Agent) replaceLease(ctx context.Context) error {
+	a.node.StoreLapsed()
+	sent := time.Now()
+	if err := a.createLease(ctx, a.self.Name); err != nil {
+		return err
+	}
+	a.node.StoreCreated(sent)
+	err := a.change(ctx, func(e *epoch.Epoch) (*epoch.Epoch, error) { return e.Touch(a.self.ID()) })
+	if err != nil {
+		return err
+	}
+	a.node.StoreConfirmed()
+	a.log.Info("store-lease-replaced")
+	return nil
+}
+
+// change applies one step to the newest epoch and adopts the result.
+func (a *Agent) change(ctx context.Context, step func(*epoch.Epoch) (*epoch.Epoch, error)) error {
+	e, revision, err := a.load(ctx)
+	if err != nil {
+		return err
+	}
+	next, err := step(e)
+	if err != nil {
+		return &StepError{Step: "change epoch", Err: err}
+	}
+	if err := a.swap(ctx, next, revision); err != nil {
+		return err
+	}
+	a.node.AdoptEpoch(time.Now(), next)
+	a.node.ShareEpoch()
+	return nil
+}
+
+// refresh reads the epoch every second, and at once when a peer named a newer one.
+func (a *Agent) refresh(ctx context.Context) error {
+	now := time.Now()
+	if now.Sub(a.read) < renewEvery && !a.node.Behind() {
+		return nil
+	}
+	a.read = now
+	e, _, err := a.load(ctx)
+	if err != nil {
+		return err
+	}
+	a.node.AdoptEpoch(now, e)
+	return nil
+}
+
+func (a *Agent) mint(ctx context.Context) error {
+	amounts := a.node.Mint()
+	if len(amounts) == 0 {
+		return nil
+	}
+	adopted := a.node.Epoch().Number
+	err := a.change(ctx, func(e *epoch.Epoch) (*epoch.Epoch, error) {
+		if e.Number != adopted {
+			return nil, &StaleError{Adopted: adopted, Found: e.Number}
+		}
+		return e.Mint(a.self.ID(), amounts)
+	})
+	var stale *StaleError
+	if errors.As(err, &stale) {
+		return a.adoptNewest(ctx)
+	}
+	if err == nil {
+		a.log.Info("credits-minted", zap.Int("teams", len(amounts)))
+	}
+	return err
+}
+
+func (a *Agent) adoptNewest(ctx context.Context) error {
+	e, _, err := a.load(ctx)
+	if err != nil {
+		return err
+	}
+	a.node.AdoptEpoch(time.Now(), e)
+	return nil
+}
--- /dev/null
+++ b/membership/reclaim.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/epoch"
+	"egretdrum.example/store"
+)
+
+// reclaim removes lost members whose store lease has lapsed, and recovers the credits
+// of replaced incarnations. The first live member does it; two that both believe to be
+// the first are settled by the compare-and-swap.
+func (a *Agent) reclaim(ctx context.Context) error {
+	_, lostNames := a.node.Peers(time.Now())
+	e := a.node.Epoch()
+	if !a.first(e, lostNames) {
+		return nil
+	}
+	lost, err := a.lapsed(ctx, e, lostNames)
+	if err != nil || (len(lost) == 0 && len(e.Departed) == 0) {
+		return err
+	}
+	a.node.Reclaim(time.Now(), lost, false)
+	ask, confirms, ok := a.node.Confirmed()
+	if !ok || !slices.Equal(ask.Lost, append(slices.Clone(lost), e.Departed...)) {
+		return nil
+	}
+	err = a.change(ctx, func(e *epoch.Epoch) (*epoch.Epoch, error) {
+		if e.Number != ask.Number {
+			return nil, &StaleError{Adopted: ask.Number, Found: e.Number}
+		}
+		return e.Reclaim(a.self.ID(), lost, confirms, epoch.LongestWork)
+	})
+	if err == nil {
+		a.log.Info("members-reclaimed", zap.Any("lost", lost), zap.Any("replaced", e.Departed))
+	}
+	return err
+}
+
+func (a *Agent) first(e *epoch.Epoch, lost []string) bool {
+	for _, m := range e.Members {
+		if !slices.Contains(lost, m.Name) {
+			return m.ID() == a.self.ID()
+		}
+	}
+	return false
+}
+
+// lapsed returns the lost members without a key at the store.
+func (a *Agent) lapsed(ctx context.Context, e *epoch.Epoch, names []string) ([]epoch.ID, error) {
+	var lost []epoch.ID
+	for _, m := range e.Members {
+		if !slices.Contains(names, m.Name) {
+			continue
+		}
+		_, _, err := a.store.Get(ctx, hostPrefix+m.Name)
+		var missing *store.NotFoundError
+		switch {
+		case errors.As(err, &missing):
+			lost = append(lost, m.ID())
+		case err != nil:
+			return nil, &StepError{Step: "read host key", Err: err}
+		}
+	}
+	return lost, nil
+}
+
+// Leave takes the host out of the epoch at a planned stop. Run must have ended. The node
+// must have drained; credits and grant tables are passed on first. When ctx ends before
+// that, the others reclaim the host as if it had crashed.
+func (a *Agent) Leave(ctx context.Context) error {
+	ticker := time.NewTicker(stepInterval / 5)
+	defer ticker.Stop()
+	for {
+		if done, err := a.tryLeave(ctx); done {
+			return nil
+		} else if err != nil {
+			a.log.Warn("leave-failed", zap.Error(err))
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return &StepError{Step: "leave", Err: ctx.Err()}
+		}
+	}
+}
+
+func (a *Agent) tryLeave(ctx context.Context) (bool, error) {
+	now := time.Now()
+	if err := a.refresh(ctx); err != nil {
+		return false, err
+	}
+	a.node.HandOver(now)
+	successor, ok := a.node.Successor()
+	if !ok {
+		// The last host has nobody to pass anything on to; the next one to start finds
+		// it as a lost member.
+		return true, a.store.EndLease(ctx, a.leaseID)
+	}
+	if !a.node.HandedOver(now) {
+		return false, nil
+	}
+	a.node.Reclaim(now, []epoch.ID{a.self.ID()}, true)
+	ask, confirms, ok := a.node.Confirmed()
+	if !ok || !ask.Planned {
+		return false, nil
+	}
+	err := a.change(ctx, func(e *epoch.Epoch) (*epoch.Epoch, error) {
+		if e.Number != ask.Number {
+			return nil, &StaleError{Adopted: ask.Number, Found: e.Number}
+		}
+		return e.Leave(a.self.ID(), successor, confirms)
+	})
+	if err != nil {
+		return false, err
+	}
+	a.log.Info("left", zap.String("member", string(a.self.ID())))
+	return true, a.store.EndLease(ctx, a.leaseID)
+}
--- /dev/null
+++ b/node/owners.go
@@ -0,0 +1,220 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"egretdrum.example/epoch"
+	"egretdrum.example/router"
+	"egretdrum.example/slot"
+)
+
+// signPeriod is how long a minion's own sign that it leaves counts, unless the host
+// list confirms it.
+const signPeriod = 30 * time.Second
+
+// AdoptEpoch takes a newer epoch.
+func (n *Node) AdoptEpoch(now time.Time, e *epoch.Epoch) {
+	n.mu.Lock()
+	defer n.flush(now)
+	n.adoptEpoch(now, e)
+}
+
+func (n *Node) adoptEpoch(now time.Time, e *epoch.Epoch) {
+	if e.Number <= n.ep.Number {
+		return
+	}
+	crashed := removedWithoutStop(n.ep, e)
+	before := n.ep
+	n.ep = e
+	n.beginClaims(before, e)
+	n.lease.Adopt(e)
+	n.ledger.Adopt(now, e)
+	ranked := make(map[string]string)
+	owner := func(minion string) string {
+		id, ok := ranked[minion]
+		if !ok {
+			id = string(e.Rank(minion)[0].ID())
+			ranked[minion] = id
+		}
+		return id
+	}
+	members := make([]string, 0, len(e.Members))
+	for _, m := range e.Members {
+		members = append(members, string(m.ID()))
+	}
+	if list := listOf(e).Number; len(members) > 0 {
+		n.table.Adopt(now, list, members, owner, crashed)
+	}
+	n.confirms = nil
+	n.dropPeers(now)
+	n.rebuild(now)
+	n.Publish(e)
+}
+
+// removedWithoutStop reports whether work of a host that is no longer a member may
+// still run on minions. A replaced incarnation of the same name counts: its process has
+// ended, its requests have not.
+func removedWithoutStop(from, to *epoch.Epoch) bool {
+	if from.Number == 0 {
+		// A joining host cannot know what ran before the recorded history.
+		return len(to.History) == 0 || to.History[0].Number > 1 || anyCrashed(to.History)
+	}
+	n := slices.IndexFunc(to.History, func(p epoch.Past) bool { return p.Number > from.Number })
+	if n < 0 {
+		return false
+	}
+	if n == 0 && to.History[0].Number > from.Number+1 {
+		return true
+	}
+	return anyCrashed(to.History[max(0, n-1):])
+}
+
+func anyCrashed(lists []epoch.Past) bool {
+	for n := 1; n < len(lists); n++ {
+		for _, id := range lists[n-1].Members {
+			if slices.Contains(lists[n].Members, id) {
+				continue
+			}
+			if !slices.Contains(lists[n].Ended, id) || hasName(lists[n].Members, id.Name()) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func hasName(ids []epoch.ID, name string) bool {
+	return slices.ContainsFunc(ids, func(id epoch.ID) bool { return id.Name() == name })
+}
+
+// dropPeers forgets peers that are no longer members, with their demand.
+func (n *Node) dropPeers(now time.Time) {
+	for name := range n.peers {
+		if !slices.ContainsFunc(n.ep.Members, func(m epoch.Member) bool { return m.Name == name }) {
+			delete(n.peers, name)
+			n.alloc.DropHost(now, name)
+		}
+	}
+	for _, m := range n.ep.Members {
+		if m.Name != n.self.Name && n.peers[m.Name] == nil {
+			n.peers[m.Name] = &peerState{heard: now, free: make(map[string]int)}
+		}
+	}
+}
+
+// rebuild computes the minions of each pool, their owners and what this host grants.
+func (n *Node) rebuild(now time.Time) {
+	n.complete = n.table.Complete(now)
+	old := n.pools
+	n.pools = make(map[string][]minion)
+	if len(n.ep.Members) == 0 {
+		return
+	}
+	for worker, record := range n.cfg.Workers {
+		host, ok := n.hosts[worker]
+		if !ok {
+			continue
+		}
+		host.Leaving = host.Leaving || record.Leaving || now.Sub(n.signs[worker]) < signPeriod
+		n.pools[record.Pool] = append(n.pools[record.Pool], minion{host: host, owner: n.ep.Rank(worker)[0]})
+	}
+	for pool := range old {
+		if n.pools[pool] == nil {
+			n.alloc.SetMinions(now, pool, nil)
+			n.router.SetOwners(pool, nil)
+		}
+	}
+	for pool, minions := range n.pools {
+		n.alloc.SetMinions(now, pool, n.granted(now, minions))
+		n.router.SetOwners(pool, n.owners(pool, minions))
+	}
+	n.rebalanceAll(now)
+	n.pump(now)
+}
+
+func (n *Node) granted(now time.Time, minions []minion) []slot.Target {
+	var targets []slot.Target
+	for _, m := range minions {
+		if m.owner.ID() == n.id && n.table.MayGrant(now, m.host.Worker) {
+			targets = append(targets, slot.Target{
+				Name: m.host.Worker, Zone: m.host.Zone, Slots: m.host.Slots, Leaving: m.host.Leaving,
+			})
+		}
+	}
+	return targets
+}
+
+// owners returns the owners of a pool's minions, with the slots that may be in use.
+func (n *Node) owners(pool string, minions []minion) []router.Owner {
+	byHost := make(map[string]*router.Owner)
+	for _, m := range minions {
+		if m.host.Leaving {
+			continue
+		}
+		o := byHost[m.owner.Name]
+		if o == nil {
+			o = &router.Owner{Host: m.owner.Name, Near: m.owner.Zone == n.self.Zone}
+			byHost[m.owner.Name] = o
+		}
+		o.Usable += m.host.Slots
+	}
+	var owners []router.Owner
+	for _, name := range slices.Sorted(maps.Keys(byHost)) {
+		o := *byHost[name]
+		o.Free = o.Usable
+		if name == n.self.Name {
+			o.Free = n.alloc.Free(pool)
+		}
+		owners = append(owners, o)
+	}
+	return owners
+}
+
+// tickOwnership asks the members whose grant tables are missing.
+func (n *Node) tickOwnership(now time.Time) {
+	for _, id := range n.table.Pending() {
+		n.sendTo(epoch.ID(id), kindOwnerSyncAsk, ownerSyncAsk{Epoch: n.table.Epoch()})
+	}
+	if n.table.Complete(now) != n.complete {
+		n.rebuild(now)
+	}
+}
+
+func (n *Node) onOwnerSyncAsk(now time.Time, from string, ask ownerSyncAsk) {
+	if ask.Epoch != n.table.Epoch() {
+		return
+	}
+	asker := n.member(from)
+	table := n.alloc.Table(now, func(minion string) bool { return n.ep.Rank(minion)[0].Name == from })
+	n.sendTo(asker.ID(), kindOwnerSync, ownerSync{Epoch: ask.Epoch, Table: table})
+}
+
+func (n *Node) onOwnerSync(now time.Time, from string, sync ownerSync) {
+	if sync.Epoch != n.table.Epoch() {
+		return
+	}
+	n.alloc.Adopt(now, sync.Table)
+	n.table.Synced(string(n.member(from).ID()), sync.Epoch)
+	if n.table.Complete(now) != n.complete {
+		n.rebuild(now)
+	}
+}
+
+func (n *Node) member(name string) epoch.Member {
+	for _, m := range n.ep.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return epoch.Member{}
+}
+
+// Leaving notes a minion's own sign that it leaves, ahead of the lagging host list.
+func (n *Node) Leaving(now time.Time, worker string) {
+	n.mu.Lock()
+	defer n.flush(now)
+	n.signs[worker] = now
+	n.rebuild(now)
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"egretdrum.example/claim"
+	"egretdrum.example/credit"
+	"egretdrum.example/epoch"
+)
+
+// Decoder reads the body of a received message.
+type Decoder func(v any) error
+
+// Receive handles one message of a peer. It reports false for an unknown kind. An error
+// comes from the decoder; the message then had no effect.
+func (n *Node) Receive(now time.Time, from epoch.ID, kind string, decode Decoder) (known bool, err error) {
+	switch kind {
+	case kindHeartbeat:
+		return true, handle(n, now, decode, func(m heartbeat) { n.onHeartbeat(now, from, m) })
+	case kindEpoch:
+		return true, n.onEpoch(now, decode)
+	case kindCredit:
+		return true, handle(n, now, decode, func(m credit.Message) { n.onCredit(now, from, m) })
+	case kindSlots:
+		return true, handle(n, now, decode, func(m slotsMessage) { n.onSlots(now, from.Name(), m) })
+	case kindGrants:
+		return true, handle(n, now, decode, func(m grantsMessage) { n.onGrants(now, from.Name(), m) })
+	case kindGrantsCheck:
+		return true, handle(n, now, decode, func(m grantsCheck) { n.onGrantsCheck(from.Name(), m) })
+	case kindOwnerSyncAsk:
+		return true, handle(n, now, decode, func(m ownerSyncAsk) { n.onOwnerSyncAsk(now, from.Name(), m) })
+	case kindOwnerSync:
+		return true, handle(n, now, decode, func(m ownerSync) { n.onOwnerSync(now, from.Name(), m) })
+	case kindHandOver:
+		return true, handle(n, now, decode, func(m handOver) { n.onHandOver(now, from, m) })
+	case kindHandOverAck:
+		return true, handle(n, now, decode, func(handOverAck) { delete(n.handOver, from.Name()) })
+	case kindReclaimAsk:
+		return true, handle(n, now, decode, func(m epoch.Ask) { n.onReclaimAsk(now, from, m) })
+	case kindReclaim:
+		return true, handle(n, now, decode, func(m reclaimConfirm) { n.onReclaimConfirm(from, m) })
+	default:
+		return n.receiveClaims(now, from, kind, decode)
+	}
+}
+
+func (n *Node) receiveClaims(now time.Time, from epoch.ID, kind string, decode Decoder) (known bool, err error) {
+	switch kind {
+	case kindClaim:
+		return true, handle(n, now, decode, func(m claimMessage) { n.onClaim(now, from.Name(), m) })
+	case kindClaimReply:
+		return true, handle(n, now, decode, func(m claimReply) { n.replied(now, from.Name(), m.Missing, m.Reply) })
+	case kindClaimEnd:
+		return true, handle(n, now, decode, func(m claimEnd) { n.onClaimEnd(now, m) })
+	case kindClaimSyncAsk:
+		return true, handle(n, now, decode, func(m claimSyncAsk) { n.onClaimSyncAsk(now, from.Name(), m) })
+	case kindClaimSync:
+		return true, handle(n, now, decode, func(m claim.Sync) { n.onClaimSync(now, from.Name(), m) })
+	default:
+		return false, nil
+	}
+}
+
+// handle decodes a message and handles it under the lock if its sender is a member.
+func handle[M any](n *Node, now time.Time, decode Decoder, f func(M)) error {
+	var m M
+	if err := decode(&m); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.flush(now)
+	f(m)
+	return nil
+}
+
+func (n *Node) onHeartbeat(now time.Time, from epoch.ID, m heartbeat) {
+	n.lease.Heard(now, from, m.Beat)
+	p := n.peers[from.Name()]
+	if p == nil || !n.ep.Has(from) {
+		return
+	}
+	p.heard, p.synced, p.config = now, m.Synced, m.Beat.Config
+	for _, s := range m.Free {
+		n.router.Report(s.Pool, from.Name(), s.Free)
+	}
+}
+
+func (n *Node) onCredit(now time.Time, from epoch.ID, m credit.Message) {
+	if m.From != from {
+		return
+	}
+	for _, reply := range n.ledger.Receive(now, m) {
+		n.sendTo(reply.To, kindCredit, reply)
+	}
+	n.pump(now)
+}
+
+func (n *Node) onEpoch(now time.Time, decode Decoder) error {
+	var m epochMessage
+	if err := decode(&m); err != nil {
+		return err
+	}
+	e, err := epoch.Decode(m.Document)
+	if err != nil {
+		return err
+	}
+	n.AdoptEpoch(now, e)
+	return nil
+}
+
+// tickPeers sends the heartbeats that are due, and withdraws the demand of peers that
+// were not heard for a while.
+func (n *Node) tickPeers(now time.Time) {
+	free := n.freeSlots()
+	for _, m := range n.ep.Members {
+		p := n.peers[m.Name]
+		if p == nil || now.Sub(p.beat) < HeartbeatInterval {
+			continue
+		}
+		p.beat = now
+		n.sendTo(m.ID(), kindHeartbeat, heartbeat{
+			Beat: n.lease.Beat(now, m.ID()), Free: p.changed(free), Synced: n.syncedList(),
+		})
+		if n.lost(now, m.Name) {
+			n.alloc.DropHost(now, m.Name)
+		}
+	}
+}
+
+func (n *Node) lost(now time.Time, name string) bool {
+	p := n.peers[name]
+	return p != nil && now.Sub(p.heard) >= lostAfter
+}
+
+func (n *Node) freeSlots() []poolSlots {
+	var free []poolSlots
+	for pool, minions := range n.pools {
+		if slices.ContainsFunc(minions, func(m minion) bool { return m.owner.Name == n.self.Name }) {
+			free = append(free, poolSlots{Pool: pool, Free: n.alloc.Free(pool)})
+		}
+	}
+	return free
+}
+
+// changed returns the pools whose number differs from the one sent last.
+func (p *peerState) changed(free []poolSlots) []poolSlots {
+	var changed []poolSlots
+	for _, s := range free {
+		if last, ok := p.free[s.Pool]; !ok || last != s.Free {
+			p.free[s.Pool] = s.Free
+			changed = append(changed, s)
+		}
+	}
+	return changed
+}
+
+// Behind reports whether a peer named a newer epoch than the adopted one.
+func (n *Node) Behind() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.ep.Members, func(m epoch.Member) bool { return n.lease.Behind(m.ID()) })
+}
+
+// Peers returns the members that were heard lately, and those that were not.
+func (n *Node) Peers(now time.Time) (live, lost []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.ep.Members {
+		switch {
+		case m.Name == n.self.Name:
+		case n.lost(now, m.Name):
+			lost = append(lost, m.Name)
+		default:
+			live = append(live, m.Name)
+		}
+	}
+	return live, lost
+}
+
+// StoreCreated reports a new lease of the host at the store; see package lease for this
+// and the following three.
+func (n *Node) StoreCreated(sent time.Time) { n.locked(func() { n.lease.StoreCreated(sent) }) }
+
+// StoreConfirmed reports that the new lease counts.
+func (n *Node) StoreConfirmed() { n.locked(n.lease.StoreConfirmed) }
+
+// StoreRenewed reports a renewal, counted from its sending.
+func (n *Node) StoreRenewed(sent time.Time) { n.locked(func() { n.lease.StoreRenewed(sent) }) }
+
+// StoreLapsed reports that the store has no lease of this host.
+func (n *Node) StoreLapsed() { n.locked(n.lease.StoreLapsed) }
+
+func (n *Node) locked(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+// syncedList returns the member list for which all request ids have arrived.
+func (n *Node) syncedList() uint64 {
+	if !n.claims.registry.Ready() {
+		return 0
+	}
+	return n.claims.list
+}
+
+// allSynced reports whether every live peer has all request ids that it is a witness of.
+// A planned stop waits for it, so that no id is left with a host that stops.
+func (n *Node) allSynced(now time.Time) bool {
+	for name, p := range n.peers {
+		if p.synced != n.claims.list && !n.lost(now, name) {
+			return false
+		}
+	}
+	return true
+}
+
+// Connect sets the links of the node: how messages are sent, and who follows the member
+// list. It is called once, before the first Tick.
+func (n *Node) Connect(send func(peer, kind string, body any) error, follow func(*epoch.Epoch)) {
+	n.mu.Lock()
+	n.Send, n.Publish = send, follow
+	e := n.ep
+	n.mu.Unlock()
+	follow(e)
+}
+
+// NewerConfig returns the peers that have a newer configuration than version.
+func (n *Node) NewerConfig(version uint64) map[string]uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var newer map[string]uint64
+	for name, p := range n.peers {
+		if p.config > version {
+			if newer == nil {
+				newer = make(map[string]uint64)
+			}
+			newer[name] = p.config
+		}
+	}
+	return newer
+}
+
+// ConfigOf returns the configuration version that a peer last reported.
+func (n *Node) ConfigOf(name string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.peers[name]; p != nil {
+		return p.config
+	}
+	return 0
+}
+
+// ShareEpoch sends the adopted epoch to all peers.
+func (n *Node) ShareEpoch() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b, err := n.ep.Encode()
+	if err != nil {
+		return
+	}
+	for _, m := range n.ep.Members {
+		if m.Name != n.self.Name {
+			n.sendTo(m.ID(), kindEpoch, epochMessage{Document: b})
+		}
+	}
+}
--- a/operator/api.go
+++ b/operator/api.go
@@ -23,6 +23,9 @@
 	// Push sends an accepted version to the other entry hosts and returns those that
 	// have not acknowledged it yet.
 	Push func(ctx context.Context, cfg *fleet.Config) (behind []string)
+	// Admitting returns an error when this entry host must not accept changes, because
+	// the others could not learn of them in time. Nil means that it may.
+	Admitting func() error
 	// Behind returns the entry hosts that do not have version yet. If it is nil, the
 	// answer concerns this entry host alone.
 	Behind func(ctx context.Context, version uint64) ([]string, error)
@@ -67,6 +70,12 @@
 		writeError(w, http.StatusBadRequest, err)
 		return
 	}
+	if a.Admitting != nil {
+		if err := a.Admitting(); err != nil {
+			writeError(w, http.StatusServiceUnavailable, err)
+			return
+		}
+	}
 	cfg, err := a.keeper.Accept(r.Context(), c)
 	if err != nil {
 		writeError(w, statusOf(err), err)
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -93,3 +93,10 @@
 func (t *Table) complete(now time.Time) bool {
 	return t.skipSync || (len(t.waits) == 0 && !now.Before(t.quiet))
 }
+
+// Complete reports whether all members have answered and no quiet period runs, so that
+// this host may grant the slots of all minions that it owns.
+func (t *Table) Complete(now time.Time) bool {
+	t.settle(now)
+	return t.settled && t.complete(now)
+}
