Skip quiet teams in the credit ledger's tick

Change: the coordinator is computed only for accounts off their limit, and only peers with transfers are visited for teams without demand.

The tests of the three packages pass.

--- a/credit/tick.go
+++ b/credit/tick.go
@@ -42,24 +42,31 @@
 
 func (l *Ledger) tickAccount(now time.Time, a *account, out map[epoch.ID]*Message, mint map[string]int64) {
 	l.usePending(now, a)
-	l.burnPending(now, a)
-	coordinator := l.coordinator(now, a)
-	if coordinator == l.self {
-		l.coordinate(a, mint)
-	} else if a.isBlocked {
-		l.give(a, coordinator, a.free())
+	if l.excess(a) != 0 || a.isBlocked {
+		l.adjust(now, a, mint)
 	}
-	wanted := l.wanted(now, a)
-	if wanted > 0 {
+	if wanted := l.wanted(now, a); wanted > 0 {
 		l.ask(now, a, wanted, out)
 	}
+	l.report(now, a, out)
+}
+
+// report adds what the peers have not acknowledged, and hints for active teams. Teams
+// without transfers cost nothing here.
+func (l *Ledger) report(now time.Time, a *account, out map[epoch.ID]*Message) {
 	recent := now.Sub(a.lastDemand) < idleAfter
-	for id, msg := range out {
-		e := a.edges[id]
-		if e == nil {
-			e = &edge{}
+	if recent || a.burned > 0 {
+		for id := range out {
+			a.edge(id)
+		}
+	}
+	for id, e := range a.edges {
+		msg := out[id]
+		if msg == nil {
+			continue
 		}
-		if !l.peer(id).frozen {
+		p := l.peer(id)
+		if e.owed > 0 && !p.frozen {
 			a.payOwed(e)
 		}
 		if e.given > e.givenAcked {
@@ -68,12 +75,24 @@
 		if a.burned > e.burnAcked {
 			msg.Burns = append(msg.Burns, Amount{a.team, a.burned})
 		}
-		if recent && now.Sub(l.peer(id).sent) >= reportInterval {
+		if recent && now.Sub(p.sent) >= reportInterval {
 			msg.Free = append(msg.Free, Amount{a.team, max(0, a.usable.Load())})
 		}
 	}
 }
 
+// adjust brings the credits of a team to its limit. A blocked account passes its free
+// credits to the coordinator.
+func (l *Ledger) adjust(now time.Time, a *account, mint map[string]int64) {
+	l.burnPending(now, a)
+	coordinator := l.coordinator(now, a)
+	if coordinator == l.self {
+		l.coordinate(a, mint)
+	} else if a.isBlocked {
+		l.give(a, coordinator, a.free())
+	}
+}
+
 // coordinate mints up to the limit or burns down to it. Two hosts that both regard
 // themselves as coordinator may burn too much; the difference is then minted again.
 func (l *Ledger) coordinate(a *account, mint map[string]int64) {
