Hold slots and credits until a cancelled run must have ended

Change: a call without a complete answer keeps slot and credit until its deadline plus 1 s, while the owner judges the minion at once; a run goes on for 1 s after its caller left, since its answer frees the slot; a request whose remaining time is below the usual run time is refused. Conclusion: a slot is reused only when its run is known or bound to be over, and overload turns into true refusals.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -20,6 +20,14 @@
 	"egretdrum.example/slot"
 )
 
+const (
+	// leaveGrace is how long a run goes on after its caller has left.
+	leaveGrace = time.Second
+	// endGrace covers the time for which a request was on its way: the minion counts its
+	// time limit from the arrival.
+	endGrace = time.Second
+)
+
 // keptBodyBytes bounds the body that is kept so that a request can be sent again.
 const keptBodyBytes = 64 << 10
 
@@ -147,11 +155,19 @@
 func (x *exchange) attempt(ctx context.Context, call *node.Call, v node.Verdict) (over bool) {
 	started := time.Now()
 	outcome := slot.Failed
+	// unclear tells that the minion may still be running this attempt.
+	unclear := false
 	x.host.metrics.sent()
 	defer func() {
-		x.host.node.Finish(time.Now(), call, outcome, time.Since(started))
 		x.host.metrics.ran(time.Since(started))
+		if !unclear {
+			x.host.node.Finish(time.Now(), call, outcome, time.Since(started))
+			return
+		}
+		x.host.node.Abandon(time.Now(), call, outcome, x.request.deadline.Add(endGrace))
 	}()
+	ctx, cancel := x.minionContext(ctx)
+	defer cancel()
 	resp, err := x.host.minions.Send(ctx, x.request.service, v.Target.Address, x.outgoing(ctx))
 	var leaving *minion.LeavingError
 	if errors.As(err, &leaving) {
@@ -163,13 +179,19 @@
 		if outcome != slot.Leaving {
 			outcome = outcomeOf(resp)
 		}
-		if x.relay(resp) != nil {
-			outcome = slot.Failed
+		relayed, whole := x.relay(resp)
+		if !whole {
+			unclear, outcome = true, slot.Failed
+		}
+		if !relayed {
 			// A response that broke off must not look complete to the caller.
 			panic(http.ErrAbortHandler)
 		}
 		return true
 	}
+	var sent *minion.MayHaveRunError
+	unclear = errors.As(err, &sent)
+	x.mayHaveRun = x.mayHaveRun || unclear
 	outcome = x.failed(ctx, v, err)
 	return x.giveUp(ctx, v, err)
 }
@@ -189,10 +211,6 @@
 	x.host.log.Warn("attempt-failed", zap.String("request-id", x.request.id), zap.String("worker", v.Target.Worker), zap.Error(err))
 	var body *minion.RequestBodyError
 	var silent *minion.SilentError
-	var sent *minion.MayHaveRunError
-	if errors.As(err, &sent) {
-		x.mayHaveRun = true
-	}
 	switch {
 	case x.r.Context().Err() != nil, errors.As(err, &body):
 		return slot.OK
@@ -269,8 +287,21 @@
 	return out
 }
 
-// relay passes a minion's answer on. An error means that the answer broke off.
-func (x *exchange) relay(resp *http.Response) error {
+// minionContext ends at the deadline. When the caller leaves, the minion gets leaveGrace
+// to finish, because the end of its answer is the only sure sign that its slot is free;
+// then the request is cancelled.
+func (x *exchange) minionContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.request.deadline)
+	stop := context.AfterFunc(x.r.Context(), func() {
+		timer := time.AfterFunc(leaveGrace, cancel)
+		context.AfterFunc(out, func() { timer.Stop() })
+	})
+	return out, func() { stop(); cancel() }
+}
+
+// relay passes a minion's answer on. It reports whether the caller got all of it, and
+// whether the minion sent all of it.
+func (x *exchange) relay(resp *http.Response) (relayed, whole bool) {
 	defer func() { _ = resp.Body.Close() }()
 	h := x.w.Header()
 	for name, values := range resp.Header {
@@ -284,12 +315,14 @@
 	x.w.WriteHeader(resp.StatusCode)
 	if err := x.copyBody(resp); err != nil {
 		x.host.log.Warn("answer-broke-off", zap.String("request-id", x.request.id), zap.Error(err))
-		return err
+		// The rest tells whether the minion or the caller broke off.
+		_, err := io.Copy(io.Discard, resp.Body)
+		return false, err == nil
 	}
 	for name, values := range resp.Trailer {
 		h[http.TrailerPrefix+name] = values
 	}
-	return nil
+	return true, true
 }
 
 // copyBody flushes after each part that the minion sent when the length is unknown, so
--- a/node/call.go
+++ b/node/call.go
@@ -129,17 +129,59 @@
 func (n *Node) Finish(now time.Time, c *Call, outcome slot.Outcome, ran time.Duration) {
 	n.mu.Lock()
 	defer n.flush(now)
+	if outcome == slot.OK {
+		n.observe(c, ran)
+	}
+	n.finish(now, c, outcome)
+	n.pump(now)
+}
+
+func (n *Node) observe(c *Call, ran time.Duration) {
+	n.queue.Ran(c.Team, ran)
+	f := flow{c.Pool, c.Team}
+	if n.runTimes[f] == nil {
+		n.runTimes[f] = &runTime{}
+	}
+	n.runTimes[f].add(ran)
+}
+
+func (n *Node) finish(now time.Time, c *Call, outcome slot.Outcome) {
 	if n.open[c.grant.ID] != c {
 		return
 	}
 	delete(n.open, c.grant.ID)
 	n.ledger.Release(c.Team)
-	if outcome == slot.OK {
-		n.queue.Ran(c.Team, ran)
-	}
 	n.release(now, c.owner, c.grant, outcome)
 	n.rebalance(now, flow{c.Pool, c.Team})
-	n.pump(now)
+}
+
+// Abandon ends a call whose request was sent and got no complete response. The minion
+// may still be running it, so slot and credit stay in use until the given time; the
+// minion is judged at once.
+func (n *Node) Abandon(now time.Time, c *Call, outcome slot.Outcome, until time.Time) {
+	n.mu.Lock()
+	defer n.flush(now)
+	if n.open[c.grant.ID] != c {
+		return
+	}
+	n.abandoned[c] = until
+	if outcome == slot.OK || outcome == slot.Unused {
+		return
+	}
+	if c.owner == n.self.Name {
+		n.alloc.Report(now, c.grant.ID, outcome)
+		return
+	}
+	n.out.report(c.owner, release{ID: c.grant.ID, Outcome: outcome})
+}
+
+func (n *Node) endAbandoned(now time.Time) {
+	for c, until := range n.abandoned {
+		if !now.Before(until) {
+			delete(n.abandoned, c)
+			n.finish(now, c, slot.Unused)
+		}
+	}
 }
 
 // shed refuses a waiting call in favour of one that is entitled to its place.
--- a/node/grants.go
+++ b/node/grants.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"egretdrum.example/refusal"
 	"egretdrum.example/slot"
 )
 
@@ -98,18 +99,10 @@
 		return nil
 	}
 	n.expire(now)
-	it := n.queue.Pop(now, g.Service, g.Team, g.Urgent)
-	if it == nil {
-		it = n.queue.Pop(now, g.Service, g.Team, !g.Urgent)
-	}
-	if it == nil {
-		return nil
-	}
-	c, ok := it.Value.(*Call)
-	if !ok {
+	c := n.pop(now, g)
+	if c == nil {
 		return nil
 	}
-	n.left(c)
 	if _, known := n.hosts[g.Minion]; !known || slices.Contains(c.Excluded, g.Minion) || !n.ledger.Acquire(c.Team) {
 		n.enqueue(now, c)
 		return nil
@@ -117,6 +110,30 @@
 	return c
 }
 
+// pop takes the best call that can still end in time. Under overload the earliest
+// deadlines are nearly over; starting them would waste the slot and end with an unknown
+// outcome, so they are refused as not run.
+func (n *Node) pop(now time.Time, g slot.Grant) *Call {
+	for {
+		it := n.queue.Pop(now, g.Service, g.Team, g.Urgent)
+		if it == nil {
+			it = n.queue.Pop(now, g.Service, g.Team, !g.Urgent)
+		}
+		if it == nil {
+			return nil
+		}
+		c, ok := it.Value.(*Call)
+		if !ok {
+			return nil
+		}
+		n.left(c)
+		if usual := n.runTimes[flow{c.Pool, c.Team}].usual(); c.Deadline.Sub(now) >= usual {
+			return c
+		}
+		c.refuse(refusal.DeadlineUnreachable, "the remaining time is shorter than the usual run time", time.Second)
+	}
+}
+
 // release tells the owner that a grant ended. After an epoch change the owner that
 // granted it and the present one both need to know.
 func (n *Node) release(now time.Time, owner string, g slot.Grant, outcome slot.Outcome) {
@@ -143,6 +160,9 @@
 	for _, b := range m.Binds {
 		n.alloc.Bind(now, b.ID, now.Add(b.Timeout))
 	}
+	for _, r := range m.Reports {
+		n.alloc.Report(now, r.ID, r.Outcome)
+	}
 	for _, r := range m.Releases {
 		n.alloc.Release(now, r.ID, r.Outcome)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,10 @@
 	handOver map[string]bool // successors that have not acknowledged the hand-over
 	mint     map[string]int64
 	signs    map[string]time.Time // minions seen to be leaving
+	runTimes map[flow]*runTime
+	// abandoned holds calls without a response whose requests may still be running, with
+	// the time at which they must have ended.
+	abandoned map[*Call]time.Time
 	claims   claims
 }
 
@@ -111,6 +115,9 @@
 		excluded: make(map[flow]map[string]int),
 		out:      newOutbox(),
 		signs:    make(map[string]time.Time),
+		runTimes: make(map[flow]*runTime),
+
+		abandoned: make(map[*Call]time.Time),
 	}
 	n.queue = queue.New(n.shed)
 	n.claims = n.newClaims(now)
@@ -171,6 +178,7 @@
 	n.mu.Lock()
 	defer n.flush(now)
 	n.expire(now)
+	n.endAbandoned(now)
 	n.tickCredits(now)
 	n.tickPeers(now)
 	n.tickOwnership(now)
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -40,6 +40,8 @@
 	o.to(host).Releases = append(o.to(host).Releases, r)
 }
 
+func (o *outbox) report(host string, r release) { o.to(host).Reports = append(o.to(host).Reports, r) }
+
 func (o *outbox) demand(host string, f flow) {
 	o.to(host)
 	if o.demands[host] == nil {
--- /dev/null
+++ b/node/runtime.go
@@ -0,0 +1,33 @@
+package node
+
+import "time"
+
+// runTime follows the run times of one flow's requests.
+type runTime struct {
+	mean, deviation time.Duration
+}
+
+// weight of a new run time in the averages: 1/8, and 1/4 for the deviation, as in the
+// usual estimators of round trip times.
+const (
+	meanShift      = 3
+	deviationShift = 2
+)
+
+func (r *runTime) add(d time.Duration) {
+	if r.mean == 0 {
+		r.mean, r.deviation = d, d/2
+		return
+	}
+	diff := d - r.mean
+	r.mean += diff >> meanShift
+	r.deviation += (max(diff, -diff) - r.deviation) >> deviationShift
+}
+
+// usual is a time in which most requests end; 0 before the first one ended.
+func (r *runTime) usual() time.Duration {
+	if r == nil {
+		return 0
+	}
+	return r.mean + r.deviation
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -49,6 +49,8 @@
 	Demands  []slot.Demand `cbor:"demands,omitempty"`
 	Binds    []bind        `cbor:"binds,omitempty"`
 	Releases []release     `cbor:"releases,omitempty"`
+	// Reports carry the outcomes of requests that may still be running.
+	Reports []release `cbor:"reports,omitempty"`
 }
 
 // bind tells the owner how long a grant may be in use at most, in place of the longest
--- a/slot/allocator.go
+++ b/slot/allocator.go
@@ -145,6 +145,14 @@
 	}
 }
 
+// Report judges the minion of a grant that has not ended yet: its request gave no usable
+// response, and may still be running.
+func (a *Allocator) Report(now time.Time, id uint64, outcome Outcome) {
+	if r := a.records[id]; r != nil {
+		a.judge(now, r.minion, outcome)
+	}
+}
+
 // DropHost removes the demand of a host that left or is suspected. Its grants stay until
 // the longest deadline that it may have bound them to.
 func (a *Allocator) DropHost(now time.Time, host string) {
