--- a/command/app.go
+++ b/command/app.go
@@ -37,6 +37,7 @@
 			demoCommand(),
 			statusCommand(),
 			explainCommand(),
+			measureCommand(),
 			versionCommand(),
 		},
 	})
