Tell peers free credits only when they changed

Each busy team's free credits went to each peer four times a second, and so did empty credit messages.

Change: free credits are told when they changed by more than a quarter or became zero or not zero, after an ask of the peer, and every 10 s. An empty message goes once per second, after a new epoch within 250 ms. The bytes of the capacity report are counted over 20 s, which covers the repetition.

The tests of the ledger pass, the one for 95% of a limit within 1 s included.

Free credits that change by a quarter every 250 ms still cost what they did.

--- a/capacity/control.go
+++ b/capacity/control.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "time"
+
 // Roles of an entry host, and the parts around it.
 const (
 	roleAdmission  = "admission and queue"
@@ -21,7 +23,7 @@
 func cpuOf(vary func(s *size, n int)) func(n int) (float64, error) {
 	return func(n int) (float64, error) {
 		return smallest(func() (float64, error) {
-			m, err := observeAt(vary, n)
+			m, err := observeAt(vary, n, cpuTime)
 			return m.cpu(), err
 		})
 	}
@@ -31,15 +33,15 @@
 // each run.
 func bytesOf(vary func(s *size, n int)) func(n int) (float64, error) {
 	return func(n int) (float64, error) {
-		m, err := observeAt(vary, n)
+		m, err := observeAt(vary, n, bytesTime)
 		return m.bytesPerSecond(), err
 	}
 }
 
-func observeAt(vary func(s *size, n int), n int) (meter, error) {
+func observeAt(vary func(s *size, n int), n int, d time.Duration) (meter, error) {
 	s := reference()
 	vary(&s, n)
-	return s.observe()
+	return s.observe(d)
 }
 
 // heapOf measures the heap of one node, without the documents that the nodes share.
--- a/capacity/mesh.go
+++ b/capacity/mesh.go
@@ -25,8 +25,11 @@
 	// warmUp is the simulated time before the figures count: links, credits and grants
 	// have settled by then.
 	warmUp = 3 * time.Second
-	// observed is the simulated time that is measured.
-	observed = 2 * time.Second
+	// cpuTime is the simulated time in which processor time is measured.
+	cpuTime = 2 * time.Second
+	// bytesTime is the simulated time in which bytes are counted: a busy team's free
+	// credits are repeated every 10 s.
+	bytesTime = 20 * time.Second
 
 	pool         = "tengri/pairings"
 	limitPerTeam = 40
@@ -46,6 +49,7 @@
 
 // meter is what one node cost in the observed time.
 type meter struct {
+	elapsed           time.Duration
 	ticks, receives   time.Duration
 	messages, bytes   int
 	requests, refused int
@@ -57,7 +61,7 @@
 
 // cpu returns the milliseconds of processor time per second.
 func (m meter) cpu() float64 {
-	return float64(m.ticks+m.receives) / float64(time.Millisecond) / observed.Seconds()
+	return float64(m.ticks+m.receives) / float64(time.Millisecond) / m.elapsed.Seconds()
 }
 
 func (m *meter) note(kind string, n int) {
@@ -69,11 +73,11 @@
 }
 
 func (m meter) bytesPerSecond() float64 {
-	return float64(m.bytes+m.messages*frameBytes) / observed.Seconds()
+	return float64(m.bytes+m.messages*frameBytes) / m.elapsed.Seconds()
 }
 
 func (m meter) wirePerSecond() float64 {
-	return m.bytesPerSecond() + float64(m.messages*packetBytes)/observed.Seconds()
+	return m.bytesPerSecond() + float64(m.messages*packetBytes)/m.elapsed.Seconds()
 }
 
 // mesh connects real nodes in memory. Messages are encoded and decoded as on a link; the
@@ -283,7 +287,7 @@
 }
 
 // observe measures a settled mesh.
-func (s size) observe() (meter, error) {
+func (s size) observe(d time.Duration) (meter, error) {
 	requests := s.requests
 	s.requests = 0
 	m, err := newMesh(s)
@@ -294,8 +298,8 @@
 		return meter{}, err
 	}
 	refused := m.meter.refused
-	m.size.requests, m.meter = requests, meter{}
-	if err := m.run(observed); err != nil {
+	m.size.requests, m.meter = requests, meter{elapsed: d}
+	if err := m.run(d); err != nil {
 		return meter{}, err
 	}
 	m.meter.refused += refused
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -16,14 +16,14 @@
 func messageSizes() ([]messageSize, error) {
 	s := reference()
 	s.busy, s.requests, s.remote = busyTeams, requestRate, true
-	m, err := s.observe()
+	m, err := s.observe(cpuTime)
 	if err != nil {
 		return nil, err
 	}
 	var out []messageSize
 	for _, kind := range slices.Sorted(maps.Keys(m.kinds)) {
 		t := m.kinds[kind]
-		out = append(out, messageSize{kind, float64(t.messages) / observed.Seconds(), float64(t.bytes) / float64(t.messages)})
+		out = append(out, messageSize{kind, float64(t.messages) / m.elapsed.Seconds(), float64(t.bytes) / float64(t.messages)})
 	}
 	return out, nil
 }
--- a/credit/account.go
+++ b/credit/account.go
@@ -42,6 +42,17 @@
 	free, asked     int64
 	askedAt         time.Time
 	owed            int64
+	told            int64 // free credits that the peer was told last
+	toldAt          time.Time
+}
+
+// news reports whether the peer should hear the number of free credits. It only orders
+// the peers that are asked, so changes below a quarter are not worth a message. An old
+// number is repeated, because its message may have been lost.
+func (e *edge) news(now time.Time, free int64) bool {
+	difference := free - e.told
+	return now.Sub(e.toldAt) >= hintInterval ||
+		(free == 0) != (e.told == 0) || 4*max(difference, -difference) > e.told
 }
 
 // batch is an addition to the account that must not be used yet.
--- a/credit/ledger.go
+++ b/credit/ledger.go
@@ -30,8 +30,15 @@
 const (
 	// TickInterval is how often the control loop calls Tick.
 	TickInterval = 50 * time.Millisecond
-	// reportInterval bounds the time between two messages to a peer; it is one heartbeat.
+	// reportInterval is the time between two messages that repeat something to a peer; it
+	// is one heartbeat.
 	reportInterval = 250 * time.Millisecond
+	// quietInterval is the time between two messages to a peer that has nothing to learn.
+	// It is a third of lostAfter, so that two lost messages do not change a coordinator.
+	quietInterval = time.Second
+	// hintInterval is the time after which free credits that did not change are told
+	// again.
+	hintInterval = 10 * time.Second
 	// askInterval is the time after which an unanswered request for credits is repeated.
 	askInterval = 100 * time.Millisecond
 	// idleAfter is the time without demand after which a host gives all it has.
@@ -55,6 +62,7 @@
 	epoch   uint64
 	heard   time.Time
 	sent    time.Time
+	told    uint64 // the epoch of the last message to the peer
 	leaving bool
 	frozen  bool
 }
--- a/credit/receive.go
+++ b/credit/receive.go
@@ -64,6 +64,8 @@
 // does not keep a team's whole limit.
 func (l *Ledger) answer(now time.Time, to epoch.ID, ask Ask, reply *Message) {
 	a := l.account(ask.Team)
+	// The asking host forgets what it was told when it asks.
+	a.edge(to).toldAt = time.Time{}
 	if a.isBlocked || ask.Wanted <= 0 || !l.mayGive(to) {
 		return
 	}
--- a/credit/tick.go
+++ b/credit/tick.go
@@ -27,15 +27,27 @@
 	}
 	for _, m := range l.ep.Members {
 		msg := out[m.ID()]
-		if msg == nil || msg.empty() && now.Sub(l.peer(msg.To).sent) < reportInterval {
+		if msg == nil || msg.empty() && !l.due(now, l.peer(msg.To)) {
 			continue
 		}
-		l.peer(msg.To).sent = now
+		p := l.peer(msg.To)
+		p.sent, p.told = now, l.ep.Number
 		acts.Messages = append(acts.Messages, *msg)
 	}
 	return acts
 }
 
+// due reports whether a peer needs a message although there is nothing to pass on. A new
+// epoch and a planned stop are told soon, because minted credits wait for the one and
+// transfers depend on the other; otherwise the message only shows that this host lives.
+func (l *Ledger) due(now time.Time, p *peer) bool {
+	interval := quietInterval
+	if l.leaving || p.told != l.ep.Number {
+		interval = reportInterval
+	}
+	return now.Sub(p.sent) >= interval
+}
+
 func (l *Ledger) message(to epoch.ID) Message {
 	return Message{From: l.self, To: to, Epoch: l.ep.Number, Leaving: l.leaving}
 }
@@ -75,8 +87,9 @@
 		if a.burned > e.burnAcked {
 			msg.Burns = append(msg.Burns, Amount{a.team, a.burned})
 		}
-		if recent && now.Sub(p.sent) >= reportInterval {
-			msg.Free = append(msg.Free, Amount{a.team, max(0, a.usable.Load())})
+		if free := max(0, a.usable.Load()); recent && now.Sub(p.sent) >= reportInterval && e.news(now, free) {
+			e.told, e.toldAt = free, now
+			msg.Free = append(msg.Free, Amount{a.team, free})
 		}
 	}
 }
