Number the keys of heartbeats

Cause: a heartbeat goes to each peer four times a second, and the names of its fields were more than half of its bytes.

Change: heartbeat and lease.Beat have integer keys. The link version becomes 2, and hosts of version 1 are refused: they would read an empty heartbeat. The tests of the versions move up by one with it.

Releases before this one cannot be updated host by host.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -32,14 +32,15 @@
 
 // Beat is the part of a heartbeat that asks for a lease and answers the receiver's last
 // heartbeat. Reclaiming tells the receiver that the sender has confirmed its reclaim; a
-// receiver that is alive then makes an epoch step, which cancels the reclaim.
+// receiver that is alive then makes an epoch step, which cancels the reclaim. It goes to
+// each peer four times a second, so its keys are numbers: names took half of its bytes.
 type Beat struct {
-	Number     uint64 `cbor:"number"`
-	Epoch      uint64 `cbor:"epoch"`
-	Config     uint64 `cbor:"config-version"`
-	Echo       uint64 `cbor:"echo"`
-	Granted    bool   `cbor:"granted"`
-	Reclaiming bool   `cbor:"reclaiming,omitempty"`
+	Number     uint64 `cbor:"1,keyasint"`
+	Epoch      uint64 `cbor:"2,keyasint"`
+	Config     uint64 `cbor:"3,keyasint"`
+	Echo       uint64 `cbor:"4,keyasint"`
+	Granted    bool   `cbor:"5,keyasint"`
+	Reclaiming bool   `cbor:"6,keyasint,omitempty"`
 }
 
 // Lease is the admission lease of one entry host. MayAdmit is safe for concurrent use;
--- a/node/wire.go
+++ b/node/wire.go
@@ -29,19 +29,20 @@
 	kindClaimSync    = "claim-sync"
 )
 
-// heartbeat goes to each peer every HeartbeatInterval.
+// heartbeat goes to each peer every HeartbeatInterval; its keys are numbers for this
+// reason.
 type heartbeat struct {
-	Beat lease.Beat `cbor:"beat"`
+	Beat lease.Beat `cbor:"1,keyasint"`
 	// Free lists the slots of the sender's minions by pool, when they changed.
-	Free []poolSlots `cbor:"free,omitempty"`
+	Free []poolSlots `cbor:"2,keyasint,omitempty"`
 	// Synced is the member list for which the sender has all request ids that it is a
 	// witness of.
-	Synced uint64 `cbor:"synced,omitempty"`
+	Synced uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 type poolSlots struct {
-	Pool string `cbor:"pool"`
-	Free int    `cbor:"free"`
+	Pool string `cbor:"1,keyasint"`
+	Free int    `cbor:"2,keyasint"`
 }
 
 // slotsMessage goes from a sender to an owner.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -44,8 +44,10 @@
 }
 
 const (
-	lowestVersion  = 1
-	highestVersion = 1
+	// Version 1 had names as the keys of a heartbeat. A host that reads it as version 2 would
+	// see an empty heartbeat, so the two have no link.
+	lowestVersion  = 2
+	highestVersion = 2
 
 	handshakeTimeout = 2 * time.Second
 	// A silent connection is found within probeInterval + silence, before the 3 s after
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -251,7 +251,7 @@
 		a.stop()
 		conn, _, err := websocket.Dial(context.Background(), "ws://"+b.peer.Address.String(), &websocket.DialOptions{HTTPClient: a.client})
 		n.c.Assert(err, qt.IsNil)
-		raw, _ := encode(0, kindHello, hello{1, 1, "a", 2, "", make([]byte, nonceBytes)})
+		raw, _ := encode(0, kindHello, hello{lowestVersion, highestVersion, "a", 2, "", make([]byte, nonceBytes)})
 		n.c.Assert(conn.Write(context.Background(), websocket.MessageBinary, raw), qt.IsNil)
 		for range 2 { // b's hello and proof
 			_, raw, err = conn.Read(context.Background())
@@ -265,16 +265,16 @@
 }
 
 func TestNoCommonVersionNamesBothRanges(t *testing.T) {
-	run(t, func(m *Mesh) { m.tuning.lowest, m.tuning.highest = 2, 3 }, nil, func(n *network, a, b *host) {
+	run(t, func(m *Mesh) { m.tuning.lowest, m.tuning.highest = 3, 4 }, nil, func(n *network, a, b *host) {
 		assertRefused[*VersionError](n, a, b, a, b)
-		n.c.Check(assertDown[*VersionError](n, a), qt.ErrorMatches, ".*own 2 to 3, peer's 1 to 1")
+		n.c.Check(assertDown[*VersionError](n, a), qt.ErrorMatches, ".*own 3 to 4, peer's 2 to 2")
 	})
 }
 
 func TestHighestCommonVersionIsChosen(t *testing.T) {
-	run(t, func(m *Mesh) { m.tuning.highest = 3 }, func(m *Mesh) { m.tuning.highest = 2 }, func(n *network, a, b *host) {
+	run(t, func(m *Mesh) { m.tuning.highest = 4 }, func(m *Mesh) { m.tuning.highest = 3 }, func(n *network, a, b *host) {
 		n.assertPasses(a, b)
-		n.c.Check(a.Status()["b"].Version, qt.Equals, uint16(2))
+		n.c.Check(a.Status()["b"].Version, qt.Equals, uint16(3))
 	})
 }
 
@@ -293,7 +293,7 @@
 			return keep(msg)
 		}
 	}
-	wrongType, _ := encode(1, "count", map[string]string{"count": "x"})
+	wrongType, _ := encode(highestVersion, "count", map[string]string{"count": "x"})
 	wrongVersion, _ := encode(9, "count", 1)
 	for place, raw := range map[string][]byte{
 		"peer.body.count": wrongType, "version": wrongVersion, "envelope": {0xff}, "kind": {0x83, 1, 0x60, 1},
