--- a/node/slots_test.go
+++ b/node/slots_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -16,7 +17,9 @@
 // the demand after it; its sender then waited although slots were free.
 func TestBindingsBeforeDemands(t *testing.T) {
 	now := time.Now()
-	self, other := epoch.Member{Name: "a", Incarnation: 1}, epoch.Member{Name: "b", Incarnation: 2}
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	self := epoch.Member{Name: "a", Incarnation: 1, Zone: "z", Peer: address, Operator: address}
+	other := epoch.Member{Name: "b", Incarnation: 2}
 	n := New(now, self)
 	granted := 0
 	n.Connect(func(_, kind string, body any) error {
