Add the state machine of a worker's move

Cause: a worker's pool was replaced in one change, so the next pool could get work on it while requests of the former pool were still running.

Change: the worker's record holds the move (fleet.Move) with its step: draining, empty, handed-over. Package move computes each next step as one change with an id derived from the move, asks for a roll-back, and records why a step is overdue after 150 s. The worker stays leaving from the first to the last step; the document refuses another pool or new work meanwhile. A step needs the owner of the worker's slots, no outstanding grant, and every member at the newest document, because a member that is behind could own the slots next and grant them for the former pool.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -50,6 +50,8 @@
 	Pool    string `json:"pool"`
 	Leaving bool   `json:"leaving"`
 	Slots   int    `json:"slots,omitempty"`
+	// Move is the worker's move to another pool while it is in progress.
+	Move *Move `json:"move,omitempty"`
 }
 
 // Decode reads a stored document and checks it as a whole.
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -68,6 +68,9 @@
 		if w.Slots < 0 || w.Slots > maxSlots {
 			return &RangeError{Field: "worker " + name + ": slots", Value: fmt.Sprint(w.Slots), Accepted: fmt.Sprintf("0 to %d", maxSlots)}
 		}
+		if err := cfg.validateMove(name, w); err != nil {
+			return err
+		}
 	}
 	size := cfg.poolSizes()
 	for name, p := range cfg.Pools {
--- /dev/null
+++ b/move/move.go
@@ -0,0 +1,168 @@
+// Package move decides the steps of a worker's move from one pool to another: drain,
+// confirm empty, hand over, admit. The state is in the worker's record of the
+// configuration document, so a move survives every crash. Each step is one change with
+// an id derived from the move and the step, so that two drivers cannot do it twice. The
+// package does no input or output.
+package move
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"egretdrum.example/change"
+	"egretdrum.example/fleet"
+)
+
+// StuckAfter is the time after which a step that does not follow is reported. Grants of
+// a crashed owner end within 66 s and a planned change of owner can add as much; the
+// rest covers the removal of a crashed member.
+const StuckAfter = 150 * time.Second
+
+// Operator is the author of the changes that drivers make.
+const Operator = "egretdrum"
+
+// Evidence is what the driving entry host knows about the worker. The version of the
+// document was in force here before the rest was read.
+type Evidence struct {
+	// Owner tells that this host owns the worker's slots now and knows all grants on it.
+	Owner bool
+	// Outstanding counts the grants that have not ended.
+	Outstanding int
+	// Behind names the members that do not have the document yet. They could own the
+	// slots next and grant them for the former pool.
+	Behind []string
+	// Listed tells that the host list shows the worker, and ListedLeaving that it is
+	// leaving by that list.
+	Listed, ListedLeaving bool
+}
+
+// broken switches off single rules. Only tests set it, to show that the test of each
+// rule fails without the rule.
+var broken struct {
+	ignoreGrants, ignoreOwner, ignoreBehind, admitUnlisted bool
+}
+
+// Start returns the change that begins a move of the worker to pool.
+func Start(cfg *fleet.Config, now time.Time, id, worker, pool string) (change.Change, error) {
+	w, ok := cfg.Workers[worker]
+	if !ok {
+		return change.Change{}, &fleet.ReferenceError{Kind: change.KindWorker, Name: worker, From: "the move"}
+	}
+	if w.Move != nil {
+		return change.Change{}, &fleet.RangeError{Field: "worker " + worker + ": move", Value: "in progress to " + w.Move.To, Accepted: "one move at a time; wait for its end or roll it back"}
+	}
+	w.Move = &fleet.Move{ID: id, From: w.Pool, To: pool, Step: fleet.MoveDraining, At: now, KeepDrained: w.Leaving}
+	w.Leaving = true
+	return record(cfg, worker, w, id+"/start", "start-move")
+}
+
+// RollBack returns the change that asks for the end of a move in its first pool.
+func RollBack(cfg *fleet.Config, now time.Time, worker string) (change.Change, error) {
+	w, ok := cfg.Workers[worker]
+	if !ok {
+		return change.Change{}, &fleet.ReferenceError{Kind: change.KindWorker, Name: worker, From: "the move"}
+	}
+	if w.Move == nil {
+		return change.Change{}, &fleet.RangeError{Field: "worker " + worker + ": move", Value: "none", Accepted: "a worker that is in a move"}
+	}
+	m := *w.Move
+	m.RollBack, m.At, m.Stuck = true, now, ""
+	w.Move = &m
+	return record(cfg, worker, w, m.ID+"/roll-back", "roll-back-move")
+}
+
+// Next returns the change that does the next step of the worker's move. If the step
+// must wait, the change is empty and wait is the reason, which does not vary with time.
+func Next(cfg *fleet.Config, now time.Time, worker string, ev Evidence) (c change.Change, wait string, err error) {
+	w := cfg.Workers[worker]
+	if w.Move == nil {
+		return c, "", nil
+	}
+	if !ev.Owner && !broken.ignoreOwner {
+		return c, "this entry host does not own the worker's slots", nil
+	}
+	m := *w.Move
+	m.At, m.Stuck = now, ""
+	w.Move = &m
+	switch {
+	case m.Step == fleet.MoveHandedOver && m.RollBack && w.Pool == m.To:
+		w.Pool = m.From
+		return step(cfg, worker, w, "hand-back")
+	case m.Step == fleet.MoveHandedOver || m.RollBack:
+		if reason := unfit(ev); reason != "" && !m.KeepDrained {
+			return c, reason, nil
+		}
+		w.Leaving, w.Move = m.KeepDrained, nil
+		return step(cfg, worker, w, "admit")
+	case m.Step == fleet.MoveDraining:
+		if reason := occupied(ev); reason != "" {
+			return c, reason, nil
+		}
+		m.Step = fleet.MoveEmpty
+		return step(cfg, worker, w, "confirm-empty")
+	default:
+		// The owner may have changed since the confirmation, so it is checked again.
+		if reason := occupied(ev); reason != "" {
+			return c, reason, nil
+		}
+		w.Pool, m.Step = m.To, fleet.MoveHandedOver
+		return step(cfg, worker, w, "hand-over")
+	}
+}
+
+// Stuck returns the change that records why the step is overdue. It is empty when the
+// reason is recorded already, and before StuckAfter has passed since the last record, so
+// that reasons that alternate cause few writes.
+func Stuck(cfg *fleet.Config, now time.Time, worker, reason string) (change.Change, error) {
+	w := cfg.Workers[worker]
+	if w.Move == nil || w.Move.Stuck == reason || now.Sub(w.Move.At) < StuckAfter {
+		return change.Change{}, nil
+	}
+	m := *w.Move
+	m.Stuck, m.At = reason, now
+	w.Move = &m
+	return record(cfg, worker, w, fmt.Sprintf("%s/stuck-%d", m.ID, cfg.Version), "report-stuck-move")
+}
+
+// occupied returns the reason why the worker may still have work of its former pool.
+func occupied(ev Evidence) string {
+	switch {
+	case len(ev.Behind) > 0 && !broken.ignoreBehind:
+		return "entry hosts without the newest configuration: " + strings.Join(ev.Behind, ", ")
+	case ev.Outstanding > 0 && !broken.ignoreGrants:
+		return "requests are running on the worker"
+	default:
+		return ""
+	}
+}
+
+// unfit returns the reason why the worker cannot serve.
+func unfit(ev Evidence) string {
+	switch {
+	case broken.admitUnlisted:
+		return ""
+	case !ev.Listed:
+		return "the worker is not in the host list"
+	case ev.ListedLeaving:
+		return "the host list shows the worker as leaving"
+	default:
+		return ""
+	}
+}
+
+func step(cfg *fleet.Config, worker string, w fleet.Worker, name string) (change.Change, string, error) {
+	c, err := record(cfg, worker, w, cfg.Workers[worker].Move.ID+"/"+name, name+"-move")
+	return c, "", err
+}
+
+func record(cfg *fleet.Config, worker string, w fleet.Worker, id, action string) (change.Change, error) {
+	c := change.Change{ID: id, Version: cfg.Version, Operator: Operator, Action: action, Kind: change.KindWorker, Name: worker}
+	var err error
+	if c.Before, err = cfg.Object(change.KindWorker, worker); err != nil {
+		return change.Change{}, err
+	}
+	c.After, err = json.Marshal(w)
+	return c, err
+}
