node: report the use of a worker's slots

Cause: the driver of a move needs to know whether this host owns the worker's slots now and how many grants on it are outstanding.

Change: SlotUse answers for several workers in one pass over the grants, with the configuration version that the grants follow. A host owns the slots only with its admission lease and a complete grant table.

Conclusion: no state is added; the method reads what the allocator has.

--- /dev/null
+++ b/node/slotuse.go
@@ -0,0 +1,31 @@
+package node
+
+import "time"
+
+// SlotUse is what this host can say about the slots of one worker.
+type SlotUse struct {
+	// Owned tells that this host may grant the worker's slots now, so that nobody else
+	// can and all grants on it are known here.
+	Owned bool
+	// Outstanding counts the grants that have not ended.
+	Outstanding int
+}
+
+// SlotUse returns the use of the workers' slots, with the version of the configuration
+// that the grants follow.
+func (n *Node) SlotUse(now time.Time, workers []string) (version uint64, use map[string]SlotUse) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	use = make(map[string]SlotUse, len(workers))
+	mayGrant := len(n.ep.Members) > 0 && n.lease.MayAdmit(now)
+	for _, w := range workers {
+		use[w] = SlotUse{Owned: mayGrant && n.ep.Rank(w)[0].ID() == n.id && n.table.MayGrant(now, w)}
+	}
+	table := n.alloc.Table(now, func(worker string) bool { return use[worker].Owned })
+	for _, h := range table.Grants {
+		u := use[h.Grant.Minion]
+		u.Outstanding++
+		use[h.Grant.Minion] = u
+	}
+	return n.cfg.Version, use
+}
