Drive moves from the entry hosts

Cause: the steps of a move are computed by package move, but nobody does them.

Change: maintenance.Driver does the next step of each move whose slots its host owns, and records the reason of a step that is overdue. It keeps no state.

Conclusion: a move resumes on whichever host owns the worker's slots.

--- /dev/null
+++ b/maintenance/moves.go
@@ -0,0 +1,73 @@
+package maintenance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/fleet"
+	"egretdrum.example/hostlist"
+	"egretdrum.example/move"
+	"egretdrum.example/node"
+)
+
+// tickMoves does the next step of each move whose worker's slots this host owns.
+func (d *Driver) tickMoves(ctx context.Context, now time.Time) {
+	cfg := d.Config()
+	var moving []string
+	for name, w := range cfg.Workers {
+		if w.Move != nil {
+			moving = append(moving, name)
+		}
+	}
+	if len(moving) == 0 {
+		return
+	}
+	slices.Sort(moving)
+	version, use := d.Use(now, moving)
+	if version < cfg.Version {
+		// The slots still follow an older document, in which the worker may serve.
+		return
+	}
+	list, ok := d.hosts(ctx)
+	if !ok {
+		return
+	}
+	behind := d.Behind(cfg.Version)
+	for _, name := range moving {
+		if use[name].Owned {
+			d.step(ctx, now, cfg, name, evidence(use[name], list, name, behind))
+		}
+	}
+}
+
+func evidence(use node.SlotUse, list map[string]hostlist.Host, worker string, behind []string) move.Evidence {
+	host, listed := list[worker]
+	return move.Evidence{
+		Owner: use.Owned, Outstanding: use.Outstanding, Behind: behind,
+		Listed: listed, ListedLeaving: host.Leaving,
+	}
+}
+
+// step does the next step of one move, or reports why it is overdue.
+func (d *Driver) step(ctx context.Context, now time.Time, cfg *fleet.Config, worker string, ev move.Evidence) {
+	c, wait, err := move.Next(cfg, now, worker, ev)
+	if err == nil && wait != "" {
+		c, err = move.Stuck(cfg, now, worker, wait)
+	}
+	if err != nil {
+		d.Log.Error("move-step-not-made", zap.String("worker", worker), zap.Error(err))
+		return
+	}
+	if c.ID == "" {
+		return
+	}
+	if wait != "" {
+		d.Log.Warn("move-stuck", zap.String("worker", worker), zap.String("reason", wait))
+	}
+	if d.accept(ctx, c) && wait == "" {
+		d.Log.Info("move-step", zap.String("worker", worker), zap.String("step", c.Action))
+	}
+}
