entry: run the maintenance driver

Cause: each entry host must drive the moves of the workers that it owns.

Conclusion: without a move in the document the loop reads nothing.

--- a/entry/host.go
+++ b/entry/host.go
@@ -13,6 +13,7 @@
 
 	"egretdrum.example/certificate"
 	"egretdrum.example/epoch"
+	"egretdrum.example/maintenance"
 	"egretdrum.example/membership"
 	"egretdrum.example/minion"
 	"egretdrum.example/node"
@@ -163,6 +164,10 @@
 	start(func(ctx context.Context) {
 		every(ctx, refreshInterval, func() { h.refresh(ctx) })
 	})
+	driver := h.newDriver()
+	start(func(ctx context.Context) {
+		every(ctx, maintenance.Interval, func() { driver.Tick(ctx, time.Now()) })
+	})
 	if h.pair != nil {
 		start(h.watchCertificate)
 	}
