Start, list and roll back moves by command

Cause: pool move replaced the pool of a serving worker at once.

Change: pool move begins a move; --at-once keeps the former behaviour under its own action in the audit trail. move list and move roll-back are new, and explain host shows the step and the reason of a stuck move.

Conclusion: operators see where each move stands from any entry host.

--- a/command/app.go
+++ b/command/app.go
@@ -32,6 +32,7 @@
 			contractCommand(),
 			keyCommand(),
 			poolCommand(),
+			moveCommand(),
 			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
--- a/command/pool.go
+++ b/command/pool.go
@@ -22,9 +22,10 @@
 			flags: []cli.Flag{&cli.IntFlag{Name: "min-available", Usage: "workers that must serve at any time"}}, run: setPool,
 		},
 		leaf{
-			name: "move", usage: "move a worker to another pool", args: "WORKER POOL", complete: change.KindWorker, changes: true,
+			name: "move", usage: "drain a worker and move it to another pool; see also: egretdrum move", args: "WORKER POOL", complete: change.KindWorker, changes: true,
 			flags: []cli.Flag{
 				&cli.BoolFlag{Name: "add", Usage: "accept a worker that is in no pool yet"},
+				&cli.BoolFlag{Name: "at-once", Usage: "do not wait until the worker is empty"},
 				&cli.IntFlag{Name: "slots", Usage: "requests that the worker runs at the same time"},
 			},
 			run: moveWorker,
@@ -98,8 +99,12 @@
 	if !exists && !op.cmd.Bool("add") {
 		return &fleet.ReferenceError{Kind: change.KindWorker, Name: name, From: "the command without --add"}
 	}
+	if exists && w.Pool != pool && !op.cmd.Bool("at-once") {
+		return startMove(ctx, op, name, pool)
+	}
 	p := proposal{action: "move-worker", kind: change.KindWorker, name: name}
 	if exists && w.Pool != pool {
+		p.action = "move-worker-at-once"
 		p.cautions = append(p.cautions, fmt.Sprintf("stops the work of pool %s on %s", w.Pool, name))
 	}
 	w.Pool = pool
--- a/command/proposal.go
+++ b/command/proposal.go
@@ -63,6 +63,11 @@
 	if err != nil {
 		return err
 	}
+	return op.proposeChange(ctx, c, p.cautions, secret)
+}
+
+// proposeChange checks, confirms and sends a change that is already made.
+func (op *operation) proposeChange(ctx context.Context, c change.Change, cautions []string, secret string) error {
 	if bytes.Equal(c.Before, c.After) {
 		return op.report(submission{NoChange: true}, "nothing to change")
 	}
@@ -72,11 +77,11 @@
 	}
 	known := op.cfg.Warnings()
 	warnings := slices.DeleteFunc(next.Warnings(), func(w string) bool { return slices.Contains(known, w) })
-	preview := difference(c) + lines("caution: ", p.cautions) + lines("warning: ", warnings)
+	preview := difference(c) + lines("caution: ", cautions) + lines("warning: ", warnings)
 	if op.cmd.Bool("dry-run") {
-		return op.report(submission{DryRun: true, Cautions: p.cautions, Warnings: warnings, Change: &c}, strings.TrimSuffix(preview, "\n"))
+		return op.report(submission{DryRun: true, Cautions: cautions, Warnings: warnings, Change: &c}, strings.TrimSuffix(preview, "\n"))
 	}
-	if err := op.confirm(p, preview); err != nil {
+	if err := op.confirm(cautions, preview); err != nil {
 		return err
 	}
 	version, behind, err := op.submit(ctx, c)
@@ -112,8 +117,8 @@
 	return op.show(s, [][]string{{text}})
 }
 
-func (op *operation) confirm(p proposal, preview string) error {
-	if len(p.cautions) == 0 || op.cmd.Bool("yes") {
+func (op *operation) confirm(cautions []string, preview string) error {
+	if len(cautions) == 0 || op.cmd.Bool("yes") {
 		return nil
 	}
 	_, _ = fmt.Fprintf(op.stderr(), "%smake this change? [y/N] ", preview)
--- a/operator/explanation.go
+++ b/operator/explanation.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	"egretdrum.example/change"
 	"egretdrum.example/contract"
@@ -59,6 +60,7 @@
 			e.Summary = fmt.Sprintf("%s is leaving pool %s and gets no new work", name, w.Pool)
 		}
 		e.Facts = []Fact{{Name: "pool", Value: w.Pool}, {Name: "leaving", Value: strconv.FormatBool(w.Leaving)}}
+		e.addMove(w.Move)
 		e.addLastChange(cfg, change.KindWorker)
 		return e, nil
 	default:
@@ -66,6 +68,21 @@
 	}
 }
 
+// addMove adds the state of a move in progress.
+func (e *Explanation) addMove(m *fleet.Move) {
+	if m == nil {
+		return
+	}
+	e.Summary = fmt.Sprintf("%s moves from pool %s to pool %s and gets no new work", e.Name, m.From, m.To)
+	if m.RollBack {
+		e.Summary += "; the move is rolled back"
+	}
+	e.Facts = append(e.Facts, Fact{Name: "move step", Value: fmt.Sprintf("%s since %s", m.Step, m.At.Format(time.RFC3339))})
+	if m.Stuck != "" {
+		e.Facts = append(e.Facts, Fact{Name: "move stuck", Value: m.Stuck})
+	}
+}
+
 // addLastChange adds the newest of the recent changes of the object.
 func (e *Explanation) addLastChange(cfg *fleet.Config, kind string) {
 	for n := len(cfg.Recent) - 1; n >= 0; n-- {
