Count absences and decide on availability budgets

Cause: min-available was compared with the document alone, so workers that the host list misses did not count, and there was no budget per failure domain.

Change: a worker's record holds a permit while it is absent by plan, taken in the change that makes it leave. Pools get max-absent-per-rack and max-absent-per-zone. A permit is dropped only when the worker is in the host list and not leaving. A change records whether it was forced.

--- a/change/change.go
+++ b/change/change.go
@@ -23,16 +23,19 @@
 // object has another value by then. Version is the version that contains the change; in
 // a request it is the version that the operator saw.
 type Change struct {
-	ID       string          `json:"id"`
-	Version  uint64          `json:"version"`
-	At       time.Time       `json:"at"`
-	Operator string          `json:"operator"`
-	Reason   string          `json:"reason"`
-	Action   string          `json:"action"`
-	Kind     string          `json:"kind"`
-	Name     string          `json:"name"`
-	Before   json.RawMessage `json:"before,omitempty"`
-	After    json.RawMessage `json:"after,omitempty"`
+	ID       string    `json:"id"`
+	Version  uint64    `json:"version"`
+	At       time.Time `json:"at"`
+	Operator string    `json:"operator"`
+	Reason   string    `json:"reason"`
+	Action   string    `json:"action"`
+	// Forced records that the operator made the change although it breaks an
+	// availability budget.
+	Forced bool            `json:"forced,omitempty"`
+	Kind   string          `json:"kind"`
+	Name   string          `json:"name"`
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
 }
 
 // FieldError reports a missing or unacceptable field of a change.
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -37,10 +37,13 @@
 	Open bool `json:"open"`
 }
 
-// Pool is a set of workers. MinAvailable is its availability budget: the number of
-// workers that must serve at any time.
+// Pool is a set of workers with its availability budgets. MinAvailable is the number of
+// workers that must serve at any time. The other two bound the workers of the pool that
+// are absent at a time in one rack or one availability zone; 0 means no bound.
 type Pool struct {
-	MinAvailable int `json:"min-available"`
+	MinAvailable     int `json:"min-available"`
+	MaxAbsentPerRack int `json:"max-absent-per-rack,omitempty"`
+	MaxAbsentPerZone int `json:"max-absent-per-zone,omitempty"`
 }
 
 // Worker records the one pool that a worker is in. Leaving workers get no new work.
@@ -50,6 +53,13 @@
 	Pool    string `json:"pool"`
 	Leaving bool   `json:"leaving"`
 	Slots   int    `json:"slots,omitempty"`
+	// Zone and Rack are the worker's failure domains. The host list overrides them; they
+	// are needed while the worker is not on it.
+	Zone string `json:"zone,omitempty"`
+	Rack string `json:"rack,omitempty"`
+	// Permit is the right to be absent. It is taken in the change that makes the worker
+	// leave and released when the worker serves again, later than Leaving ends.
+	Permit *Permit `json:"permit,omitempty"`
 	// Move is the worker's move to another pool while it is in progress.
 	Move *Move `json:"move,omitempty"`
 }
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -10,6 +10,9 @@
 // maxSlots bounds the slots of one worker, so that their sum does not overflow.
 const maxSlots = 100_000
 
+// maxWorkers bounds budgets; it is above the two-year size of 28,000 workers.
+const maxWorkers = 100_000
+
 // Validate checks the document as a whole: qualified names, references, sums of
 // shares and budgets that could never hold.
 func (cfg *Config) Validate() error {
@@ -68,6 +71,9 @@
 		if w.Slots < 0 || w.Slots > maxSlots {
 			return &RangeError{Field: "worker " + name + ": slots", Value: fmt.Sprint(w.Slots), Accepted: fmt.Sprintf("0 to %d", maxSlots)}
 		}
+		if w.Permit != nil && w.Permit.ID == "" {
+			return &RangeError{Field: "worker " + name + ": permit id", Value: `""`, Accepted: "a unique id"}
+		}
 		if err := cfg.validateMove(name, w); err != nil {
 			return err
 		}
@@ -77,6 +83,11 @@
 		if err := checkQualified("pool", name); err != nil {
 			return err
 		}
+		for field, n := range map[string]int{"max-absent-per-rack": p.MaxAbsentPerRack, "max-absent-per-zone": p.MaxAbsentPerZone} {
+			if n < 0 || n > maxWorkers {
+				return &RangeError{Field: "pool " + name + ": " + field, Value: fmt.Sprint(n), Accepted: fmt.Sprintf("0 (no bound) to %d", maxWorkers)}
+			}
+		}
 		if serving := size[name].serving; p.MinAvailable < 0 || p.MinAvailable > serving {
 			return &RangeError{Field: "pool " + name + ": min-available", Value: fmt.Sprint(p.MinAvailable), Accepted: fmt.Sprintf("0 to %d, the workers in the pool that are not leaving", serving)}
 		}
--- a/move/move.go
+++ b/move/move.go
@@ -55,6 +55,9 @@
 	}
 	w.Move = &fleet.Move{ID: id, From: w.Pool, To: pool, Step: fleet.MoveDraining, At: now, KeepDrained: w.Leaving}
 	w.Leaving = true
+	if w.Permit == nil {
+		w.Permit = &fleet.Permit{ID: id, Cause: fleet.CauseMove, At: now}
+	}
 	return record(cfg, worker, w, id+"/start", "start-move")
 }
 
@@ -95,6 +98,10 @@
 			return c, reason, nil
 		}
 		w.Leaving, w.Move = m.KeepDrained, nil
+		if !w.Leaving {
+			// The evidence shows that the worker serves, which is what releases a permit.
+			w.Permit = nil
+		}
 		return step(cfg, worker, w, "admit")
 	case m.Step == fleet.MoveDraining:
 		if reason := occupied(ev); reason != "" {
