rollout: check a change on the stored document

Cause: a check outside the compare-and-swap loop lets two operators use the same room in a budget.

Change: Keeper.Check is called for each try with the newest stored document and its successor.

Measurement: three hosts race for one place from the same former version; one gets it. With the check made on the document that each host knew, the test sees more than one.

Conclusion: budgets can be enforced at the moment of writing.

--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -31,6 +31,10 @@
 	// Changed is called after each newer version, in the order of versions; it must
 	// not block and must not call Adopt.
 	Changed func(*fleet.Config)
+	// Check is called for each try to write a change, with the newest stored document
+	// and the one that would follow. A change that it returns an error for is refused
+	// with that error.
+	Check func(ctx context.Context, cur, next *fleet.Config, c change.Change) error
 
 	broken broken
 	// archived is called between the write of an audit key and that of the document.
@@ -41,12 +45,15 @@
 // each rule fails without the rule.
 type broken struct {
 	adoptOlder, unordered, skipIDCheck, blindWrite, skipArchive, acceptOldReads bool
-	trustDamaged, archiveFirst, anyArchive                                      bool
+	trustDamaged, archiveFirst, anyArchive, checkKnown                          bool
 }
 
 // New returns a keeper with an empty configuration of version 0.
 func New(s *store.Client) *Keeper {
-	k := &Keeper{store: s, Changed: func(*fleet.Config) {}, archived: func() error { return nil }}
+	k := &Keeper{
+		store: s, Changed: func(*fleet.Config) {}, archived: func() error { return nil },
+		Check: func(context.Context, *fleet.Config, *fleet.Config, change.Change) error { return nil },
+	}
 	k.current.Store(&fleet.Config{})
 	return k
 }
@@ -124,6 +131,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := k.check(ctx, cfg, next, c); err != nil {
+			return nil, err
+		}
 		switch err := k.commit(ctx, cfg, next, revision); {
 		case err == nil:
 			k.Adopt(next)
@@ -137,6 +147,19 @@
 	return nil, &AcceptError{ChangeID: c.ID, Err: fault}
 }
 
+// check calls Check. A document that is not the stored one would let two hosts use the
+// same room in a budget.
+func (k *Keeper) check(ctx context.Context, cfg, next *fleet.Config, c change.Change) error {
+	if k.broken.checkKnown {
+		cfg = k.Config()
+		var err error
+		if next, err = cfg.Apply(c); err != nil {
+			return err
+		}
+	}
+	return k.Check(ctx, cfg, next, c)
+}
+
 // commit writes the changes that leave the document to an audit key, then the document.
 // The size is checked first, so that a refused change writes nothing.
 func (k *Keeper) commit(ctx context.Context, cfg, next *fleet.Config, revision uint64) error {
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -438,3 +438,58 @@
 	test(broken{})(t)
 	qt.Check(t, fails(t, test(broken{anyArchive: true})), qt.IsTrue)
 }
+
+// racingPermits lets the hosts take workers out of a pool that can spare one, each from
+// what it knew before the others started.
+func racingPermits(b broken) func(testing.TB) {
+	return func(t testing.TB) {
+		x := newBench(3, b)
+		defer x.server.Close()
+		put := func(host int, name, after string) error {
+			before, err := x.keepers[host].Config().Object(change.KindWorker, name)
+			if err != nil {
+				return err
+			}
+			_, err = x.keepers[host].Accept(context.Background(), change.Change{
+				ID: name + after, Operator: "op", Kind: change.KindWorker, Name: name, Before: before, After: json.RawMessage(after),
+			})
+			return err
+		}
+		qt.Assert(t, x.accept(0, x.change(0, "a/p", true)), qt.IsNil)
+		for host := range x.keepers {
+			qt.Assert(t, put(0, fmt.Sprint("w", host), `{"pool":"a/p","leaving":false}`), qt.IsNil)
+		}
+		var group sync.WaitGroup
+		for host, k := range x.keepers {
+			qt.Assert(t, k.Refresh(context.Background()), qt.IsNil)
+			k.Check = func(_ context.Context, _, next *fleet.Config, _ change.Change) error {
+				if absent(next) > 1 {
+					return errCrash
+				}
+				return nil
+			}
+			group.Go(func() { _ = put(host, fmt.Sprint("w", host), `{"pool":"a/p","leaving":true}`) })
+		}
+		group.Wait()
+		qt.Assert(t, x.keepers[0].Refresh(context.Background()), qt.IsNil)
+		if n := absent(x.keepers[0].Config()); n != 1 {
+			t.Errorf("%d workers left, the check allows one", n)
+		}
+	}
+}
+
+func absent(cfg *fleet.Config) (n int) {
+	for _, w := range cfg.Workers {
+		if w.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRacingPermits guards against a check on another document than the one that the
+// write replaces: two operators would both get the last permit.
+func TestRacingPermits(t *testing.T) {
+	racingPermits(broken{})(t)
+	qt.Check(t, fails(t, racingPermits(broken{checkKnown: true})), qt.IsTrue)
+}
