Enforce budgets and release permits

Cause: permits were defined but neither checked nor released.

Change: maintenance.Check compares a change of a worker or pool with the budgets on the host list read at that moment; without the list no such change is accepted. The owner of a worker's slots releases its permit when the host list shows it as serving; the change id is derived from the permit. A move that a budget stops records that as the reason.

Measurement: a returned worker keeps its permit while the list misses it or shows it as leaving, and a lost answer releases it once.

Conclusion: racing operators and drivers share one rule.

--- /dev/null
+++ b/maintenance/check.go
@@ -0,0 +1,26 @@
+package maintenance
+
+import (
+	"context"
+
+	"egretdrum.example/budget"
+	"egretdrum.example/change"
+	"egretdrum.example/fleet"
+	"egretdrum.example/hostlist"
+	"egretdrum.example/rollout"
+)
+
+// Check returns the check of a change against the availability budgets, for a keeper. It
+// reads the host list at each call; without the list no worker may leave.
+func Check(hosts func(context.Context) ([]hostlist.Host, error)) func(context.Context, *fleet.Config, *fleet.Config, change.Change) error {
+	return func(ctx context.Context, cur, next *fleet.Config, c change.Change) error {
+		if c.Kind != change.KindWorker && c.Kind != change.KindPool {
+			return nil
+		}
+		list, err := hosts(ctx)
+		if err != nil {
+			return &rollout.AcceptError{ChangeID: c.ID, Err: err}
+		}
+		return budget.Check(cur, next, list, c.Forced)
+	}
+}
--- a/maintenance/driver.go
+++ b/maintenance/driver.go
@@ -37,17 +37,18 @@
 // Tick does what is due now. A step that fails is tried again at the next Tick.
 func (d *Driver) Tick(ctx context.Context, now time.Time) {
 	d.tickMoves(ctx, now)
+	d.tickPermits(ctx, now)
 }
 
 // accept submits a change of the driver. A lost race is no fault: somebody else did the
 // step or the operator changed the object, and the next Tick starts from the result.
-func (d *Driver) accept(ctx context.Context, c change.Change) bool {
+func (d *Driver) accept(ctx context.Context, c change.Change) error {
 	err := d.Accept(ctx, c)
 	var lost *fleet.ConflictError
 	if err != nil && !errors.As(err, &lost) {
 		d.Log.Warn("maintenance-step-failed", zap.String("change", c.ID), zap.Error(err))
 	}
-	return err == nil
+	return err
 }
 
 // hosts returns the host list by worker; ok is false if it could not be read.
--- a/maintenance/driver_test.go
+++ b/maintenance/driver_test.go
@@ -125,7 +125,7 @@
 	b.set(change.KindWorker, "w1", fleet.Worker{Pool: "a/p"})
 	b.publish(hostlist.Host{Worker: "w1"})
 	b.running = 1
-	b.accept(move.Start(b.keepers[0].Config(), b.now, "m1", "w1", "a/q"))
+	b.accept(move.Start(b.keepers[0].Config(), b.now, "m1", "w1", "a/q", false))
 	b.tick(3)
 	qt.Check(t, b.worker("w1").Move.Step, qt.Equals, fleet.MoveDraining)
 
@@ -157,3 +157,28 @@
 	qt.Check(t, actions, qt.DeepEquals, []string{"start-move", "confirm-empty-move", "hand-over-move", "report-stuck-move", "admit-move"})
 	qt.Check(t, slices.IsSortedFunc(trail, func(x, y change.Change) int { return int(x.Version) - int(y.Version) }), qt.IsTrue)
 }
+
+// TestPermitRelease guards against a permit that ends before its worker serves, or never,
+// and against a change that is accepted without the host list.
+func TestPermitRelease(t *testing.T) {
+	b := newBench(t, 2)
+	client := store.New(b.url, time.Minute)
+	for _, k := range b.keepers {
+		k.Check = Check(client.Hosts)
+	}
+	b.set(change.KindPool, "a/p", fleet.Pool{})
+	b.set(change.KindWorker, "w1", fleet.Worker{Pool: "a/p", Leaving: true, Permit: &fleet.Permit{ID: "p1"}})
+	b.set(change.KindWorker, "w1", fleet.Worker{Pool: "a/p", Permit: &fleet.Permit{ID: "p1"}})
+	b.tick(2)
+	qt.Check(t, b.worker("w1").Permit, qt.IsNotNil)
+	b.publish(hostlist.Host{Worker: "w1", Leaving: true})
+	b.tick(2)
+	qt.Check(t, b.worker("w1").Permit, qt.IsNotNil)
+	b.publish(hostlist.Host{Worker: "w1"})
+	b.platform.LoseWrites(1)
+	b.tick(2)
+	qt.Check(t, b.worker("w1").Permit, qt.IsNil)
+	unread := Check(func(context.Context) ([]hostlist.Host, error) { return nil, io.EOF })
+	cfg := b.keepers[0].Config()
+	qt.Check(t, unread(context.Background(), cfg, cfg, change.Change{Kind: change.KindWorker}), qt.ErrorMatches, ".*EOF")
+}
--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/budget"
 	"egretdrum.example/fleet"
 	"egretdrum.example/hostlist"
 	"egretdrum.example/move"
@@ -54,20 +56,30 @@
 // step does the next step of one move, or reports why it is overdue.
 func (d *Driver) step(ctx context.Context, now time.Time, cfg *fleet.Config, worker string, ev move.Evidence) {
 	c, wait, err := move.Next(cfg, now, worker, ev)
-	if err == nil && wait != "" {
-		c, err = move.Stuck(cfg, now, worker, wait)
-	}
 	if err != nil {
 		d.Log.Error("move-step-not-made", zap.String("worker", worker), zap.Error(err))
 		return
 	}
-	if c.ID == "" {
-		return
+	if wait == "" && c.ID != "" {
+		var exceeded *budget.ExceededError
+		err := d.accept(ctx, c)
+		if err == nil {
+			d.Log.Info("move-step", zap.String("worker", worker), zap.String("step", c.Action))
+		}
+		if errors.As(err, &exceeded) {
+			wait = exceeded.Error()
+		}
 	}
 	if wait != "" {
-		d.Log.Warn("move-stuck", zap.String("worker", worker), zap.String("reason", wait))
+		d.reportStuck(ctx, now, cfg, worker, wait)
 	}
-	if d.accept(ctx, c) && wait == "" {
-		d.Log.Info("move-step", zap.String("worker", worker), zap.String("step", c.Action))
+}
+
+func (d *Driver) reportStuck(ctx context.Context, now time.Time, cfg *fleet.Config, worker, reason string) {
+	c, err := move.Stuck(cfg, now, worker, reason)
+	if err != nil || c.ID == "" {
+		return
 	}
+	d.Log.Warn("move-stuck", zap.String("worker", worker), zap.String("reason", reason))
+	_ = d.accept(ctx, c)
 }
--- /dev/null
+++ b/maintenance/permits.go
@@ -0,0 +1,64 @@
+package maintenance
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/change"
+	"egretdrum.example/fleet"
+	"egretdrum.example/move"
+)
+
+// tickPermits releases the permits of workers that were returned and serve again, for
+// the workers whose slots this host owns.
+func (d *Driver) tickPermits(ctx context.Context, now time.Time) {
+	cfg := d.Config()
+	var returning []string
+	for name, w := range cfg.Workers {
+		if w.Permit != nil && !w.Leaving {
+			returning = append(returning, name)
+		}
+	}
+	if len(returning) == 0 {
+		return
+	}
+	slices.Sort(returning)
+	_, use := d.Use(now, returning)
+	list, ok := d.hosts(ctx)
+	if !ok {
+		return
+	}
+	for _, name := range returning {
+		host, listed := list[name]
+		if !use[name].Owned || !listed || host.Leaving {
+			continue
+		}
+		c, err := release(cfg, name)
+		if err != nil {
+			d.Log.Error("permit-release-not-made", zap.String("worker", name), zap.Error(err))
+			continue
+		}
+		_ = d.accept(ctx, c)
+	}
+}
+
+// release returns the change that ends the worker's permit. Its id is derived from the
+// permit, so two hosts cannot release it twice.
+func release(cfg *fleet.Config, worker string) (change.Change, error) {
+	w := cfg.Workers[worker]
+	c := change.Change{
+		ID: w.Permit.ID + "/release", Version: cfg.Version, Operator: move.Operator,
+		Action: "release-permit", Kind: change.KindWorker, Name: worker,
+	}
+	w.Permit = nil
+	var err error
+	if c.Before, err = cfg.Object(change.KindWorker, worker); err != nil {
+		return c, err
+	}
+	c.After, err = json.Marshal(w)
+	return c, err
+}
--- a/move/move.go
+++ b/move/move.go
@@ -44,8 +44,9 @@
 	ignoreGrants, ignoreOwner, ignoreBehind, admitUnlisted bool
 }
 
-// Start returns the change that begins a move of the worker to pool.
-func Start(cfg *fleet.Config, now time.Time, id, worker, pool string) (change.Change, error) {
+// Start returns the change that begins a move of the worker to pool. A forced one may
+// break availability budgets.
+func Start(cfg *fleet.Config, now time.Time, id, worker, pool string, forced bool) (change.Change, error) {
 	w, ok := cfg.Workers[worker]
 	if !ok {
 		return change.Change{}, &fleet.ReferenceError{Kind: change.KindWorker, Name: worker, From: "the move"}
@@ -56,9 +57,11 @@
 	w.Move = &fleet.Move{ID: id, From: w.Pool, To: pool, Step: fleet.MoveDraining, At: now, KeepDrained: w.Leaving}
 	w.Leaving = true
 	if w.Permit == nil {
-		w.Permit = &fleet.Permit{ID: id, Cause: fleet.CauseMove, At: now}
+		w.Permit = &fleet.Permit{ID: id, Cause: fleet.CauseMove, At: now, Forced: forced}
 	}
-	return record(cfg, worker, w, id+"/start", "start-move")
+	c, err := record(cfg, worker, w, id+"/start", "start-move")
+	c.Forced = forced
+	return c, err
 }
 
 // RollBack returns the change that asks for the end of a move in its first pool.
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -135,7 +135,7 @@
 		"an operator starts a move": func(t *rapid.T) {
 			h := host.Draw(t, "host")
 			w.n++
-			if c, err := Start(w.seen[h], w.now, fmt.Sprint("m", w.n), worker, rapid.SampledFrom(pools).Draw(t, "pool")); err == nil {
+			if c, err := Start(w.seen[h], w.now, fmt.Sprint("m", w.n), worker, rapid.SampledFrom(pools).Draw(t, "pool"), false); err == nil {
 				w.planned[h] = c
 				w.send(t, h, rapid.Bool().Draw(t, "lost"))
 			}
@@ -252,7 +252,7 @@
 		}
 		qt.Check(t, err, qt.ErrorMatches, text)
 	}
-	start := func(name, pool string) (change.Change, error) { return Start(w.stored, w.now, "m", name, pool) }
+	start := func(name, pool string) (change.Change, error) { return Start(w.stored, w.now, "m", name, pool, false) }
 	c, err := start("w9", "a/q")
 	refused(c, err, `the move refers to worker "w9", which does not exist`)
 	c, err = start(worker, "a/none")
