entry: check changes against the budgets

Cause: the keeper of an entry host accepted changes without the host list.

Change: its Check is maintenance.Check on the platform's host list.

Conclusion: a change of a worker or pool costs one more read of the host list.

--- a/entry/host.go
+++ b/entry/host.go
@@ -66,6 +66,7 @@
 		recent:   newRecent(),
 	}
 	h.agent = membership.New(client, h.log)
+	h.keeper.Check = maintenance.Check(client.Hosts)
 	h.api = operator.New(h.keeper)
 	h.api.Push = h.push
 	h.api.Admitting = func() error {
