--- a/command/audit.go
+++ b/command/audit.go
@@ -47,8 +47,12 @@
 		if object != "" && c.Name != object || author != "" && c.Operator != author || c.At.Before(since) {
 			continue
 		}
+		action := c.Action
+		if c.Forced {
+			action += ", forced"
+		}
 		shown = append(shown, c)
-		rows = append(rows, []string{strconv.FormatUint(c.Version, 10), c.At.Format(time.RFC3339), c.Operator, c.Action, c.Kind + " " + c.Name, c.Reason})
+		rows = append(rows, []string{strconv.FormatUint(c.Version, 10), c.At.Format(time.RFC3339), c.Operator, action, c.Kind + " " + c.Name, c.Reason})
 	}
 	return op.show(shown, rows)
 }
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/urfave/cli/v3"
 
+	"egretdrum.example/change"
 	"egretdrum.example/operator"
 	"egretdrum.example/platformfake"
 	"egretdrum.example/rollout"
@@ -30,10 +31,12 @@
 	api      *operator.API
 	keyID    string
 	stdin    string
+	// after is called after each command of a page.
+	after func()
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{platform: platformfake.New()}
+	b := &bench{platform: platformfake.New(), after: func() {}}
 	kv := httptest.NewServer(b.platform.Handler())
 	t.Cleanup(kv.Close)
 	b.keeper = rollout.New(store.New(kv.URL, time.Minute))
@@ -48,6 +51,7 @@
 var (
 	argument = regexp.MustCompile(`"[^"]*"|\S+`)
 	secret   = regexp.MustCompile(`egk\.([A-Za-z0-9_-]+)\.[A-Za-z0-9_-]+`)
+	changeID = regexp.MustCompile(`\b[A-Z2-7]{26}\b`)
 	clock    = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`)
 )
 
@@ -81,10 +85,17 @@
 	if b.keyID != "" {
 		text = strings.ReplaceAll(text, b.keyID, "<key-id>")
 	}
+	text = changeID.ReplaceAllString(text, "<id>")
 	text = clock.ReplaceAllString(text, "2026-01-31T08:00:00Z")
 	return code, text
 }
 
+// accept makes a change of the system itself.
+func (b *bench) accept(ctx context.Context, c change.Change) error {
+	_, err := b.keeper.Accept(ctx, c)
+	return err
+}
+
 // expect checks the exit code and a part of the output.
 func (b *bench) expect(t *testing.T, line string, code int, part string) {
 	t.Helper()
@@ -94,9 +105,11 @@
 }
 
 // TestOperatorsPage guards against a page whose commands or outputs are out of date.
-func TestOperatorsPage(t *testing.T) {
-	b := newBench(t)
-	file := filepath.Join("..", "docs", "operators.md")
+func TestOperatorsPage(t *testing.T) { newBench(t).checkPage(t, "operators.md") }
+
+// checkPage runs the commands of a page in order and compares their outputs with it.
+func (b *bench) checkPage(t *testing.T, name string) {
+	file := filepath.Join("..", "docs", name)
 	page, err := os.ReadFile(file)
 	qt.Assert(t, err, qt.IsNil)
 	var want strings.Builder
@@ -112,6 +125,7 @@
 		}
 		if console && isCommand {
 			code, out := b.run(command)
+			b.after()
 			for l := range strings.Lines(out) {
 				want.WriteString(strings.TrimRight(l, " \n") + "\n")
 			}
--- a/command/move.go
+++ b/command/move.go
@@ -46,10 +46,12 @@
 
 // startMove begins the move of a worker that is in another pool.
 func startMove(ctx context.Context, op *operation, worker, pool string) error {
-	if op.cmd.IsSet("slots") {
-		return &fleet.RangeError{Field: "--slots", Value: "set", Accepted: "only with --add, --at-once or without a change of pool"}
+	for _, flag := range []string{"slots", "zone", "rack"} {
+		if op.cmd.IsSet(flag) {
+			return &fleet.RangeError{Field: "--" + flag, Value: "set", Accepted: "only with --add, --at-once or without a change of pool"}
+		}
 	}
-	c, err := move.Start(op.cfg, time.Now().UTC(), rand.Text(), worker, pool)
+	c, err := move.Start(op.cfg, time.Now().UTC(), rand.Text(), worker, pool, op.cmd.Bool("force"))
 	if err != nil {
 		return err
 	}
--- a/command/pool.go
+++ b/command/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -19,7 +21,12 @@
 		leaf{name: "show", usage: "show the workers of a pool", args: "POOL", complete: change.KindPool, run: showPool},
 		leaf{
 			name: "set", usage: "make a pool, or set its availability budget", args: "SIDE/POOL", complete: change.KindPool, changes: true,
-			flags: []cli.Flag{&cli.IntFlag{Name: "min-available", Usage: "workers that must serve at any time"}}, run: setPool,
+			flags: []cli.Flag{
+				&cli.IntFlag{Name: "min-available", Usage: "workers that must serve at any time"},
+				&cli.IntFlag{Name: "max-absent-per-rack", Usage: "most workers absent at a time in one rack; 0 means no bound"},
+				&cli.IntFlag{Name: "max-absent-per-zone", Usage: "most workers absent at a time in one availability zone; 0 means no bound"},
+			},
+			run: setPool,
 		},
 		leaf{
 			name: "move", usage: "drain a worker and move it to another pool; see also: egretdrum move", args: "WORKER POOL", complete: change.KindWorker, changes: true,
@@ -27,14 +34,21 @@
 				&cli.BoolFlag{Name: "add", Usage: "accept a worker that is in no pool yet"},
 				&cli.BoolFlag{Name: "at-once", Usage: "do not wait until the worker is empty"},
 				&cli.IntFlag{Name: "slots", Usage: "requests that the worker runs at the same time"},
+				&cli.StringFlag{Name: "zone", Usage: "availability zone of the worker while it is not in the host list"},
+				&cli.StringFlag{Name: "rack", Usage: "rack of the worker while it is not in the host list"},
+				forceFlag(),
 			},
 			run: moveWorker,
 		},
-		leaf{name: "drain", usage: "give a worker no new work", args: "WORKER", complete: change.KindWorker, changes: true, run: drainWorker},
+		leaf{name: "drain", usage: "give a worker no new work", args: "WORKER", complete: change.KindWorker, changes: true, flags: []cli.Flag{forceFlag()}, run: drainWorker},
 		leaf{name: "return", usage: "give a drained worker work again", args: "WORKER", complete: change.KindWorker, changes: true, run: returnWorker},
 	)
 }
 
+func forceFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "force", Usage: "accept that availability budgets are broken; kept in the audit trail"}
+}
+
 func listPools(_ context.Context, op *operation) error {
 	pools, rows := operator.StatusOf(op.cfg).Pools, [][]string{{"POOL", "WORKERS", "LEAVING", "MIN-AVAILABLE"}}
 	for _, p := range pools {
@@ -54,13 +68,13 @@
 	if err != nil {
 		return err
 	}
-	views, rows := []workerView{}, [][]string{{"WORKER", "LEAVING", "SLOTS"}}
+	views, rows := []workerView{}, [][]string{{"WORKER", "LEAVING", "SLOTS", "PERMIT"}}
 	for _, name := range op.cfg.Names(change.KindWorker) {
 		w := op.cfg.Workers[name]
 		if w.Pool != pool {
 			continue
 		}
-		views, rows = append(views, workerView{name, w}), append(rows, []string{name, strconv.FormatBool(w.Leaving), slotsText(w.Slots)})
+		views, rows = append(views, workerView{name, w}), append(rows, []string{name, strconv.FormatBool(w.Leaving), slotsText(w.Slots), permitText(w.Permit)})
 	}
 	return op.show(views, rows)
 }
@@ -72,6 +86,16 @@
 	return strconv.Itoa(n)
 }
 
+func permitText(p *fleet.Permit) string {
+	if p == nil {
+		return "-"
+	}
+	if p.Forced {
+		return p.Cause + ", forced"
+	}
+	return p.Cause
+}
+
 func setPool(ctx context.Context, op *operation) error {
 	name, err := op.nameToSet(change.KindPool)
 	if err != nil {
@@ -82,6 +106,12 @@
 	if op.cmd.IsSet("min-available") {
 		pool.MinAvailable = op.cmd.Int("min-available")
 	}
+	if op.cmd.IsSet("max-absent-per-rack") {
+		pool.MaxAbsentPerRack = op.cmd.Int("max-absent-per-rack")
+	}
+	if op.cmd.IsSet("max-absent-per-zone") {
+		pool.MaxAbsentPerZone = op.cmd.Int("max-absent-per-zone")
+	}
 	p := proposal{action: "set-pool", kind: change.KindPool, name: name, value: pool}
 	if pool.MinAvailable < old.MinAvailable {
 		p.cautions = append(p.cautions, fmt.Sprintf("lowers min-available from %d to %d", old.MinAvailable, pool.MinAvailable))
@@ -111,6 +141,12 @@
 	if op.cmd.IsSet("slots") {
 		w.Slots = op.cmd.Int("slots")
 	}
+	if op.cmd.IsSet("zone") {
+		w.Zone = op.cmd.String("zone")
+	}
+	if op.cmd.IsSet("rack") {
+		w.Rack = op.cmd.String("rack")
+	}
 	p.value = w
 	return op.propose(ctx, p, "")
 }
@@ -130,6 +166,9 @@
 	}
 	w := op.cfg.Workers[name]
 	w.Leaving = leaving
+	if leaving && w.Permit == nil {
+		w.Permit = &fleet.Permit{ID: rand.Text(), Cause: fleet.CauseDrain, At: time.Now().UTC(), Forced: op.cmd.Bool("force")}
+	}
 	p := proposal{action: action, kind: change.KindWorker, name: name, value: w}
 	if leaving {
 		p.cautions = append(p.cautions, fmt.Sprintf("stops new work on %s; pool %s has one worker less", name, w.Pool))
--- a/command/proposal.go
+++ b/command/proposal.go
@@ -99,7 +99,7 @@
 func (op *operation) change(p proposal) (change.Change, error) {
 	c := change.Change{
 		ID: rand.Text(), Version: op.cfg.Version, Operator: operatorName(), Reason: op.cmd.String("reason"),
-		Action: p.action, Kind: p.kind, Name: p.name,
+		Action: p.action, Kind: p.kind, Name: p.name, Forced: op.cmd.Bool("force"),
 	}
 	var err error
 	if c.Before, err = op.cfg.Object(p.kind, p.name); err != nil || p.value == nil {
--- a/operator/explanation.go
+++ b/operator/explanation.go
@@ -60,6 +60,9 @@
 			e.Summary = fmt.Sprintf("%s is leaving pool %s and gets no new work", name, w.Pool)
 		}
 		e.Facts = []Fact{{Name: "pool", Value: w.Pool}, {Name: "leaving", Value: strconv.FormatBool(w.Leaving)}}
+		if p := w.Permit; p != nil {
+			e.Facts = append(e.Facts, Fact{Name: "permit", Value: fmt.Sprintf("%s since %s, forced %t", p.Cause, p.At.Format(time.RFC3339), p.Forced)})
+		}
 		e.addMove(w.Move)
 		e.addLastChange(cfg, change.KindWorker)
 		return e, nil
