fleet: add waves and the maintenance of a worker

Cause: maintenance of many workers had no object in the document.

Change: kind wave with its workers, window and state; the worker's record holds its part in its last wave. A worker that a wave has out stays leaving and keeps its permit, and does not begin a move. A worker may be in one open wave only: the random test of the planner showed that two open waves drained the same worker in turns for ever, because the record holds one part.

Measurement: TestDocument compares acceptance with its oracle, now with moves and waves; the two new rules switched off are found.

--- a/change/change.go
+++ b/change/change.go
@@ -14,6 +14,7 @@
 	KindService  = "service"
 	KindPool     = "pool"
 	KindWorker   = "worker"
+	KindWave     = "wave"
 )
 
 const maxReasonLen = 500
@@ -48,9 +49,9 @@
 // Validate checks the fields that do not depend on the configuration.
 func (c Change) Validate() error {
 	switch c.Kind {
-	case KindContract, KindService, KindPool, KindWorker:
+	case KindContract, KindService, KindPool, KindWorker, KindWave:
 	default:
-		return &FieldError{Field: "kind", Accepted: "contract, service, pool or worker"}
+		return &FieldError{Field: "kind", Accepted: "contract, service, pool, worker or wave"}
 	}
 	if c.ID == "" {
 		return &FieldError{Field: "id", Accepted: "a unique id"}
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -38,6 +38,8 @@
 		return encodeEntry(cfg.Services, name)
 	case change.KindPool:
 		return encodeEntry(cfg.Pools, name)
+	case change.KindWave:
+		return encodeEntry(cfg.Waves, name)
 	default:
 		return encodeEntry(cfg.Workers, name)
 	}
@@ -51,6 +53,8 @@
 		return decodeEntry(cfg.Services, name, after)
 	case change.KindPool:
 		return decodeEntry(cfg.Pools, name, after)
+	case change.KindWave:
+		return decodeEntry(cfg.Waves, name, after)
 	default:
 		return decodeEntry(cfg.Workers, name, after)
 	}
--- a/fleet/broken.go
+++ b/fleet/broken.go
@@ -3,5 +3,5 @@
 // broken switches off single safety rules. Only tests set it, to show that the test of
 // each rule fails without the rule.
 var broken struct {
-	ignoreBefore, acceptGap, skipValidation, skipMoveCheck bool
+	ignoreBefore, acceptGap, skipValidation, skipMoveCheck, skipOverlap bool
 }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -24,6 +24,7 @@
 	Services  map[string]Service           `json:"services"`
 	Pools     map[string]Pool              `json:"pools"`
 	Workers   map[string]Worker            `json:"workers"`
+	Waves     map[string]Wave              `json:"waves,omitempty"`
 	Recent    []change.Change              `json:"recent-changes"`
 
 	indexOnce sync.Once
@@ -62,6 +63,8 @@
 	Permit *Permit `json:"permit,omitempty"`
 	// Move is the worker's move to another pool while it is in progress.
 	Move *Move `json:"move,omitempty"`
+	// Maintenance is the worker's part in its last wave.
+	Maintenance *Maintenance `json:"maintenance,omitempty"`
 }
 
 // Decode reads a stored document and checks it as a whole.
@@ -99,6 +102,7 @@
 		Services:  cloneMap(cfg.Services),
 		Pools:     cloneMap(cfg.Pools),
 		Workers:   cloneMap(cfg.Workers),
+		Waves:     cloneMap(cfg.Waves),
 		Recent:    slices.Clone(cfg.Recent),
 	}
 }
--- a/fleet/rapid_test.go
+++ b/fleet/rapid_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -68,6 +69,11 @@
 	var w Worker
 	m.each("worker", &w, func(string) {
 		pool(w.Pool)
+		if v := w.Move; v != nil {
+			pool(v.From)
+			pool(v.To)
+			ok = ok && w.Leaving && v.From != v.To && w.Pool == map[MoveStep]string{MoveDraining: v.From, MoveHandedOver: v.To}[v.Step]
+		}
 		if !w.Leaving {
 			serving[w.Pool]++
 		}
@@ -77,6 +83,15 @@
 	m.each("service", &s, func(string) { pool(s.Pool) })
 	var p Pool
 	m.each("pool", &p, func(name string) { ok = ok && p.MinAvailable >= 0 && p.MinAvailable <= serving[name] })
+	waves := map[string]bool{}
+	var v Wave
+	m.each("wave", &v, func(string) {
+		for _, worker := range v.Workers {
+			ok = ok && (v.State == WaveEnded || !waves[worker])
+			waves[worker] = waves[worker] || v.State != WaveEnded
+		}
+		v = Wave{}
+	})
 	var c contract.Contract
 	m.each("contract", &c, func(name string) {
 		ok = ok && c.Team == name && c.Limit >= 1
@@ -94,7 +109,15 @@
 	"pool a/p": {Pool{}, Pool{}, Pool{MinAvailable: 1}, Pool{MinAvailable: 9}}, "pool b/p": {Pool{}, Pool{MinAvailable: -1}},
 	"service a/s": {Service{Pool: "a/p"}, Service{Pool: "b/p", Open: true}, Service{Pool: "a/none"}},
 	"worker w1":   {Worker{Pool: "a/p"}, Worker{Pool: "b/p", Slots: 8}, Worker{Pool: "a/p", Leaving: true}},
-	"worker w2":   {Worker{Pool: "a/p"}, Worker{Pool: "a/none"}},
+	"worker w3": {
+		Worker{Pool: "a/p"},
+		Worker{Pool: "a/p", Leaving: true, Move: &Move{ID: "m", From: "a/p", To: "b/p", Step: MoveDraining}},
+		Worker{Pool: "a/p", Leaving: true, Move: &Move{ID: "m", From: "a/p", To: "b/p", Step: MoveHandedOver}},
+		Worker{Pool: "b/p", Move: &Move{ID: "m", From: "a/p", To: "b/p", Step: MoveHandedOver}},
+	},
+	"wave x":    {drawnWave(WaveRunning, "w1", "w2"), drawnWave(WaveEnded, "w1")},
+	"wave y":    {drawnWave(WavePaused, "w2"), drawnWave(WaveRunning, "w3")},
+	"worker w2": {Worker{Pool: "a/p"}, Worker{Pool: "a/none"}},
 	"contract a/t": {
 		contract.Contract{Team: "a/t", Limit: 4, Share: 600_000, Keys: []teamkey.Key{{ID: "k1", Hash: []byte("h")}}},
 		contract.Contract{Team: "a/t", Limit: 4},
@@ -107,6 +130,10 @@
 	},
 }
 
+func drawnWave(state WaveState, workers ...string) Wave {
+	return Wave{ID: "id", Workers: workers, To: time.Unix(1, 0).UTC(), State: state}
+}
+
 func drawChange(t *rapid.T, n int, m model) change.Change {
 	objects := make([]string, 0, len(candidates))
 	for key := range candidates {
@@ -215,6 +242,8 @@
 		"the value that the operator saw is not compared": &broken.ignoreBefore,
 		"a delta with a gap is applied":                   &broken.acceptGap,
 		"the result is not validated":                     &broken.skipValidation,
+		"a worker in a move may be in any pool and serve": &broken.skipMoveCheck,
+		"a worker may be in two open waves":               &broken.skipOverlap,
 	} {
 		t.Run(name, func(t *testing.T) {
 			*rule = true
--- a/fleet/resolve.go
+++ b/fleet/resolve.go
@@ -45,6 +45,8 @@
 		return slices.Sorted(maps.Keys(cfg.Services))
 	case change.KindPool:
 		return slices.Sorted(maps.Keys(cfg.Pools))
+	case change.KindWave:
+		return slices.Sorted(maps.Keys(cfg.Waves))
 	default:
 		return slices.Sorted(maps.Keys(cfg.Workers))
 	}
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -30,6 +30,9 @@
 			return &ReferenceError{Kind: "pool", Name: s.Pool, From: "service " + name}
 		}
 	}
+	if err := cfg.validateWaves(); err != nil {
+		return err
+	}
 	return cfg.validatePools()
 }
 
@@ -74,6 +77,9 @@
 		if w.Permit != nil && w.Permit.ID == "" {
 			return &RangeError{Field: "worker " + name + ": permit id", Value: `""`, Accepted: "a unique id"}
 		}
+		if err := validateMaintenance(name, w); err != nil {
+			return err
+		}
 		if err := cfg.validateMove(name, w); err != nil {
 			return err
 		}
--- /dev/null
+++ b/fleet/wave.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// MaxWaveWorkers bounds the workers of one wave. A change of a wave holds the list of
+// its workers twice, so 64 recent changes of a larger one would fill the document.
+const MaxWaveWorkers = 2000
+
+// WaveState is the state of a wave.
+type WaveState string
+
+// States of a wave. Workers that have left finish in every state.
+const (
+	WaveRunning WaveState = "running"
+	WavePaused  WaveState = "paused"
+	WaveAborted WaveState = "aborted"
+	// WaveEnded: the window is over or no worker is left to do.
+	WaveEnded WaveState = "ended"
+)
+
+// Wave is the maintenance of a list of workers within a window.
+type Wave struct {
+	ID      string    `json:"id"`
+	Pool    string    `json:"pool,omitempty"`
+	Workers []string  `json:"workers"`
+	From    time.Time `json:"from"`
+	To      time.Time `json:"to"`
+	Reason  string    `json:"reason"`
+	State   WaveState `json:"state"`
+	// Cause says why the wave is in its state, and At since when.
+	Cause string    `json:"cause,omitempty"`
+	At    time.Time `json:"at"`
+	// Return is set when workers that are drained but not rebooted are to serve again.
+	Return bool `json:"return,omitempty"`
+}
+
+// MaintenanceStep is what was last completed of a worker's maintenance.
+type MaintenanceStep string
+
+// Steps of the maintenance of one worker, in order, and its other ends.
+const (
+	MaintenanceDraining  MaintenanceStep = "draining"
+	MaintenanceEmpty     MaintenanceStep = "empty"
+	MaintenanceRebooting MaintenanceStep = "rebooting"
+	// MaintenanceReturning: the worker may serve; the host list does not show it yet.
+	MaintenanceReturning MaintenanceStep = "returning"
+	MaintenanceDone      MaintenanceStep = "done"
+	// MaintenanceWithdrawn: the worker was returned before its reboot.
+	MaintenanceWithdrawn MaintenanceStep = "withdrawn"
+	// MaintenanceQuarantined: the worker did not come back or came back bad.
+	MaintenanceQuarantined MaintenanceStep = "quarantined"
+)
+
+// Maintenance is the part of one worker in a wave. WaveID tells waves of the same name
+// apart. Attempt counts how often the wave has drained the worker.
+type Maintenance struct {
+	Wave    string          `json:"wave"`
+	WaveID  string          `json:"wave-id"`
+	Attempt int             `json:"attempt"`
+	Step    MaintenanceStep `json:"step"`
+	Began   time.Time       `json:"began"`
+	At      time.Time       `json:"at"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// IsOut reports whether the maintenance keeps the worker from serving.
+func (m *Maintenance) IsOut() bool {
+	return m.IsActive() && m.Step != MaintenanceReturning || m != nil && m.Step == MaintenanceQuarantined
+}
+
+// IsActive reports whether the maintenance has begun and not ended.
+func (m *Maintenance) IsActive() bool {
+	if m == nil {
+		return false
+	}
+	switch m.Step {
+	case MaintenanceDraining, MaintenanceEmpty, MaintenanceRebooting, MaintenanceReturning:
+		return true
+	default:
+		return false
+	}
+}
+
+func validateMaintenance(name string, w Worker) error {
+	m := w.Maintenance
+	if m == nil {
+		return nil
+	}
+	field := "worker " + name + ": "
+	switch m.Step {
+	case MaintenanceDraining, MaintenanceEmpty, MaintenanceRebooting, MaintenanceReturning, MaintenanceDone, MaintenanceWithdrawn, MaintenanceQuarantined:
+	default:
+		return &RangeError{Field: field + "maintenance step", Value: fmt.Sprintf("%q", m.Step), Accepted: "draining, empty, rebooting, returning, done, withdrawn or quarantined"}
+	}
+	if m.IsOut() && (!w.Leaving || w.Permit == nil) {
+		return &RangeError{Field: field + "leaving", Value: fmt.Sprintf("%t", w.Leaving), Accepted: fmt.Sprintf("true with a permit while the worker is %s in wave %s", m.Step, m.Wave)}
+	}
+	return nil
+}
+
+func (cfg *Config) validateWaves() error {
+	taken := make(map[string]string)
+	for _, name := range slices.Sorted(maps.Keys(cfg.Waves)) {
+		w := cfg.Waves[name]
+		field := "wave " + name + ": "
+		switch {
+		case !isWord(name):
+			return &RangeError{Field: "wave name", Value: fmt.Sprintf("%q", name), Accepted: "1 to 64 characters a-z, 0-9 and -"}
+		case w.ID == "":
+			return &RangeError{Field: field + "id", Value: `""`, Accepted: "a unique id"}
+		case len(w.Workers) == 0 || len(w.Workers) > MaxWaveWorkers:
+			return &RangeError{Field: field + "workers", Value: fmt.Sprint(len(w.Workers)), Accepted: fmt.Sprintf("1 to %d", MaxWaveWorkers)}
+		case !w.To.After(w.From):
+			return &RangeError{Field: field + "window", Value: w.From.Format(time.RFC3339) + "," + w.To.Format(time.RFC3339), Accepted: "an end after its beginning"}
+		}
+		switch w.State {
+		case WaveRunning, WavePaused, WaveAborted, WaveEnded:
+		default:
+			return &RangeError{Field: field + "state", Value: fmt.Sprintf("%q", w.State), Accepted: "running, paused, aborted or ended"}
+		}
+		if w.State != WaveRunning && w.State != WavePaused {
+			continue
+		}
+		// A worker records its part in one wave only; two open ones would drain it in turns.
+		for _, worker := range w.Workers {
+			if other, ok := taken[worker]; ok && !broken.skipOverlap {
+				return &RangeError{Field: field + "worker " + worker, Value: "in wave " + other, Accepted: "workers that are in no other wave that is running or paused"}
+			}
+			taken[worker] = name
+		}
+	}
+	return nil
+}
--- a/move/move.go
+++ b/move/move.go
@@ -38,6 +38,8 @@
 	Listed, ListedLeaving bool
 }
 
+const notOwner = "this entry host does not own the worker's slots"
+
 // broken switches off single rules. Only tests set it, to show that the test of each
 // rule fails without the rule.
 var broken struct {
@@ -54,6 +56,9 @@
 	if w.Move != nil {
 		return change.Change{}, &fleet.RangeError{Field: "worker " + worker + ": move", Value: "in progress to " + w.Move.To, Accepted: "one move at a time; wait for its end or roll it back"}
 	}
+	if w.Maintenance.IsActive() {
+		return change.Change{}, &fleet.RangeError{Field: "worker " + worker + ": maintenance", Value: string(w.Maintenance.Step) + " in wave " + w.Maintenance.Wave, Accepted: "a worker that no wave has taken out; wait, or abort the wave"}
+	}
 	w.Move = &fleet.Move{ID: id, From: w.Pool, To: pool, Step: fleet.MoveDraining, At: now, KeepDrained: w.Leaving}
 	w.Leaving = true
 	if w.Permit == nil {
@@ -87,7 +92,7 @@
 		return c, "", nil
 	}
 	if !ev.Owner && !broken.ignoreOwner {
-		return c, "this entry host does not own the worker's slots", nil
+		return c, notOwner, nil
 	}
 	m := *w.Move
 	m.At, m.Stuck = now, ""
@@ -107,14 +112,14 @@
 		}
 		return step(cfg, worker, w, "admit")
 	case m.Step == fleet.MoveDraining:
-		if reason := occupied(ev); reason != "" {
+		if reason := ev.Occupied(); reason != "" {
 			return c, reason, nil
 		}
 		m.Step = fleet.MoveEmpty
 		return step(cfg, worker, w, "confirm-empty")
 	default:
 		// The owner may have changed since the confirmation, so it is checked again.
-		if reason := occupied(ev); reason != "" {
+		if reason := ev.Occupied(); reason != "" {
 			return c, reason, nil
 		}
 		w.Pool, m.Step = m.To, fleet.MoveHandedOver
@@ -136,9 +141,11 @@
 	return record(cfg, worker, w, fmt.Sprintf("%s/stuck-%d", m.ID, cfg.Version), "report-stuck-move")
 }
 
-// occupied returns the reason why the worker may still have work of its former pool.
-func occupied(ev Evidence) string {
+// Occupied returns the reason why the worker may still have work, empty if it has none.
+func (ev Evidence) Occupied() string {
 	switch {
+	case !ev.Owner && !broken.ignoreOwner:
+		return notOwner
 	case len(ev.Behind) > 0 && !broken.ignoreBehind:
 		return "entry hosts without the newest configuration: " + strings.Join(ev.Behind, ", ")
 	case ev.Outstanding > 0 && !broken.ignoreGrants:
