Plan maintenance waves

Cause: nothing decided which worker to drain next, or when to stop.

The finish time is computed round by round from the budgets and the measured mean time; where none is honest, the reason is given.

--- a/budget/tally.go
+++ b/budget/tally.go
@@ -88,6 +88,19 @@
 	t.addAbsent(worker)
 }
 
+// Restore counts a worker that is absent as serving from now on, for a forecast.
+func (t *Tally) Restore(worker string) {
+	t.available[t.cfg.Workers[worker].Pool]++
+	delete(t.taken, worker)
+	for _, d := range t.domains(worker) {
+		if d.name == "" {
+			t.unplaced[d]--
+		} else {
+			t.absent[d]--
+		}
+	}
+}
+
 // Refusal returns the budget that keeps the worker from leaving, nil if there is none. A
 // worker that does not serve may always leave: it is counted as absent already.
 func (t *Tally) Refusal(worker string) error {
