Drive waves and reboot workers

Cause: the planner needs the platform's reboots and the grants of slot owners.

Change: platformfake has POST /workers/{name}/reboot with the faults never back, bad and slow; workerapi is its client. The order carries an id, so asking again returns the state. The driver of a wave orders and follows reboots; the owner of a worker's slots confirms that it is empty and releases its permit. Every host watches for failures while a wave is open.

Measurement: with three lost answers, a store outage and a new driver in the middle, each of the six workers that the budgets allow is rebooted once; the one that stays away and the one that comes back bad are quarantined.

Conclusion: waves run without an operator.

--- a/maintenance/driver.go
+++ b/maintenance/driver.go
@@ -14,6 +14,7 @@
 	"egretdrum.example/fleet"
 	"egretdrum.example/hostlist"
 	"egretdrum.example/node"
+	"egretdrum.example/wave"
 )
 
 // Interval is how often Tick is called.
@@ -31,12 +32,21 @@
 	Use func(now time.Time, workers []string) (uint64, map[string]node.SlotUse)
 	// Behind returns the members that do not have a version yet.
 	Behind func(version uint64) []string
+	// Leads tells whether this host drives the wave with this name.
+	Leads func(now time.Time, wave string) bool
+	// Reboot orders the reboot of a worker, once for each id, and returns its state.
+	Reboot func(ctx context.Context, worker, id string) (wave.RebootState, error)
 	Log    *zap.Logger
+
+	watch wave.Watch
+	asked map[string]time.Time // when the platform was asked about a reboot, by worker
 }
 
 // Tick does what is due now. A step that fails is tried again at the next Tick.
 func (d *Driver) Tick(ctx context.Context, now time.Time) {
 	d.tickMoves(ctx, now)
+	d.tickDrains(ctx, now)
+	d.tickWaves(ctx, now)
 	d.tickPermits(ctx, now)
 }
 
--- a/maintenance/driver_test.go
+++ b/maintenance/driver_test.go
@@ -22,6 +22,8 @@
 	"egretdrum.example/platformfake"
 	"egretdrum.example/rollout"
 	"egretdrum.example/store"
+	"egretdrum.example/wave"
+	"egretdrum.example/workerapi"
 )
 
 // bench is a platform with entry hosts, each of which has a keeper and a driver. The
@@ -60,6 +62,7 @@
 	b.drivers[h] = &Driver{
 		Config: k.Config, Hosts: client.Hosts, Log: zap.NewNop(),
 		Accept: func(ctx context.Context, c change.Change) error { _, err := k.Accept(ctx, c); return err },
+		Leads:  func(time.Time, string) bool { return h == b.owner }, Reboot: workerapi.New(b.url).Reboot,
 		Use: func(_ time.Time, workers []string) (uint64, map[string]node.SlotUse) {
 			use := make(map[string]node.SlotUse)
 			for _, w := range workers {
@@ -182,3 +185,61 @@
 	cfg := b.keepers[0].Config()
 	qt.Check(t, unread(context.Background(), cfg, cfg, change.Change{Kind: change.KindWorker}), qt.ErrorMatches, ".*EOF")
 }
+
+// TestWaveThroughFaults guards against a worker that is rebooted twice or waited for
+// without end when the platform and the store misbehave and the driver of the wave changes.
+func TestWaveThroughFaults(t *testing.T) {
+	b := newBench(t, 2)
+	b.set(change.KindPool, "a/p", fleet.Pool{MaxAbsentPerRack: 1})
+	var hosts []hostlist.Host
+	for n := range 8 {
+		name := fmt.Sprint("w", n)
+		b.set(change.KindWorker, name, fleet.Worker{Pool: "a/p"})
+		hosts = append(hosts, hostlist.Host{Worker: name, Zone: "z", Rack: fmt.Sprint("r", n%4)})
+	}
+	b.publish(hosts...)
+	b.platform.SetRebootFault("w1", platformfake.RebootNeverBack)
+	b.platform.SetRebootFault("w2", platformfake.RebootBad)
+	b.platform.SetRebootFault("w3", platformfake.RebootSlow)
+	b.accept(wave.Start(b.keepers[0].Config(), b.now, "kernel", fleet.Wave{ID: "id", Pool: "a/p", From: b.now, To: b.now.Add(6 * time.Hour), Reason: "kernel"}))
+	for round := range 30 {
+		switch round {
+		case 2:
+			b.platform.LoseWrites(3)
+		case 3:
+			b.owner = 1
+			b.restart(0)
+		case 4:
+			b.platform.SetDown(true)
+		case 5:
+			b.platform.SetDown(false)
+		}
+		b.tick(6)
+		b.platform.FinishReboots()
+		b.platform.PublishHosts()
+		b.now = b.now.Add(time.Minute)
+	}
+	list := make(map[string]hostlist.Host)
+	for _, h := range hosts {
+		list[h.Worker] = h
+	}
+	cfg := b.keepers[0].Config()
+	p := wave.ProgressOf(cfg, b.now, "kernel", list)
+	qt.Check(t, p.Done, qt.Equals, 4)
+	reasons := map[string]string{}
+	for _, o := range p.Open {
+		reasons[o.Worker] = o.Step + ": " + o.Reason
+	}
+	// The quarantined workers use up the budgets of the racks that w5 and w6 share with them.
+	qt.Check(t, reasons, qt.HasLen, 4)
+	qt.Check(t, reasons["w1"], qt.Equals, "quarantined: did not come back within 15m0s of its reboot")
+	qt.Check(t, reasons["w2"], qt.Equals, "quarantined: came back bad after its reboot")
+	qt.Check(t, reasons["w5"], qt.Contains, "waiting: pool a/p: 2 workers would be absent in rack r1")
+	qt.Check(t, reasons["w6"], qt.Contains, "2 workers would be absent in rack r2")
+	qt.Check(t, p.Note, qt.Contains, "no finish time")
+	for name, r := range cfg.Workers {
+		quarantined := r.Maintenance != nil && r.Maintenance.Step == fleet.MaintenanceQuarantined
+		qt.Check(t, r.IsAbsent(), qt.Equals, quarantined, qt.Commentf("%s", name))
+		qt.Check(t, b.platform.Reboots()[name] == 1, qt.Equals, r.Maintenance != nil, qt.Commentf("%s", name))
+	}
+}
--- a/maintenance/permits.go
+++ b/maintenance/permits.go
@@ -37,7 +37,7 @@
 		if !use[name].Owned || !listed || host.Leaving {
 			continue
 		}
-		c, err := release(cfg, name)
+		c, err := release(cfg, now, name)
 		if err != nil {
 			d.Log.Error("permit-release-not-made", zap.String("worker", name), zap.Error(err))
 			continue
@@ -48,13 +48,18 @@
 
 // release returns the change that ends the worker's permit. Its id is derived from the
 // permit, so two hosts cannot release it twice.
-func release(cfg *fleet.Config, worker string) (change.Change, error) {
+func release(cfg *fleet.Config, now time.Time, worker string) (change.Change, error) {
 	w := cfg.Workers[worker]
 	c := change.Change{
 		ID: w.Permit.ID + "/release", Version: cfg.Version, Operator: move.Operator,
 		Action: "release-permit", Kind: change.KindWorker, Name: worker,
 	}
 	w.Permit = nil
+	if m := w.Maintenance; m != nil && m.Step == fleet.MaintenanceReturning {
+		done := *m
+		done.Step, done.At = fleet.MaintenanceDone, now
+		w.Maintenance = &done
+	}
 	var err error
 	if c.Before, err = cfg.Object(change.KindWorker, worker); err != nil {
 		return c, err
--- a/platformfake/platform.go
+++ b/platformfake/platform.go
@@ -32,6 +32,7 @@
 	faults   faults
 	counts   map[string]int
 	held     []heldWrite
+	reboots  map[string]*reboot
 }
 
 // heldWrite is a write that takes effect after its client gave up.
@@ -176,6 +177,7 @@
 	mux.HandleFunc("POST /leases", p.wrap("grant-lease", p.grantLease))
 	mux.HandleFunc("PUT /leases/{id}", p.wrap("renew-lease", p.renewLease))
 	mux.HandleFunc("DELETE /leases/{id}", p.wrap("end-lease", p.endLease))
+	mux.HandleFunc("POST /workers/{name}/reboot", p.wrap("reboot", p.reboot))
 	mux.HandleFunc("GET /hosts", p.wrap("hosts", p.listHosts))
 	return mux
 }
