entry: lead waves and reboot workers

Cause: the maintenance driver has two new functions.

Change: they are connected to the node and to the platform's worker interface.

Conclusion: no further loop is needed.

--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -6,6 +6,7 @@
 
 	"egretdrum.example/change"
 	"egretdrum.example/maintenance"
+	"egretdrum.example/workerapi"
 )
 
 // newDriver connects the driver of moves and maintenance to this host.
@@ -13,6 +14,8 @@
 	return &maintenance.Driver{
 		Config: h.keeper.Config, Accept: h.acceptStep, Hosts: h.store.Hosts,
 		Use: h.node.SlotUse, Behind: h.behind, Log: h.log,
+		Leads:  func(now time.Time, wave string) bool { return h.node.Leads(now, "wave/"+wave) },
+		Reboot: workerapi.New(h.settings.StoreURL).Reboot,
 	}
 }
 
