--- a/change/change.go
+++ b/change/change.go
@@ -14,6 +14,7 @@
 	KindService  = "service"
 	KindPool     = "pool"
 	KindWorker   = "worker"
+	KindWave     = "wave"
 )
 
 const maxReasonLen = 500
@@ -23,16 +24,19 @@
 // object has another value by then. Version is the version that contains the change; in
 // a request it is the version that the operator saw.
 type Change struct {
-	ID       string          `json:"id"`
-	Version  uint64          `json:"version"`
-	At       time.Time       `json:"at"`
-	Operator string          `json:"operator"`
-	Reason   string          `json:"reason"`
-	Action   string          `json:"action"`
-	Kind     string          `json:"kind"`
-	Name     string          `json:"name"`
-	Before   json.RawMessage `json:"before,omitempty"`
-	After    json.RawMessage `json:"after,omitempty"`
+	ID       string    `json:"id"`
+	Version  uint64    `json:"version"`
+	At       time.Time `json:"at"`
+	Operator string    `json:"operator"`
+	Reason   string    `json:"reason"`
+	Action   string    `json:"action"`
+	// Forced records that the operator made the change although it breaks an
+	// availability budget.
+	Forced bool            `json:"forced,omitempty"`
+	Kind   string          `json:"kind"`
+	Name   string          `json:"name"`
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
 }
 
 // FieldError reports a missing or unacceptable field of a change.
@@ -45,9 +49,9 @@
 // Validate checks the fields that do not depend on the configuration.
 func (c Change) Validate() error {
 	switch c.Kind {
-	case KindContract, KindService, KindPool, KindWorker:
+	case KindContract, KindService, KindPool, KindWorker, KindWave:
 	default:
-		return &FieldError{Field: "kind", Accepted: "contract, service, pool or worker"}
+		return &FieldError{Field: "kind", Accepted: "contract, service, pool, worker or wave"}
 	}
 	if c.ID == "" {
 		return &FieldError{Field: "id", Accepted: "a unique id"}
--- a/entry/host.go
+++ b/entry/host.go
@@ -13,6 +13,7 @@
 
 	"egretdrum.example/certificate"
 	"egretdrum.example/epoch"
+	"egretdrum.example/maintenance"
 	"egretdrum.example/membership"
 	"egretdrum.example/minion"
 	"egretdrum.example/node"
@@ -65,6 +66,7 @@
 		recent:   newRecent(),
 	}
 	h.agent = membership.New(client, h.log)
+	h.keeper.Check = maintenance.Check(client.Hosts)
 	h.api = operator.New(h.keeper)
 	h.api.Push = h.push
 	h.api.Admitting = func() error {
@@ -163,6 +165,10 @@
 	start(func(ctx context.Context) {
 		every(ctx, refreshInterval, func() { h.refresh(ctx) })
 	})
+	driver := h.newDriver()
+	start(func(ctx context.Context) {
+		every(ctx, maintenance.Interval, func() { driver.Tick(ctx, time.Now()) })
+	})
 	if h.pair != nil {
 		start(h.watchCertificate)
 	}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -24,6 +24,7 @@
 	Services  map[string]Service           `json:"services"`
 	Pools     map[string]Pool              `json:"pools"`
 	Workers   map[string]Worker            `json:"workers"`
+	Waves     map[string]Wave              `json:"waves,omitempty"`
 	Recent    []change.Change              `json:"recent-changes"`
 
 	indexOnce sync.Once
@@ -37,10 +38,13 @@
 	Open bool `json:"open"`
 }
 
-// Pool is a set of workers. MinAvailable is its availability budget: the number of
-// workers that must serve at any time.
+// Pool is a set of workers with its availability budgets. MinAvailable is the number of
+// workers that must serve at any time. The other two bound the workers of the pool that
+// are absent at a time in one rack or one availability zone; 0 means no bound.
 type Pool struct {
-	MinAvailable int `json:"min-available"`
+	MinAvailable     int `json:"min-available"`
+	MaxAbsentPerRack int `json:"max-absent-per-rack,omitempty"`
+	MaxAbsentPerZone int `json:"max-absent-per-zone,omitempty"`
 }
 
 // Worker records the one pool that a worker is in. Leaving workers get no new work.
@@ -50,6 +54,17 @@
 	Pool    string `json:"pool"`
 	Leaving bool   `json:"leaving"`
 	Slots   int    `json:"slots,omitempty"`
+	// Zone and Rack are the worker's failure domains. The host list overrides them; they
+	// are needed while the worker is not on it.
+	Zone string `json:"zone,omitempty"`
+	Rack string `json:"rack,omitempty"`
+	// Permit is the right to be absent. It is taken in the change that makes the worker
+	// leave and released when the worker serves again, later than Leaving ends.
+	Permit *Permit `json:"permit,omitempty"`
+	// Move is the worker's move to another pool while it is in progress.
+	Move *Move `json:"move,omitempty"`
+	// Maintenance is the worker's part in its last wave.
+	Maintenance *Maintenance `json:"maintenance,omitempty"`
 }
 
 // Decode reads a stored document and checks it as a whole.
@@ -87,6 +102,7 @@
 		Services:  cloneMap(cfg.Services),
 		Pools:     cloneMap(cfg.Pools),
 		Workers:   cloneMap(cfg.Workers),
+		Waves:     cloneMap(cfg.Waves),
 		Recent:    slices.Clone(cfg.Recent),
 	}
 }
