Add the core that decides between queueing, loans and moves

Cause: a burst exceeds the capacity of its pool, and each pool alone would need an idle reserve for it.

Change: package buffer takes reports of demand and returns loans, returns, moves and the number of slots to hold ready. Queueing is the first answer: slots follow the mean offered load and the deadlines of waiting work. Ready slots are lent before released ones are recalled; a worker moves after a loan has lasted for the pay-back time of the move.

--- /dev/null
+++ b/buffer/load.go
@@ -0,0 +1,37 @@
+package buffer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// newPart is the weight of a new report in the offered load. With reports every
+	// 250 ms a burst is seen within half a second.
+	newPart = 0.5
+	// slackPart is the part of its remaining time by which waiting work is to start.
+	// The rest covers the recall of slots and the run itself.
+	slackPart = 0.5
+)
+
+// load estimates the slots that the service of a pool needs.
+type load struct {
+	offered float64 // slots in use if no request waited
+	last    time.Time
+}
+
+// observe returns the slots needed now. The mean offered load is enough as long as the
+// queue absorbs its fluctuation; waiting work adds slots only when its deadlines ask for
+// them, because queueing is the cheapest answer.
+func (l *load) observe(now time.Time, r Report) int {
+	if d := now.Sub(l.last).Seconds(); !l.last.IsZero() && d > 0 {
+		l.offered += newPart * (float64(r.Arrived)*r.Run.Seconds()/d - l.offered)
+	}
+	l.last = now
+	need := l.offered
+	for _, b := range r.Waiting {
+		within := max(b.Within.Seconds()*slackPart, r.Run.Seconds())
+		need = max(need, float64(b.Count)*r.Run.Seconds()/within)
+	}
+	return int(math.Ceil(need))
+}
--- /dev/null
+++ b/buffer/policy.go
@@ -0,0 +1,146 @@
+// Package buffer decides how the pools of one client account cover bursts: by queueing,
+// by lending idle slots without a move, or by moving a worker, and how many idle slots
+// are held ready. It does no input or output.
+package buffer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// firstDrain and firstWarmUp are used until a move was observed. A drain lasts as
+	// long as the running requests; slow start adds a slot every 500 ms, so 8 slots
+	// take 4 s.
+	firstDrain  = 2 * time.Second
+	firstWarmUp = 4 * time.Second
+	// firstRecall is used until a recall of a released slot was observed: throttling
+	// background work is the first and fastest step of making room for urgent work.
+	firstRecall = time.Second
+)
+
+// Policy holds the decisions for the pools of one client account. It is not safe for
+// concurrent use.
+type Policy struct {
+	pools   []*pool // in order of name, so that decisions are repeatable
+	workers []Worker
+	moves   []move
+	demand  window
+	gaps    gaps
+	recall  time.Duration
+	moving  time.Duration // observed drain and warm-up of one move
+	out     []Action
+	rules   rules
+}
+
+// rules are the rules that tests replace to show that they would notice their absence.
+type rules struct {
+	busy   func(p *Policy, worker string) bool
+	owed   func(p *pool) int
+	floor  func(p *pool) int
+	settle func(p *Policy) time.Duration
+}
+
+// pool is the state of one pool. Slots that are held are ready or being recalled.
+type pool struct {
+	Pool
+	capacity  int
+	hold      int
+	lent      map[*pool]int
+	load      load
+	need      int
+	borrowing time.Time // since when it borrows at least one worker's slots, or zero
+	size      int       // slots of its largest worker
+}
+
+// New returns a policy that holds all slots ready until the first decision.
+func New(pools []Pool, workers []Worker) *Policy {
+	p := &Policy{workers: slices.Clone(workers), recall: firstRecall, moving: firstDrain + firstWarmUp}
+	p.rules = rules{
+		busy:   (*Policy).isMoving,
+		owed:   (*pool).owed,
+		floor:  (*pool).floor,
+		settle: (*Policy).payBack,
+	}
+	for _, d := range pools {
+		p.pools = append(p.pools, &pool{Pool: d, lent: make(map[*pool]int)})
+	}
+	slices.SortFunc(p.pools, func(a, b *pool) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(p.workers, func(a, b Worker) int { return cmp.Compare(a.Name, b.Name) })
+	for _, w := range p.workers {
+		d := p.find(w.Pool)
+		d.capacity += w.Slots
+		d.size = max(d.size, w.Slots)
+	}
+	for _, d := range p.pools {
+		d.hold = d.capacity
+	}
+	return p
+}
+
+// Recalled records how long a released slot took until it was ready.
+func (p *Policy) Recalled(took time.Duration) { p.recall = took }
+
+// Decide takes the reports of all pools and returns the actions to carry out now. The
+// slice is valid until the next call. Its order is the order in which to apply it.
+func (p *Policy) Decide(now time.Time, reports []Report) []Action {
+	p.out = p.out[:0]
+	for _, r := range reports {
+		d := p.find(r.Pool)
+		d.need = d.load.observe(now, r)
+	}
+	held := make(map[*pool]int, len(p.pools))
+	for _, d := range p.pools {
+		held[d] = d.hold
+	}
+	p.takeBack()
+	p.moveForLastingDemand(now)
+	p.coverShortages()
+	p.release(now)
+	for _, d := range p.pools {
+		if d.hold != held[d] {
+			p.act(Action{Kind: Hold, From: d.Name, Slots: d.hold})
+		}
+	}
+	return p.out
+}
+
+func (p *Policy) act(a Action) { p.out = append(p.out, a) }
+
+func (p *Policy) find(name string) *pool {
+	for _, d := range p.pools {
+		if d.Name == name {
+			return d
+		}
+	}
+	return nil
+}
+
+// floor is the number of slots that are always held ready and never lent.
+func (d *pool) floor() int { return min(d.capacity, d.MinAvailable*d.size) }
+
+func (d *pool) lentOut() (n int) {
+	for _, m := range d.lent {
+		n += m
+	}
+	return n
+}
+
+func (p *Policy) borrowed(d *pool) (n int) {
+	for _, from := range p.pools {
+		n += from.lent[d]
+	}
+	return n
+}
+
+// wanted is the number of own slots that the pool does not lend.
+func (p *Policy) wanted(d *pool) int { return max(d.need, p.rules.floor(d)) }
+
+// idle counts the held slots beyond what the pool wants and has lent.
+func (p *Policy) idle(d *pool) int { return max(0, d.hold-d.lentOut()-p.wanted(d)) }
+
+// shortage counts the slots that the pool needs beyond those held or borrowed.
+func (p *Policy) shortage(d *pool) int {
+	return p.wanted(d) - (d.hold - d.lentOut()) - p.borrowed(d)
+}
