Measure the buffer policy and its baselines in virtual time

Cause: the aims of design section 8 had no measurement.

Change: package measure runs the decisions on drawn demand of both users' shapes, with fixed seeds, next to a fixed reserve, a threshold policy and an offline bound; the subcommand 'measure policy' prints the result next to the kept one.

--- a/command/app.go
+++ b/command/app.go
@@ -35,6 +35,7 @@
 			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
+			measureCommand(),
 			statusCommand(),
 			explainCommand(),
 			versionCommand(),
--- /dev/null
+++ b/measure/aim.go
@@ -0,0 +1,48 @@
+package measure
+
+import "fmt"
+
+// Aim is one aim of the policy on one shape and demand. Value and Limit are of the
+// measure that the aim names.
+type Aim struct {
+	Shape  string  `json:"shape"`
+	Demand string  `json:"demand"`
+	Aim    string  `json:"aim"`
+	Value  float64 `json:"value"`
+	Limit  float64 `json:"limit"`
+	Met    bool    `json:"met"`
+}
+
+// The aims of docs/design.md section 8, as factors of a baseline.
+const (
+	fixedFactor     = 0.5
+	thresholdFactor = 0.25
+	boundFactor     = 1.5
+)
+
+// Aims compares the policy's rows with the baselines. The fixed reserve without late work
+// needs more workers than the users have; it is the stricter of the two for late work.
+func (r Result) Aims() (out []Aim) {
+	for _, p := range r.Policies {
+		if p.Policy != rowPolicy {
+			continue
+		}
+		base := func(name string) Row {
+			like := p
+			like.Policy = name
+			return *r.Find(like)
+		}
+		add := func(aim string, value, limit float64) {
+			out = append(out, Aim{p.Shape, p.Demand, aim, value, limit, value <= limit})
+		}
+		for _, name := range []string{rowFixed, rowFixed90} {
+			add(fmt.Sprintf("late work, at most that of %s", name), float64(p.Late), float64(base(name).Late))
+		}
+		for _, name := range []string{rowFixed, rowFixed32, rowFixed16} {
+			add(fmt.Sprintf("buffer cost, half of %s", name), float64(p.Buffer), fixedFactor*float64(base(name).Buffer))
+		}
+		add("moves, a quarter of threshold", float64(p.Moves), thresholdFactor*float64(base(rowThreshold).Moves))
+		add("buffer cost, 1.5 times the offline bound", float64(p.Buffer), boundFactor*float64(base(rowBound).Buffer))
+	}
+	return out
+}
--- /dev/null
+++ b/measure/errors.go
@@ -0,0 +1,13 @@
+package measure
+
+import "fmt"
+
+// PreviousError reports a kept result that does not decode.
+type PreviousError struct{ Err error }
+
+func (e *PreviousError) Error() string {
+	return fmt.Sprintf("the previous result does not decode: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *PreviousError) Unwrap() error { return e.Err }
