--- a/buffer/load.go
+++ b/buffer/load.go
@@ -18,20 +18,21 @@
 type load struct {
 	offered float64 // slots in use if no request waited
 	last    time.Time
+	urgent  int // slots that the deadlines of waiting work ask for
+	useful  int // slots that requests would use now
 }
 
-// observe returns the slots needed now. The mean offered load is enough as long as the
-// queue absorbs its fluctuation; waiting work adds slots only when its deadlines ask for
-// them, because queueing is the cheapest answer.
-func (l *load) observe(now time.Time, r Report) int {
+func (l *load) observe(now time.Time, r Report) {
 	if d := now.Sub(l.last).Seconds(); !l.last.IsZero() && d > 0 {
 		l.offered += newPart * (float64(r.Arrived)*r.Run.Seconds()/d - l.offered)
 	}
 	l.last = now
-	need := l.offered
+	urgent := 0.0
+	l.useful = r.Running
 	for _, b := range r.Waiting {
 		within := max(b.Within.Seconds()*slackPart, r.Run.Seconds())
-		need = max(need, float64(b.Count)*r.Run.Seconds()/within)
+		urgent = max(urgent, float64(b.Count)*r.Run.Seconds()/within)
+		l.useful = r.Running + b.Count
 	}
-	return int(math.Ceil(need))
+	l.urgent = int(math.Ceil(urgent))
 }
--- a/buffer/message.go
+++ b/buffer/message.go
@@ -20,6 +20,7 @@
 type Report struct {
 	Pool    string
 	Arrived int
+	Running int
 	Waiting []Backlog
 	// Run is the observed mean run time of a request.
 	Run time.Duration
--- a/buffer/policy.go
+++ b/buffer/policy.go
@@ -28,6 +28,7 @@
 	moves   []move
 	demand  window
 	gaps    gaps
+	budget  budget
 	recall  time.Duration
 	moving  time.Duration // observed drain and warm-up of one move
 	out     []Action
@@ -87,9 +88,9 @@
 func (p *Policy) Decide(now time.Time, reports []Report) []Action {
 	p.out = p.out[:0]
 	for _, r := range reports {
-		d := p.find(r.Pool)
-		d.need = d.load.observe(now, r)
+		p.find(r.Pool).load.observe(now, r)
 	}
+	p.setNeeds(now)
 	held := make(map[*pool]int, len(p.pools))
 	for _, d := range p.pools {
 		held[d] = d.hold
--- a/measure/world.go
+++ b/measure/world.go
@@ -261,6 +261,9 @@
 		if st.runCount > 0 {
 			r.Run = st.runs / time.Duration(st.runCount)
 		}
+		for _, on := range w.stations {
+			r.Running += on.used[i]
+		}
 		r.Waiting = st.waiting.backlog(w.now)
 		st.arrived = 0
 		out = append(out, r)
