Strengthen the offline bound and measure without min-available

Change: the bound may change its number of slots at the rise and tries more numbers. A third demand has pools without min-available. The mean wait is reported, and the first decision is at the start.

--- a/command/measure.go
+++ b/command/measure.go
@@ -47,15 +47,15 @@
 }
 
 func showPolicies(op *operation, now, before measure.Result) error {
-	rows := [][]string{{"SHAPE", "DEMAND", "POLICY", "BUFFER", "(BEFORE)", "FLOOR", "MOVES", "(BEFORE)", "LATE", "(BEFORE)", "REQUESTS"}}
+	rows := [][]string{{"SHAPE", "DEMAND", "POLICY", "BUFFER", "(BEFORE)", "FLOOR", "MOVES", "(BEFORE)", "LATE", "(BEFORE)", "WAIT-MS", "(BEFORE)", "REQUESTS"}}
 	for _, r := range now.Policies {
-		buffer, moves, late := "-", "-", "-"
+		buffer, moves, late, wait := "-", "-", "-", "-"
 		if b := before.Find(r); b != nil {
-			buffer, moves, late = strconv.Itoa(b.Buffer), strconv.Itoa(b.Moves), strconv.Itoa(b.Late)
+			buffer, moves, late, wait = strconv.Itoa(b.Buffer), strconv.Itoa(b.Moves), strconv.Itoa(b.Late), strconv.Itoa(b.Wait)
 		}
 		rows = append(rows, []string{
 			r.Shape, r.Demand, r.Policy, strconv.Itoa(r.Buffer), buffer, strconv.Itoa(r.Floor),
-			strconv.Itoa(r.Moves), moves, strconv.Itoa(r.Late), late, strconv.Itoa(r.Requests),
+			strconv.Itoa(r.Moves), moves, strconv.Itoa(r.Late), late, strconv.Itoa(r.Wait), wait, strconv.Itoa(r.Requests),
 		})
 	}
 	distances := [][]string{{"SHAPE", "ORDER", "DISTANCE-TO-SHARE"}}
--- a/measure/baseline.go
+++ b/measure/baseline.go
@@ -34,7 +34,7 @@
 	return func(s shape) (decider, []buffer.Worker) {
 		decide := func(_ time.Time, w *world) (out []buffer.Action) {
 			for _, st := range w.stations[:services] {
-				out = append(out, buffer.Action{Kind: buffer.Hold, From: st.name, Slots: max(minAvailable*slotsPerWorker, sum(st.used)+reserve)})
+				out = append(out, buffer.Action{Kind: buffer.Hold, From: st.name, Slots: max(s.floorSlots(), sum(st.used)+reserve)})
 			}
 			return out
 		}
@@ -88,7 +88,7 @@
 	least := lowPercent * 1.0
 	for _, st := range w.stations {
 		left := st.capacity - taken[st]
-		if left <= minAvailable*slotsPerWorker {
+		if left <= w.shape.floorSlots() {
 			continue
 		}
 		if use := float64(sum(st.used)*100) / float64(left); use < least {
--- a/measure/bound.go
+++ b/measure/bound.go
@@ -1,109 +1,124 @@
 package measure
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 const (
-	boundFirst, boundStep, boundLast = 96, 8, 176
+	boundFirst, boundStep, boundLast = 72, 8, 144
+	boundFine                        = 4
 )
 
 // bound is the least buffer cost of the schedules that it tries with full knowledge of
 // the demand: each service has its available workers' slots, and all share up to a number
-// of further slots, of any worker and without loans or moves. A shared slot is held over
-// a gap in its use or recalled in time for its end, whichever costs less. Among the
-// numbers of shared slots without late work the cheapest counts.
+// of further slots, of any worker and without loans or moves. The number may change once,
+// at the time of the lasting rise, in every demand. A shared slot is held over a gap in its use or recalled
+// in time for its end, whichever costs less. The cheapest numbers without late work count.
 func bound(s shape, requests []request) Row {
-	best := Row{Policy: rowBound, Late: len(requests)}
-	for n := boundFirst; n <= boundLast; n += boundStep {
-		b := &pooled{shared: n, freed: make([]time.Duration, n)}
-		row := b.run(requests)
-		row.Buffer = round((b.idle + b.floor) * s.coresPerSlot())
-		row.Floor = round(b.floor * s.coresPerSlot())
+	best := Row{Late: len(requests)}
+	first, then := boundLast, boundLast
+	try := func(a, b int) {
+		p := newPooled(s, a, b)
+		row := p.run(requests, best.Late)
 		if row.Late < best.Late || row.Late == best.Late && row.Buffer < best.Buffer {
-			best = row
+			best, first, then = row, a, b
 		}
 	}
+	for n := boundLast; n >= boundFirst; n -= boundStep {
+		try(n, n)
+	}
+	for n := boundLast; n >= boundFirst; n -= boundStep {
+		try(first, n)
+	}
+	for _, d := range []int{-boundFine, boundFine} {
+		try(first+d, then)
+		try(first, then+d)
+	}
 	return best
 }
 
 // pooled is the schedule with a number of shared slots.
 type pooled struct {
-	shared  int
-	own     [services]int // slots in use of the available workers of each service
-	used    int           // shared slots in use
-	freed   []time.Duration
-	waiting deadlines
-	now     time.Duration
-	events  events
-	late    int
-	idle    float64 // slot seconds of shared slots
-	floor   float64 // slot seconds of available workers' slots
-	order   int
+	*clock
+	shape       shape
+	first, then int
+	own         [services]int // slots in use of the available workers of each service
+	used        int           // shared slots in use
+	freed       []time.Duration
+	waiting     queue[request]
+	row         Row
+	idle, floor float64 // slot seconds of shared slots and of available workers' slots
+	wait        time.Duration
 }
 
-func (b *pooled) run(requests []request) Row {
-	for i := range b.freed {
-		b.freed[i] = -recallTime
-	}
-	for _, r := range requests {
-		b.playUntil(r.arrival)
-		heap.Push(&b.waiting, r)
-		b.start()
+func newPooled(s shape, first, then int) *pooled {
+	p := &pooled{shape: s, first: first, then: then, waiting: newWaiting(), freed: make([]time.Duration, max(first, then))}
+	p.clock = newClock(func(d time.Duration) {
+		for _, n := range p.own {
+			p.floor += float64(s.floorSlots()-n) * d.Seconds()
+		}
+	})
+	for i := range p.freed {
+		p.freed[i] = -recallTime
 	}
-	b.playUntil(duration + longestDeadline)
-	return Row{Policy: rowBound, Requests: len(requests), Late: b.late + len(b.waiting)}
+	return p
 }
 
-func (b *pooled) playUntil(at time.Duration) {
-	for len(b.events) > 0 && b.events[0].at <= at {
-		e := heap.Pop(&b.events).(event)
-		b.advance(e.at)
-		e.do()
+// run ends early when more requests are late than the caller accepts.
+func (p *pooled) run(requests []request, accepted int) Row {
+	for _, r := range requests {
+		if p.row.Late > accepted {
+			return p.row
+		}
+		p.playUntil(r.arrival)
+		p.waiting.push(r)
+		p.start()
+	}
+	p.playUntil(duration + longestDeadline)
+	return Row{
+		Policy: rowBound, Requests: len(requests), Late: p.row.Late + len(p.waiting.items),
+		Buffer: round((p.idle + p.floor) * p.shape.coresPerSlot()), Floor: round(p.floor * p.shape.coresPerSlot()),
+		Wait: int(p.wait.Milliseconds()) / len(requests),
 	}
-	b.advance(at)
 }
 
-func (b *pooled) advance(at time.Duration) {
-	for _, n := range b.own {
-		b.floor += float64(minAvailable*slotsPerWorker-n) * (at - b.now).Seconds()
+func (p *pooled) shared() int {
+	if p.now < riseTime {
+		return p.first
 	}
-	b.now = at
+	return p.then
 }
 
-func (b *pooled) start() {
-	for len(b.waiting) > 0 {
-		r := b.waiting[0]
-		own := b.own[r.service] < minAvailable*slotsPerWorker
-		if !own && b.used == b.shared {
+func (p *pooled) start() {
+	for len(p.waiting.items) > 0 {
+		r := p.waiting.items[0]
+		own := p.own[r.service] < p.shape.floorSlots()
+		if !own && p.used >= p.shared() {
 			return
 		}
-		heap.Pop(&b.waiting)
-		if r.deadline <= b.now {
-			b.late++
+		p.waiting.pop()
+		p.wait += p.now - r.arrival
+		if r.deadline <= p.now {
+			p.row.Late++
 			continue
 		}
 		if own {
-			b.own[r.service]++
+			p.own[r.service]++
 		} else {
-			b.idle += min(recallTime, b.now-b.freed[b.used]).Seconds()
-			b.used++
+			p.idle += min(recallTime, p.now-p.freed[p.used]).Seconds()
+			p.used++
 		}
-		b.order++
-		heap.Push(&b.events, event{b.now + r.run, b.order, func() { b.finish(r, own) }})
+		p.after(r.run, func() { p.finish(r, own) })
 	}
 }
 
-func (b *pooled) finish(r request, own bool) {
+func (p *pooled) finish(r request, own bool) {
 	if own {
-		b.own[r.service]--
+		p.own[r.service]--
 	} else {
-		b.used--
-		b.freed[b.used] = b.now
+		p.used--
+		p.freed[p.used] = p.now
 	}
-	if b.now > r.deadline {
-		b.late++
+	if p.now > r.deadline {
+		p.row.Late++
 	}
-	b.start()
+	p.start()
 }
--- a/measure/event.go
+++ b/measure/event.go
@@ -13,42 +13,50 @@
 	do       func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
+// clock plays events in virtual time. It calls pass for each span of time before it ends.
+type clock struct {
+	now    time.Duration
+	events queue[event]
+	count  int
+	pass   func(d time.Duration)
+}
 
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+func newClock(pass func(d time.Duration)) *clock {
+	return &clock{pass: pass, events: queue[event]{less: func(a, b event) bool {
+		return a.at < b.at || a.at == b.at && a.sequence < b.sequence
+	}}}
 }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
 
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
+func (c *clock) after(d time.Duration, do func()) {
+	c.count++
+	c.events.push(event{c.now + d, c.count, do})
 }
 
-// deadlines holds waiting requests, earliest deadline first.
-type deadlines []request
+func (c *clock) playUntil(at time.Duration) {
+	for len(c.events.items) > 0 && c.events.items[0].at <= at {
+		e := c.events.pop()
+		c.advance(e.at)
+		e.do()
+	}
+	c.advance(at)
+}
 
-func (d deadlines) Len() int           { return len(d) }
-func (d deadlines) Less(i, j int) bool { return d[i].deadline < d[j].deadline }
-func (d deadlines) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
-func (d *deadlines) Push(x any)        { *d = append(*d, x.(request)) }
+func (c *clock) advance(at time.Duration) {
+	if at > c.now {
+		c.pass(at - c.now)
+		c.now = at
+	}
+}
 
-func (d *deadlines) Pop() any {
-	last := len(*d) - 1
-	x := (*d)[last]
-	*d = (*d)[:last]
-	return x
+// newWaiting returns a queue of requests, earliest deadline first.
+func newWaiting() queue[request] {
+	return queue[request]{less: func(a, b request) bool { return a.deadline < b.deadline }}
 }
 
 // backlog counts the waiting requests by remaining time, cumulatively.
-func (d deadlines) backlog(now time.Duration) []buffer.Backlog {
+func backlog(waiting queue[request], now time.Duration) []buffer.Backlog {
 	var counts [reportBuckets]int
-	for _, r := range d {
+	for _, r := range waiting.items {
 		counts[min(reportBuckets-1, max(0, (r.deadline-now)/bucketWidth))]++
 	}
 	var out []buffer.Backlog
--- a/measure/result.go
+++ b/measure/result.go
@@ -29,6 +29,8 @@
 	Moves    int `json:"moves"`
 	Requests int `json:"requests"`
 	Late     int `json:"late"`
+	// Wait is the mean time from arrival to start.
+	Wait int `json:"mean-wait-milliseconds"`
 }
 
 // Result is one whole measurement.
@@ -62,7 +64,11 @@
 // Policies measures the policy and its baselines on all shapes and demands.
 func Policies() (r Result) {
 	for _, s := range shapes {
-		for _, demand := range []string{demandBursts, demandRise} {
+		for _, demand := range []string{demandBursts, demandFree, demandRise} {
+			s := s
+			if demand == demandFree {
+				s.minAvailable = 0
+			}
 			for _, row := range s.measure(s.requests(demand)) {
 				row.Shape, row.Demand = s.name, demand
 				r.Policies = append(r.Policies, row)
--- a/measure/shape.go
+++ b/measure/shape.go
@@ -17,8 +17,6 @@
 	workers        = 50
 	slotsPerWorker = 8
 	spareWorkers   = 5
-	// minAvailable is the availability budget of each pool with a service, in workers.
-	minAvailable = 1
 
 	// meanSlots is the mean demand of a service in slots. Five times as much, 130, exceeds
 	// the 72 slots of its pool and the 80 slots of a tenth of the workers.
@@ -45,16 +43,18 @@
 	coresPerWorker int
 	seed           uint64
 	shares         []int64 // of the client accounts, in percent
+	// minAvailable is the availability budget of each pool with a service, in workers.
+	minAvailable int
 }
 
 var shapes = []shape{
 	{
-		name: "tengri", spare: "portal", coresPerWorker: 16, seed: 1,
+		name: "tengri", spare: "portal", coresPerWorker: 16, seed: 1, minAvailable: 1,
 		services: []string{"pairings", "standings", "ratings", "reports", "entries"},
 		shares:   []int64{40, 25, 15, 10, 6, 4},
 	},
 	{
-		name: "kessling", spare: "depot", coresPerWorker: 64, seed: 2,
+		name: "kessling", spare: "depot", coresPerWorker: 64, seed: 2, minAvailable: 1,
 		services: []string{"routes", "loans", "overdue", "holds", "returns"},
 		shares:   []int64{35, 30, 15, 10, 5, 5},
 	},
@@ -62,10 +62,13 @@
 
 func (s shape) coresPerSlot() float64 { return float64(s.coresPerWorker) / slotsPerWorker }
 
+// floorSlots are the slots of the available workers of a pool.
+func (s shape) floorSlots() int { return s.minAvailable * slotsPerWorker }
+
 // pools returns the pools with a service and the spare pool last.
 func (s shape) pools() (out []buffer.Pool) {
 	for _, name := range s.services {
-		out = append(out, buffer.Pool{Name: name, MinAvailable: minAvailable})
+		out = append(out, buffer.Pool{Name: name, MinAvailable: s.minAvailable})
 	}
 	return append(out, buffer.Pool{Name: s.spare, Spare: true})
 }
@@ -88,10 +91,12 @@
 	arrival, run, deadline time.Duration
 }
 
-// Demands. With bursts, each queue in turn bursts for some seconds. The rise begins like
-// that, then the demand of one service rises for good.
+// Demands. With bursts, each queue in turn bursts for some seconds; the second form has
+// pools without min-available, whose idle slots otherwise hide the others. The rise begins
+// like that, then the demand of one service rises for good.
 const (
 	demandBursts = "bursts"
+	demandFree   = "bursts-no-minimum"
 	demandRise   = "lasting-rise"
 )
 
--- a/measure/world.go
+++ b/measure/world.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -35,7 +34,7 @@
 	capacity, hold   int
 	ready, recalling int
 	lent, used       []int // own slots by service
-	waiting          deadlines
+	waiting          queue[request]
 	arrived          int
 	runs             time.Duration
 	runCount         int
@@ -43,22 +42,22 @@
 
 // world is the event queue and the state of all pools.
 type world struct {
+	*clock
 	shape    shape
 	stations []*station
 	members  []buffer.Worker
 	by       decider
-	now      time.Duration
-	events   events
-	sequence int
 	moving   int // slots of workers under way
 	result   Row
 	idle     float64 // slot seconds
+	wait     time.Duration
 }
 
 func newWorld(s shape, members []buffer.Worker) *world {
 	w := &world{shape: s, members: members}
+	w.clock = newClock(w.pass)
 	for _, p := range s.pools() {
-		w.stations = append(w.stations, &station{name: p.Name, lent: make([]int, services), used: make([]int, services)})
+		w.stations = append(w.stations, &station{name: p.Name, waiting: newWaiting(), lent: make([]int, services), used: make([]int, services)})
 	}
 	for _, m := range members {
 		st := w.station(m.Pool)
@@ -77,7 +76,7 @@
 // run plays the requests and ends when the last deadline has passed.
 func (w *world) run(requests []request) Row {
 	end := duration + longestDeadline
-	for at := decisionPeriod; at <= end; at += decisionPeriod {
+	for at := time.Duration(0); at <= end; at += decisionPeriod {
 		w.after(at, w.decision)
 	}
 	for _, r := range requests {
@@ -86,56 +85,40 @@
 	}
 	w.playUntil(end)
 	for _, st := range w.stations {
-		w.result.Late += len(st.waiting)
+		w.result.Late += len(st.waiting.items)
 	}
 	w.result.Requests = len(requests)
+	w.result.Wait = int(w.wait.Milliseconds()) / len(requests)
 	w.result.Buffer = round(w.idle * w.shape.coresPerSlot())
 	return w.result
 }
 
-func (w *world) playUntil(at time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= at {
-		e := heap.Pop(&w.events).(event)
-		w.advance(e.at)
-		e.do()
-	}
-	w.advance(at)
-}
-
-// advance adds the idle slots of the time that passes.
-func (w *world) advance(at time.Duration) {
-	if at == w.now {
-		return
-	}
+// pass adds the idle slots of the time that passes.
+func (w *world) pass(d time.Duration) {
 	n := w.moving
 	for _, st := range w.stations {
 		n += st.ready + st.recalling - sum(st.used)
 	}
-	w.idle += float64(n) * (at - w.now).Seconds()
-	w.now = at
-}
-
-func (w *world) after(d time.Duration, do func()) {
-	w.sequence++
-	heap.Push(&w.events, event{w.now + d, w.sequence, do})
+	w.idle += float64(n) * d.Seconds()
 }
 
 func (w *world) arrive(r request) {
 	st := w.stations[r.service]
 	st.arrived++
-	heap.Push(&st.waiting, r)
+	st.waiting.push(r)
 	w.start(r.service)
 }
 
 // start begins waiting requests of a service on its own slots, then on borrowed ones.
 func (w *world) start(service int) {
 	st := w.stations[service]
-	for len(st.waiting) > 0 {
+	for len(st.waiting.items) > 0 {
 		on := w.freeSlot(service)
 		if on == nil {
 			return
 		}
-		r := heap.Pop(&st.waiting).(request)
+		r := st.waiting.pop()
+		w.wait += w.now - r.arrival
 		if r.deadline <= w.now {
 			w.result.Late++
 			continue
@@ -264,7 +247,7 @@
 		for _, on := range w.stations {
 			r.Running += on.used[i]
 		}
-		r.Waiting = st.waiting.backlog(w.now)
+		r.Waiting = backlog(st.waiting, w.now)
 		st.arrived = 0
 		out = append(out, r)
 	}
