--- a/measure/bound.go
+++ b/measure/bound.go
@@ -17,7 +17,7 @@
 	first, then := boundLast, boundLast
 	try := func(a, b int) {
 		p := newPooled(s, a, b)
-		row := p.run(requests, best.Late)
+		row := p.run(requests, best)
 		if row.Late < best.Late || row.Late == best.Late && row.Buffer < best.Buffer {
 			best, first, then = row, a, b
 		}
@@ -62,11 +62,11 @@
 	return p
 }
 
-// run ends early when more requests are late than the caller accepts.
-func (p *pooled) run(requests []request, accepted int) Row {
+// run ends early, with all requests late, when it can be no better than the best so far.
+func (p *pooled) run(requests []request, best Row) Row {
 	for _, r := range requests {
-		if p.row.Late > accepted {
-			return p.row
+		if p.row.Late > best.Late || best.Late == 0 && p.cost() > best.Buffer {
+			return Row{Late: len(requests)}
 		}
 		p.playUntil(r.arrival)
 		p.waiting.push(r)
@@ -75,11 +75,14 @@
 	p.playUntil(duration + longestDeadline)
 	return Row{
 		Policy: rowBound, Requests: len(requests), Late: p.row.Late + len(p.waiting.items),
-		Buffer: round((p.idle + p.floor) * p.shape.coresPerSlot()), Floor: round(p.floor * p.shape.coresPerSlot()),
+		Buffer: p.cost(), Floor: round(p.floor * p.shape.coresPerSlot()),
 		Wait: int(p.wait.Milliseconds()) / len(requests),
 	}
 }
 
+// cost is the buffer cost in core-seconds.
+func (p *pooled) cost() int { return round((p.idle + p.floor) * p.shape.coresPerSlot()) }
+
 func (p *pooled) shared() int {
 	if p.now < riseTime {
 		return p.first
