Measure demand with short deadlines

Cause: a trial with deadlines of 0.5 to 1.5 s showed late work that the longer deadlines hide, because a released slot takes 1 s to be ready.

Change: a fourth demand has such deadlines. The event queue keeps its keys beside the values.

Conclusion: the reserve has to depend on the deadlines.

--- a/measure/bound.go
+++ b/measure/bound.go
@@ -43,19 +43,19 @@
 	own         [services]int // slots in use of the available workers of each service
 	used        int           // shared slots in use
 	freed       []time.Duration
-	waiting     queue[request]
+	waiting     queue[*request]
 	row         Row
 	idle, floor float64 // slot seconds of shared slots and of available workers' slots
 	wait        time.Duration
 }
 
 func newPooled(s shape, first, then int) *pooled {
-	p := &pooled{shape: s, first: first, then: then, waiting: newWaiting(), freed: make([]time.Duration, max(first, then))}
-	p.clock = newClock(func(d time.Duration) {
+	p := &pooled{shape: s, first: first, then: then, freed: make([]time.Duration, max(first, then))}
+	p.clock = &clock{pass: func(d time.Duration) {
 		for _, n := range p.own {
 			p.floor += float64(s.floorSlots()-n) * d.Seconds()
 		}
-	})
+	}}
 	for i := range p.freed {
 		p.freed[i] = -recallTime
 	}
@@ -64,12 +64,13 @@
 
 // run ends early, with all requests late, when it can be no better than the best so far.
 func (p *pooled) run(requests []request, best Row) Row {
-	for _, r := range requests {
+	for i := range requests {
+		r := &requests[i]
 		if p.row.Late > best.Late || best.Late == 0 && p.cost() > best.Buffer {
 			return Row{Late: len(requests)}
 		}
 		p.playUntil(r.arrival)
-		p.waiting.push(r)
+		p.waiting.push(r.deadline, r)
 		p.start()
 	}
 	p.playUntil(duration + longestDeadline)
@@ -92,7 +93,7 @@
 
 func (p *pooled) start() {
 	for len(p.waiting.items) > 0 {
-		r := p.waiting.items[0]
+		r := p.waiting.items[0].value
 		own := p.own[r.service] < p.shape.floorSlots()
 		if !own && p.used >= p.shared() {
 			return
@@ -113,7 +114,7 @@
 	}
 }
 
-func (p *pooled) finish(r request, own bool) {
+func (p *pooled) finish(r *request, own bool) {
 	if own {
 		p.own[r.service]--
 	} else {
--- a/measure/event.go
+++ b/measure/event.go
@@ -6,37 +6,19 @@
 	"egretdrum.example/buffer"
 )
 
-// event is something that happens at a time; equal times keep their order of entry.
-type event struct {
-	at       time.Duration
-	sequence int
-	do       func()
-}
-
 // clock plays events in virtual time. It calls pass for each span of time before it ends.
 type clock struct {
 	now    time.Duration
-	events queue[event]
-	count  int
+	events queue[func()]
 	pass   func(d time.Duration)
 }
 
-func newClock(pass func(d time.Duration)) *clock {
-	return &clock{pass: pass, events: queue[event]{less: func(a, b event) bool {
-		return a.at < b.at || a.at == b.at && a.sequence < b.sequence
-	}}}
-}
-
-func (c *clock) after(d time.Duration, do func()) {
-	c.count++
-	c.events.push(event{c.now + d, c.count, do})
-}
+func (c *clock) after(d time.Duration, do func()) { c.events.push(c.now+d, do) }
 
 func (c *clock) playUntil(at time.Duration) {
 	for len(c.events.items) > 0 && c.events.items[0].at <= at {
-		e := c.events.pop()
-		c.advance(e.at)
-		e.do()
+		c.advance(c.events.items[0].at)
+		c.events.pop()()
 	}
 	c.advance(at)
 }
@@ -48,16 +30,11 @@
 	}
 }
 
-// newWaiting returns a queue of requests, earliest deadline first.
-func newWaiting() queue[request] {
-	return queue[request]{less: func(a, b request) bool { return a.deadline < b.deadline }}
-}
-
 // backlog counts the waiting requests by remaining time, cumulatively.
-func backlog(waiting queue[request], now time.Duration) []buffer.Backlog {
+func backlog(waiting queue[*request], now time.Duration) []buffer.Backlog {
 	var counts [reportBuckets]int
-	for _, r := range waiting.items {
-		counts[min(reportBuckets-1, max(0, (r.deadline-now)/bucketWidth))]++
+	for _, e := range waiting.items {
+		counts[min(reportBuckets-1, max(0, (e.at-now)/bucketWidth))]++
 	}
 	var out []buffer.Backlog
 	total := 0
--- a/measure/heap.go
+++ b/measure/heap.go
@@ -1,39 +1,53 @@
 package measure
 
-// queue is a binary heap. The generic form takes half the time of container/heap, which
-// boxes every element.
+import "time"
+
+// queue orders values by time; equal times keep their order of entry. Keys beside the
+// values take less time than container/heap, which boxes elements and calls a comparison.
 type queue[T any] struct {
-	items []T
-	less  func(a, b T) bool
+	items []entry[T]
+	count int
 }
 
-func (q *queue[T]) push(x T) {
-	q.items = append(q.items, x)
-	for i := len(q.items) - 1; i > 0; {
-		up := (i - 1) / 2
-		if !q.less(q.items[i], q.items[up]) {
-			return
-		}
-		q.items[i], q.items[up] = q.items[up], q.items[i]
-		i = up
+type entry[T any] struct {
+	at       time.Duration
+	sequence int
+	value    T
+}
+
+func (e *entry[T]) before(o *entry[T]) bool {
+	return e.at < o.at || e.at == o.at && e.sequence < o.sequence
+}
+
+func (q *queue[T]) push(at time.Duration, value T) {
+	q.count++
+	e := entry[T]{at, q.count, value}
+	q.items = append(q.items, e)
+	i := len(q.items) - 1
+	for i > 0 && e.before(&q.items[(i-1)/2]) {
+		q.items[i] = q.items[(i-1)/2]
+		i = (i - 1) / 2
 	}
+	q.items[i] = e
 }
 
 func (q *queue[T]) pop() T {
-	top, last := q.items[0], len(q.items)-1
-	q.items[0] = q.items[last]
+	top, last := q.items[0].value, len(q.items)-1
+	e := q.items[last]
 	q.items = q.items[:last]
-	for i := 0; ; {
-		least := i
-		for _, c := range []int{2*i + 1, 2*i + 2} {
-			if c < last && q.less(q.items[c], q.items[least]) {
-				least = c
-			}
+	i := 0
+	for child := 1; child < last; child = 2*i + 1 {
+		if child+1 < last && q.items[child+1].before(&q.items[child]) {
+			child++
 		}
-		if least == i {
-			return top
+		if !q.items[child].before(&e) {
+			break
 		}
-		q.items[i], q.items[least] = q.items[least], q.items[i]
-		i = least
+		q.items[i] = q.items[child]
+		i = child
+	}
+	if last > 0 {
+		q.items[i] = e
 	}
+	return top
 }
--- a/measure/result.go
+++ b/measure/result.go
@@ -64,7 +64,7 @@
 // Policies measures the policy and its baselines on all shapes and demands.
 func Policies() (r Result) {
 	for _, s := range shapes {
-		for _, demand := range []string{demandBursts, demandFree, demandRise} {
+		for _, demand := range []string{demandBursts, demandFree, demandShort, demandRise} {
 			s := s
 			if demand == demandFree {
 				s.minAvailable = 0
--- a/measure/shape.go
+++ b/measure/shape.go
@@ -30,6 +30,8 @@
 	duration         = 180 * time.Second
 	shortestDeadline = 2 * time.Second
 	longestDeadline  = 6 * time.Second
+	// shortPart shortens the deadlines of the demand of that name to 0.5 to 1.5 s.
+	shortPart = 4
 	// From riseTime on, the lasting demand keeps riseSlots of one service in use, which
 	// exceeds its pool, and the bursts end.
 	riseTime  = 60 * time.Second
@@ -93,11 +95,13 @@
 
 // Demands. With bursts, each queue in turn bursts for some seconds; the second form has
 // pools without min-available, whose idle slots otherwise hide the others. The rise begins
-// like that, then the demand of one service rises for good.
+// like that, then the demand of one service rises for good. With short deadlines, bursts
+// leave no time to recall released slots.
 const (
 	demandBursts = "bursts"
 	demandFree   = "bursts-no-minimum"
 	demandRise   = "lasting-rise"
+	demandShort  = "short-deadlines"
 )
 
 // requests draws the requests of one measurement, in order of arrival.
@@ -118,6 +122,11 @@
 		out = arrivals(out, rnd, turn%services, at, min(end, at+length), height)
 		at += length + between(rnd, 0, 2*time.Second)
 	}
+	for i := range out {
+		if demand == demandShort {
+			out[i].deadline -= (out[i].deadline - out[i].arrival) * (shortPart - 1) / shortPart
+		}
+	}
 	slices.SortStableFunc(out, func(a, b request) int { return cmp.Compare(a.arrival, b.arrival) })
 	return out
 }
--- a/measure/world.go
+++ b/measure/world.go
@@ -34,7 +34,7 @@
 	capacity, hold   int
 	ready, recalling int
 	lent, used       []int // own slots by service
-	waiting          queue[request]
+	waiting          queue[*request]
 	arrived          int
 	runs             time.Duration
 	runCount         int
@@ -55,9 +55,9 @@
 
 func newWorld(s shape, members []buffer.Worker) *world {
 	w := &world{shape: s, members: members}
-	w.clock = newClock(w.pass)
+	w.clock = &clock{pass: w.pass}
 	for _, p := range s.pools() {
-		w.stations = append(w.stations, &station{name: p.Name, waiting: newWaiting(), lent: make([]int, services), used: make([]int, services)})
+		w.stations = append(w.stations, &station{name: p.Name, lent: make([]int, services), used: make([]int, services)})
 	}
 	for _, m := range members {
 		st := w.station(m.Pool)
@@ -79,9 +79,9 @@
 	for at := time.Duration(0); at <= end; at += decisionPeriod {
 		w.after(at, w.decision)
 	}
-	for _, r := range requests {
-		w.playUntil(r.arrival)
-		w.arrive(r)
+	for i := range requests {
+		w.playUntil(requests[i].arrival)
+		w.arrive(&requests[i])
 	}
 	w.playUntil(end)
 	for _, st := range w.stations {
@@ -102,10 +102,10 @@
 	w.idle += float64(n) * d.Seconds()
 }
 
-func (w *world) arrive(r request) {
+func (w *world) arrive(r *request) {
 	st := w.stations[r.service]
 	st.arrived++
-	st.waiting.push(r)
+	st.waiting.push(r.deadline, r)
 	w.start(r.service)
 }
 
@@ -155,7 +155,7 @@
 	return n
 }
 
-func (w *world) finish(on *station, r request) {
+func (w *world) finish(on *station, r *request) {
 	on.used[r.service]--
 	if w.now > r.deadline {
 		w.result.Late++
