Hold a reserve only where deadlines are shorter than a recall

Cause: slots were held for the holding time with the least cost over the observed gaps, whether or not the waiting work could wait for their recall. With long deadlines they were idle without use, with short ones they were released too early.

Change: reports tell the shortest time to a deadline on arrival. The statistics of gaps are removed.

--- a/buffer/load.go
+++ b/buffer/load.go
@@ -20,6 +20,7 @@
 	last    time.Time
 	urgent  int // slots that the deadlines of waiting work ask for
 	useful  int // slots that requests would use now
+	slack   slack
 }
 
 func (l *load) observe(now time.Time, r Report) {
@@ -27,6 +28,9 @@
 		l.offered += newPart * (float64(r.Arrived)*r.Run.Seconds()/d - l.offered)
 	}
 	l.last = now
+	if r.Arrived > 0 {
+		l.slack.observe(now, r.Slack)
+	}
 	urgent := 0.0
 	l.useful = r.Running
 	for _, b := range r.Waiting {
--- a/buffer/message.go
+++ b/buffer/message.go
@@ -22,6 +22,8 @@
 	Arrived int
 	Running int
 	Waiting []Backlog
+	// Slack is the shortest time that a request which arrived had until its deadline.
+	Slack time.Duration
 	// Run is the observed mean run time of a request.
 	Run time.Duration
 }
--- a/buffer/policy.go
+++ b/buffer/policy.go
@@ -27,7 +27,6 @@
 	workers []Worker
 	moves   []move
 	demand  window
-	gaps    gaps
 	budget  budget
 	recall  time.Duration
 	moving  time.Duration // observed drain and warm-up of one move
--- a/measure/world.go
+++ b/measure/world.go
@@ -36,6 +36,7 @@
 	lent, used       []int // own slots by service
 	waiting          queue[*request]
 	arrived          int
+	slack            time.Duration
 	runs             time.Duration
 	runCount         int
 }
@@ -104,6 +105,9 @@
 
 func (w *world) arrive(r *request) {
 	st := w.stations[r.service]
+	if d := r.deadline - r.arrival; st.arrived == 0 || d < st.slack {
+		st.slack = d
+	}
 	st.arrived++
 	st.waiting.push(r.deadline, r)
 	w.start(r.service)
@@ -240,7 +244,7 @@
 // reports tells what the entry hosts observed since the last call.
 func (w *world) reports() (out []buffer.Report) {
 	for i, st := range w.stations[:services] {
-		r := buffer.Report{Pool: w.shape.services[i], Arrived: st.arrived, Run: meanRun}
+		r := buffer.Report{Pool: w.shape.services[i], Arrived: st.arrived, Slack: st.slack, Run: meanRun}
 		if st.runCount > 0 {
 			r.Run = st.runs / time.Duration(st.runCount)
 		}
