Lend only for short requests and test the core against an oracle

Cause: a lent slot is back only when the request on it has ended, which may take 60 s. The pay-back time of a move also fell after the move had begun, when a shorter move was observed.

Change: services whose longest request runs over 1.5 s borrow nothing; what they lack counts as demand for a move. A move keeps the pay-back time that was known at its begin. An oracle checks moves, returns, min-available, loans and pay-back on drawn demand, each with a broken variant.

The oracle catches all five broken variants.

Conclusion: services with long requests depend on moves and queueing; their buffer cost was not measured.

--- a/buffer/lend.go
+++ b/buffer/lend.go
@@ -1,6 +1,16 @@
 package buffer
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
+
+// longestLoanRun is the longest run of requests that borrow slots. A lender has its slots
+// again within 2 s: the run and two periods of 250 ms for report and decision.
+const longestLoanRun = 1500 * time.Millisecond
+
+// isBrief reports whether the requests of the pool's service end soon enough to borrow.
+func (d *pool) isBrief() bool { return d.load.longest <= longestLoanRun }
 
 // takeBack returns the lent slots that their pool needs itself and those that the
 // borrower no longer needs.
@@ -10,9 +20,11 @@
 	}
 	for _, to := range p.pools {
 		for _, from := range slices.Backward(p.byPreference(to)) {
-			if surplus := -p.shortage(to); surplus > 0 {
-				p.giveBack(from, to, surplus)
+			surplus := -p.shortage(to)
+			if !p.rules.brief(to) {
+				surplus = p.borrowed(to)
 			}
+			p.giveBack(from, to, surplus)
 		}
 	}
 }
@@ -43,13 +55,17 @@
 // cost the same whether idle or lent. Own slots are recalled before those of others.
 func (p *Policy) coverShortages() {
 	for _, to := range p.pools {
-		for _, from := range p.byPreference(to) {
+		lenders := p.byPreference(to)
+		if !p.rules.brief(to) {
+			lenders = nil
+		}
+		for _, from := range lenders {
 			p.lend(from, to, min(p.shortage(to), p.idle(from)))
 		}
 		if n := min(p.shortage(to), to.capacity-to.hold); n > 0 {
 			to.hold += n
 		}
-		for _, from := range p.byPreference(to) {
+		for _, from := range lenders {
 			n := min(p.shortage(to), from.capacity-max(from.hold, from.lentOut()+p.wanted(from)))
 			if n > 0 {
 				from.hold += n
--- a/buffer/load.go
+++ b/buffer/load.go
@@ -21,13 +21,14 @@
 	urgent  int // slots that the deadlines of waiting work ask for
 	useful  int // slots that requests would use now
 	slack   slack
+	longest time.Duration
 }
 
 func (l *load) observe(now time.Time, r Report) {
 	if d := now.Sub(l.last).Seconds(); !l.last.IsZero() && d > 0 {
 		l.offered += newPart * (float64(r.Arrived)*r.Run.Seconds()/d - l.offered)
 	}
-	l.last = now
+	l.last, l.longest = now, r.Longest
 	if r.Arrived > 0 {
 		l.slack.observe(now, r.Slack)
 	}
--- a/buffer/message.go
+++ b/buffer/message.go
@@ -24,8 +24,8 @@
 	Waiting []Backlog
 	// Slack is the shortest time that a request which arrived had until its deadline.
 	Slack time.Duration
-	// Run is the observed mean run time of a request.
-	Run time.Duration
+	// Run is the observed mean run time of a request, Longest the longest of late.
+	Run, Longest time.Duration
 }
 
 // Backlog counts the waiting requests whose deadline is at most Within away. Entries are
--- a/buffer/move.go
+++ b/buffer/move.go
@@ -10,11 +10,12 @@
 // reserve. This is a chosen figure; docs/measures.md lists it as not measured.
 const payBackFactor = 10
 
-// move is a worker on its way, or one that arrived less than the pay-back time ago.
+// move is a worker on its way, or one whose pay-back time has not ended.
 type move struct {
 	worker   Worker
 	from, to string
 	begin    time.Time
+	paid     time.Time // when the pay-back time ends that was known at its begin
 	arrived  bool
 }
 
@@ -47,19 +48,23 @@
 	return slices.ContainsFunc(p.moves, func(m move) bool { return m.worker.Name == worker && !m.arrived })
 }
 
-// moveForLastingDemand moves one worker to each pool that has borrowed at least as many
-// slots without a break for the pay-back time.
+// missing counts the slots that the pool needs beyond its capacity and those borrowed. A
+// pool that must not borrow still shows a lasting demand by them.
+func (p *Policy) missing(d *pool) int { return max(0, d.need-d.capacity-p.borrowed(d)) }
+
+// moveForLastingDemand moves one worker to each pool that has borrowed or lacked at least
+// as many slots without a break for the pay-back time.
 func (p *Policy) moveForLastingDemand(now time.Time) {
-	p.moves = slices.DeleteFunc(p.moves, func(m move) bool { return m.arrived && now.Sub(m.begin) >= p.rules.settle(p) })
+	p.moves = slices.DeleteFunc(p.moves, func(m move) bool { return m.arrived && !now.Before(m.paid) })
 	for _, to := range p.pools {
-		if n := p.borrowed(to); n == 0 || n < to.size {
+		if n := p.borrowed(to) + p.missing(to); n == 0 || n < to.size {
 			to.borrowing = time.Time{}
 			continue
 		}
 		if to.borrowing.IsZero() {
 			to.borrowing = now
 		}
-		if now.Sub(to.borrowing) >= p.payBack() && p.moveTo(now, to) {
+		if now.Sub(to.borrowing) >= p.rules.payBack(p) && p.moveTo(now, to) {
 			to.borrowing = now
 		}
 	}
@@ -67,7 +72,7 @@
 
 func (p *Policy) moveTo(now time.Time, to *pool) bool {
 	for _, from := range p.byPreference(to) {
-		if from.lent[to] == 0 || p.isRecent(to.Name, from.Name) {
+		if p.isRecent(to.Name, from.Name) {
 			continue
 		}
 		i := slices.IndexFunc(p.workers, func(w Worker) bool { return w.Pool == from.Name && !p.rules.busy(p, w.Name) })
@@ -97,7 +102,7 @@
 }
 
 func (p *Policy) begin(now time.Time, w Worker, from, to *pool) {
-	p.moves = append(p.moves, move{worker: w, from: from.Name, to: to.Name, begin: now})
+	p.moves = append(p.moves, move{worker: w, from: from.Name, to: to.Name, begin: now, paid: now.Add(p.rules.payBack(p))})
 	from.capacity -= w.Slots
 	p.giveBack(from, to, w.Slots)
 	from.hold = min(from.hold, from.capacity)
--- a/buffer/policy.go
+++ b/buffer/policy.go
@@ -36,10 +36,11 @@
 
 // rules are the rules that tests replace to show that they would notice their absence.
 type rules struct {
-	busy   func(p *Policy, worker string) bool
-	owed   func(p *pool) int
-	floor  func(p *pool) int
-	settle func(p *Policy) time.Duration
+	busy    func(p *Policy, worker string) bool
+	owed    func(d *pool) int
+	floor   func(d *pool) int
+	payBack func(p *Policy) time.Duration
+	brief   func(d *pool) bool
 }
 
 // pool is the state of one pool. Slots that are held are ready or being recalled.
@@ -58,10 +59,11 @@
 func New(pools []Pool, workers []Worker) *Policy {
 	p := &Policy{workers: slices.Clone(workers), recall: firstRecall, moving: firstDrain + firstWarmUp}
 	p.rules = rules{
-		busy:   (*Policy).isMoving,
-		owed:   (*pool).owed,
-		floor:  (*pool).floor,
-		settle: (*Policy).payBack,
+		busy:    (*Policy).isMoving,
+		owed:    (*pool).owed,
+		floor:   (*pool).floor,
+		payBack: (*Policy).payBack,
+		brief:   (*pool).isBrief,
 	}
 	for _, d := range pools {
 		p.pools = append(p.pools, &pool{Pool: d, lent: make(map[*pool]int)})
--- /dev/null
+++ b/buffer/policy_test.go
@@ -0,0 +1,235 @@
+package buffer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const (
+	step       = 250 * time.Millisecond
+	meanRun    = 200 * time.Millisecond
+	returnTime = 2 * time.Second
+	longestRun = time.Second
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// oracle follows the actions alone and knows nothing of the policy's state.
+type oracle struct {
+	now      time.Time
+	pools    []Pool
+	workers  map[string]Worker
+	arrivals map[string]time.Time // of workers under way
+	begun    map[string]time.Time
+	hold     map[string]int
+	lent     map[[2]string]int
+	back     map[string]time.Time // since when waiting work needs all slots of the pool
+	paid     map[[2]string]time.Time
+	longest  map[string]time.Duration
+	moveCost time.Duration
+	moves    int
+	err      error
+}
+
+func (o *oracle) check(ok bool, format string, args ...any) {
+	if !ok && o.err == nil {
+		o.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (o *oracle) serving(pool string) (workers, slots, largest int) {
+	for _, w := range o.workers {
+		if _, moving := o.arrivals[w.Name]; w.Pool == pool && !moving {
+			workers, slots, largest = workers+1, slots+w.Slots, max(largest, w.Slots)
+		}
+	}
+	return workers, slots, largest
+}
+
+func (o *oracle) lentOut(pool string) (n int) {
+	for k, m := range o.lent {
+		if k[0] == pool {
+			n += m
+		}
+	}
+	return n
+}
+
+func (o *oracle) borrowed(pool string) (n int) {
+	for k, m := range o.lent {
+		if k[1] == pool {
+			n += m
+		}
+	}
+	return n
+}
+
+func (o *oracle) apply(a Action) {
+	key := [2]string{a.From, a.To}
+	switch a.Kind {
+	case Lend:
+		o.check(o.longest[a.To] <= longestRun, "a loan to %s, whose requests run %s", a.To, o.longest[a.To])
+		o.lent[key] += a.Slots
+	case Return:
+		o.lent[key] -= a.Slots
+	case Hold:
+		o.hold[a.From] = a.Slots
+	case Move:
+		o.moves++
+		_, moving := o.arrivals[a.Worker]
+		o.check(!moving && o.workers[a.Worker].Pool == a.From, "%s moves from %s while it is elsewhere", a.Worker, a.From)
+		o.check(!o.now.Before(o.paid[[2]string{a.To, a.From}]), "a move from %s to %s is undone within its pay-back time", a.To, a.From)
+		o.paid[key] = o.now.Add(10 * o.moveCost)
+		o.begun[a.Worker] = o.now
+	}
+}
+
+// verify checks the state after all actions of one decision.
+func (o *oracle) verify() {
+	for _, d := range o.pools {
+		workers, slots, largest := o.serving(d.Name)
+		lent := o.lentOut(d.Name)
+		floor := min(slots, d.MinAvailable*largest)
+		o.check(workers >= d.MinAvailable, "%s has %d of %d available workers", d.Name, workers, d.MinAvailable)
+		o.check(o.hold[d.Name] <= slots, "%s holds %d of %d slots", d.Name, o.hold[d.Name], slots)
+		o.check(o.hold[d.Name]-lent >= floor, "%s keeps %d slots, %d must stay", d.Name, o.hold[d.Name]-lent, floor)
+		if since := o.back[d.Name]; !since.IsZero() && o.now.Sub(since) >= returnTime-longestRun-2*step {
+			o.check(lent == 0, "%s still lends %d slots", d.Name, lent)
+		}
+	}
+	for k, n := range o.lent {
+		o.check(n >= 0, "%d slots lent from %s to %s", n, k[0], k[1])
+	}
+}
+
+// report describes a demand of so many slots.
+func (o *oracle) report(d Pool, level int, within time.Duration) Report {
+	_, slots, _ := o.serving(d.Name)
+	r := Report{Pool: d.Name, Run: meanRun, Longest: o.longest[d.Name], Slack: within, Arrived: int(float64(level) * step.Seconds() / meanRun.Seconds())}
+	r.Running = min(level, o.hold[d.Name]-o.lentOut(d.Name)+o.borrowed(d.Name))
+	if n := level - r.Running; n > 0 {
+		r.Waiting = []Backlog{{within, n}}
+	}
+	// Requests that run on borrowed slots leave the pool's own slots free to lend.
+	if pressing := level-r.Running >= 2*slots && slots > 0 && within <= 2*step; !pressing {
+		delete(o.back, d.Name)
+	} else if o.back[d.Name].IsZero() {
+		o.back[d.Name] = o.now
+	}
+	return r
+}
+
+func (o *oracle) arrive(p *Policy) {
+	for _, w := range p.workers {
+		if at, ok := o.arrivals[w.Name]; ok && !o.now.Before(at) {
+			delete(o.arrivals, w.Name)
+			moved := o.workers[w.Name]
+			_, slots, _ := o.serving(moved.Pool)
+			o.moveCost = o.now.Sub(o.begun[w.Name])
+			p.Moved(o.now, w.Name)
+			o.hold[moved.Pool] = min(slots+moved.Slots, o.hold[moved.Pool]+moved.Slots)
+		}
+	}
+}
+
+// play runs a policy on drawn demand and returns the oracle.
+func play(t *rapid.T, broken func(*rules)) *oracle {
+	o := &oracle{
+		now: time.Unix(1_000_000, 0), workers: map[string]Worker{}, arrivals: map[string]time.Time{}, begun: map[string]time.Time{}, hold: map[string]int{},
+		lent: map[[2]string]int{}, back: map[string]time.Time{}, paid: map[[2]string]time.Time{}, longest: map[string]time.Duration{}, moveCost: firstDrain + firstWarmUp,
+	}
+	var workers []Worker
+	for i := range 4 {
+		d := Pool{Name: fmt.Sprint("p", i), Spare: i == 3, MinAvailable: rapid.IntRange(0, 2).Draw(t, "min-available")}
+		o.pools = append(o.pools, d)
+		for j := range d.MinAvailable + rapid.IntRange(1, 4).Draw(t, "workers") {
+			w := Worker{fmt.Sprint("w", i, j), d.Name, rapid.IntRange(1, 8).Draw(t, "slots")}
+			workers, o.workers[w.Name] = append(workers, w), w
+			o.hold[d.Name] += w.Slots
+		}
+	}
+	p := New(o.pools, workers)
+	broken(&p.rules)
+	moveTime := rapid.IntRange(1, 40)
+	for range rapid.IntRange(1, 10).Draw(t, "phases") {
+		length := rapid.SampledFrom([]int{4, 16, 40, 320}).Draw(t, "steps")
+		level, within := map[string]float64{}, map[string]time.Duration{}
+		for _, d := range o.pools[:3] {
+			level[d.Name] = rapid.SampledFrom([]float64{0, 0.1, 1.5, 4.5}).Draw(t, "level")
+			within[d.Name] = step * time.Duration(rapid.IntRange(2, 24).Draw(t, "within"))
+			o.longest[d.Name] = rapid.SampledFrom([]time.Duration{meanRun, longestRun, 10 * longestRun}).Draw(t, "longest run")
+			if level[d.Name] > 4 {
+				within[d.Name] = 2 * step
+			}
+		}
+		for range length {
+			o.now = o.now.Add(step)
+			o.arrive(p)
+			var reports []Report
+			for _, d := range o.pools[:3] {
+				_, slots, _ := o.serving(d.Name)
+				reports = append(reports, o.report(d, int(level[d.Name]*float64(slots)), within[d.Name]))
+			}
+			for _, a := range p.Decide(o.now, reports) {
+				o.apply(a)
+				if a.Kind == Move {
+					w := o.workers[a.Worker]
+					w.Pool = a.To
+					o.workers[a.Worker] = w
+					o.arrivals[a.Worker] = o.now.Add(step * time.Duration(moveTime.Draw(t, "move")))
+				}
+			}
+			if o.verify(); o.err != nil {
+				return o
+			}
+		}
+	}
+	return o
+}
+
+// Guards against workers moved twice at a time, slots lent for over 2 s after the lender
+// needs them, pools below min-available and moves that are soon undone.
+func TestPolicyAgainstOracle(t *testing.T) {
+	moves := 0
+	rapid.Check(t, func(t *rapid.T) {
+		o := play(t, func(*rules) {})
+		if moves += o.moves; o.err != nil {
+			t.Fatal(o.err)
+		}
+	})
+	qt.Check(t, moves > 0, qt.IsTrue, qt.Commentf("no case had a move"))
+}
+
+// Guards against an oracle that accepts a policy without one of the rules.
+func TestOracleCatchesBrokenVariant(t *testing.T) {
+	for name, v := range map[string]struct {
+		broken func(*rules)
+		want   string
+	}{
+		"moves a moving worker":  {func(r *rules) { r.busy = func(*Policy, string) bool { return false } }, ".* moves from .* while it is elsewhere"},
+		"keeps lent slots":       {func(r *rules) { r.owed = func(*pool) int { return 0 } }, ".* still lends .* slots"},
+		"ignores min-available":  {func(r *rules) { r.floor = func(*pool) int { return 0 } }, ".* keeps .* slots, .* must stay"},
+		"lends to long requests": {func(r *rules) { r.brief = func(*pool) bool { return true } }, "a loan to .*, whose requests run .*"},
+		"moves at each shortage": {func(r *rules) { r.payBack = func(*Policy) time.Duration { return 0 } }, "a move .* is undone within its pay-back time"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run := rapid.Custom(func(t *rapid.T) error { return play(t, v.broken).err })
+			var err error
+			for seed := 0; err == nil && seed < 300; seed++ {
+				err = run.Example(seed)
+			}
+			qt.Check(t, err, qt.ErrorMatches, v.want)
+		})
+	}
+}
--- a/measure/world.go
+++ b/measure/world.go
@@ -244,7 +244,7 @@
 // reports tells what the entry hosts observed since the last call.
 func (w *world) reports() (out []buffer.Report) {
 	for i, st := range w.stations[:services] {
-		r := buffer.Report{Pool: w.shape.services[i], Arrived: st.arrived, Slack: st.slack, Run: meanRun}
+		r := buffer.Report{Pool: w.shape.services[i], Arrived: st.arrived, Slack: st.slack, Run: meanRun, Longest: 3 * meanRun / 2}
 		if st.runCount > 0 {
 			r.Run = st.runs / time.Duration(st.runCount)
 		}
