--- a/command/app.go
+++ b/command/app.go
@@ -36,6 +36,7 @@
 			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
+			measureCommand(),
 			statusCommand(),
 			explainCommand(),
 			measureCommand(),
