Check in the demo that a drained worker gets no new work

Cause: no run checked that a leaving worker gets nothing after 2 s. Change: the demo drains a loaded worker and judges its record.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -102,6 +102,7 @@
 		{"bursts on four services", 4 * time.Second, func(context.Context) error { return nil }},
 		{"withdraw a key", 0, d.withdrawKey},
 		{"move a worker", time.Second, d.moveWorker},
+		{"drain a worker", 0, d.drainWorker},
 		{"stop an entry host", time.Second, d.stopEntry},
 		{"replace it", time.Second, d.replaceEntry},
 		{"fill one pool", time.Second, d.fill},
--- a/demo/judge.go
+++ b/demo/judge.go
@@ -18,6 +18,9 @@
 // which it was withdrawn and had not reached their minion.
 const withdrawalGrace = 100 * time.Millisecond
 
+// drainTime is the time after which a leaving worker gets no new work.
+const drainTime = 2 * time.Second
+
 // settleTime is left out at the start of the share measurement, while the queues fill.
 const settleTime = 2 * time.Second
 
@@ -83,6 +86,11 @@
 			r.breaks("minion %s had %d running in %d slots", worker, m.Peak(), slotsPerMinion)
 		}
 	}
+	for _, run := range d.stage.minions[drainedWorker].Runs() {
+		if run.Started.After(r.drained.Add(drainTime)) {
+			r.breaks("request %s ran on %s, which had left", run.RequestID, drainedWorker)
+		}
+	}
 	for _, run := range byTeam[withdrawnTeam] {
 		if run.Started.After(r.withdrawn.Add(withdrawalGrace)) && run.Started.Before(r.givenAgain) {
 			r.breaks("request %s ran after its key was withdrawn everywhere", run.RequestID)
--- a/demo/report.go
+++ b/demo/report.go
@@ -18,6 +18,7 @@
 	reasons                                       map[string]int
 
 	withdrawn, givenAgain time.Time
+	drained               time.Time
 	withdrawal            time.Duration
 	rollOuts              []time.Duration
 	moves                 int
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -21,6 +21,7 @@
 	fillService   = "tengri/pairings"
 	withdrawnTeam = "tengri/guests"
 	movedWorker   = "tengri-portal-1"
+	drainedWorker = "tengri-rounds-2"
 	probeInterval = 5 * time.Millisecond
 	probeTimeout  = 10 * time.Second
 )
@@ -173,6 +174,13 @@
 	return nil
 }
 
+// drainWorker takes a loaded worker out of service until the end of the run.
+func (d *Demo) drainWorker(ctx context.Context) error {
+	err := d.set(ctx, change.KindWorker, drainedWorker, fleet.Worker{Pool: "tengri/rounds", Leaving: true})
+	d.report.drained = time.Now()
+	return err
+}
+
 func (d *Demo) stopEntry(context.Context) error { return d.stage.stopEntry(entryName(1)) }
 
 func (d *Demo) replaceEntry(ctx context.Context) error {
