Share one heap between queue and slot

Cause: queue/heap.go and slot/heap.go were the same 70 lines. Change: package heap. Conclusion: no change of behaviour.

--- /dev/null
+++ b/heap/heap.go
@@ -0,0 +1,79 @@
+// Package heap is a binary heap whose elements know their places.
+package heap
+
+// Heap is a binary heap that keeps each element's position in the element, so that any
+// element can be removed or reordered in O(log n).
+type Heap[T any] struct {
+	// Items holds the elements; the first one is the least.
+	Items []T
+	Less  func(a, b T) bool
+	// At points to the element's position plus one; zero means absent.
+	At func(T) *int32
+}
+
+// Push adds an element.
+func (h *Heap[T]) Push(x T) {
+	h.Items = append(h.Items, x)
+	h.up(len(h.Items) - 1)
+}
+
+// Remove takes out an element that is in the heap.
+func (h *Heap[T]) Remove(x T) {
+	i, last := int(*h.At(x))-1, len(h.Items)-1
+	moved := h.Items[last]
+	var none T
+	h.Items[last] = none
+	h.Items = h.Items[:last]
+	*h.At(x) = 0
+	if i != last {
+		h.Items[i] = moved
+		h.settle(i)
+	}
+}
+
+// Fix restores the order after the key of x has changed.
+func (h *Heap[T]) Fix(x T) { h.settle(int(*h.At(x)) - 1) }
+
+func (h *Heap[T]) settle(i int) {
+	if h.up(i) == i {
+		h.down(i)
+	}
+}
+
+func (h *Heap[T]) up(i int) int {
+	x := h.Items[i]
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.Less(x, h.Items[parent]) {
+			break
+		}
+		h.set(i, h.Items[parent])
+		i = parent
+	}
+	h.set(i, x)
+	return i
+}
+
+func (h *Heap[T]) down(i int) {
+	x := h.Items[i]
+	for {
+		child := 2*i + 1
+		if child >= len(h.Items) {
+			break
+		}
+		if r := child + 1; r < len(h.Items) && h.Less(h.Items[r], h.Items[child]) {
+			child = r
+		}
+		if !h.Less(h.Items[child], x) {
+			break
+		}
+		h.set(i, h.Items[child])
+		i = child
+	}
+	h.set(i, x)
+}
+
+func (h *Heap[T]) set(i int, x T) {
+	h.Items[i] = x
+	*h.At(x) = int32(i + 1)
+}
--- a/queue/line.go
+++ b/queue/line.go
@@ -1,5 +1,7 @@
 package queue
 
+import "egretdrum.example/heap"
+
 import "time"
 
 // urgentRun is the number of urgent requests in a row after which a waiting ordinary
@@ -15,7 +17,7 @@
 // line holds the waiting requests of one team for one service.
 type line struct {
 	team    *team
-	waiting [classes]heap[*Item]
+	waiting [classes]heap.Heap[*Item]
 	ranks   [classes]histogram
 	run     int
 	pace    pace
@@ -24,7 +26,7 @@
 func newLine(t *team) *line {
 	l := &line{team: t}
 	for c := range l.waiting {
-		l.waiting[c] = heap[*Item]{less: earlier, at: func(it *Item) *int32 { return &it.inLine }}
+		l.waiting[c] = heap.Heap[*Item]{Less: earlier, At: func(it *Item) *int32 { return &it.inLine }}
 	}
 	return l
 }
@@ -36,7 +38,7 @@
 	return ordinaryClass
 }
 
-func (l *line) count(class int) int { return len(l.waiting[class].items) }
+func (l *line) count(class int) int { return len(l.waiting[class].Items) }
 func (l *line) len() int            { return l.count(urgentClass) + l.count(ordinaryClass) }
 
 func (l *line) add(now time.Time, it *Item) {
@@ -44,13 +46,13 @@
 		l.pace.begin(now)
 	}
 	c := classOf(it.Urgent)
-	l.waiting[c].push(it)
+	l.waiting[c].Push(it)
 	l.ranks[c].add(it.Deadline, 1)
 }
 
 func (l *line) drop(now time.Time, it *Item) {
 	c := classOf(it.Urgent)
-	l.waiting[c].remove(it)
+	l.waiting[c].Remove(it)
 	l.ranks[c].add(it.Deadline, -1)
 	if l.len() == 0 {
 		l.pace.end(now)
@@ -64,9 +66,9 @@
 	due := l.run >= urgentRun && l.count(ordinaryClass) > 0
 	switch {
 	case l.count(urgentClass) > 0 && !due:
-		return l.waiting[urgentClass].items[0]
+		return l.waiting[urgentClass].Items[0]
 	case l.count(ordinaryClass) > 0 && (due || !urgent):
-		return l.waiting[ordinaryClass].items[0]
+		return l.waiting[ordinaryClass].Items[0]
 	}
 	return nil
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"egretdrum.example/heap"
 	"egretdrum.example/refusal"
 )
 
@@ -14,8 +15,8 @@
 type Queue struct {
 	teams   map[string]*team
 	lines   map[lineKey]*line
-	excess  heap[*team] // the team furthest above its guaranteed part first
-	expiry  heap[*Item]
+	excess  heap.Heap[*team] // the team furthest above its guaranteed part first
+	expiry  heap.Heap[*Item]
 	expired []*Item // found by Push or Pop, not yet returned by Expire
 	shed    func(*Item)
 	bound   int
@@ -35,11 +36,11 @@
 // host-wide bound is reached.
 func New(shed func(*Item)) *Queue {
 	q := &Queue{teams: make(map[string]*team), lines: make(map[lineKey]*line), shed: shed, bound: hostBound}
-	q.excess = heap[*team]{
-		less: func(a, b *team) bool { return a.excess() > b.excess() },
-		at:   func(t *team) *int32 { return &t.place },
+	q.excess = heap.Heap[*team]{
+		Less: func(a, b *team) bool { return a.excess() > b.excess() },
+		At:   func(t *team) *int32 { return &t.place },
 	}
-	q.expiry = heap[*Item]{less: earlier, at: func(it *Item) *int32 { return &it.inExpiry }}
+	q.expiry = heap.Heap[*Item]{Less: earlier, At: func(it *Item) *int32 { return &it.inExpiry }}
 	q.rules = rules{
 		next: (*line).next,
 		full: func(t *team) bool { return t.waiting >= t.bound() },
@@ -63,7 +64,7 @@
 		if whole > 0 {
 			t.guaranteed = int(float64(q.bound) * float64(shares[name]) / float64(whole))
 		}
-		q.excess.fix(t)
+		q.excess.Fix(t)
 	}
 	q.forget(limits)
 }
@@ -77,7 +78,7 @@
 	maps.DeleteFunc(q.lines, func(_ lineKey, l *line) bool { return unused(l.team) })
 	for name, t := range q.teams {
 		if unused(t) {
-			q.excess.remove(t)
+			q.excess.Remove(t)
 			delete(q.teams, name)
 		}
 	}
@@ -102,8 +103,8 @@
 	}
 	it.line = l
 	l.add(now, it)
-	q.expiry.push(it)
-	l.team.shed.push(it)
+	q.expiry.Push(it)
+	l.team.shed.Push(it)
 	q.count(l.team, 1)
 	return nil
 }
@@ -112,12 +113,12 @@
 // the new request counted. It reports false when the new request is the one to shed.
 func (q *Queue) makeRoom(now time.Time, it *Item, t *team) bool {
 	q.count(t, 1)
-	top := q.excess.items[0]
+	top := q.excess.Items[0]
 	q.count(t, -1)
-	if len(top.shed.items) == 0 {
+	if len(top.shed.Items) == 0 {
 		return false
 	}
-	victim := top.shed.items[0]
+	victim := top.shed.Items[0]
 	if top == t && !shedBefore(victim, it) {
 		return false
 	}
@@ -182,8 +183,8 @@
 // Drain takes out all requests, so that a host that stops can refuse them.
 func (q *Queue) Drain() []*Item {
 	out := q.takeExpired()
-	for len(q.expiry.items) > 0 {
-		it := q.expiry.items[0]
+	for len(q.expiry.Items) > 0 {
+		it := q.expiry.Items[0]
 		q.Remove(it)
 		out = append(out, it)
 	}
@@ -201,12 +202,12 @@
 }
 
 // Len counts all waiting requests.
-func (q *Queue) Len() int { return len(q.expiry.items) }
+func (q *Queue) Len() int { return len(q.expiry.Items) }
 
 // collect sets expired requests aside, so that Pop never returns one.
 func (q *Queue) collect(now time.Time) {
-	for len(q.expiry.items) > 0 && !q.expiry.items[0].Deadline.After(now) {
-		it := q.expiry.items[0]
+	for len(q.expiry.Items) > 0 && !q.expiry.Items[0].Deadline.After(now) {
+		it := q.expiry.Items[0]
 		q.drop(now, it)
 		q.expired = append(q.expired, it)
 		it.inExpiry = int32(len(q.expired))
@@ -216,15 +217,15 @@
 func (q *Queue) drop(now time.Time, it *Item) {
 	l := it.line
 	l.drop(now, it)
-	q.expiry.remove(it)
-	l.team.shed.remove(it)
+	q.expiry.Remove(it)
+	l.team.shed.Remove(it)
 	q.count(l.team, -1)
 	it.line = nil
 }
 
 func (q *Queue) count(t *team, n int) {
 	t.waiting += n
-	q.excess.fix(t)
+	q.excess.Fix(t)
 }
 
 func (q *Queue) fullError(now time.Time, l *line) error {
@@ -236,7 +237,7 @@
 	if t == nil {
 		t = newTeam(name)
 		q.teams[name] = t
-		q.excess.push(t)
+		q.excess.Push(t)
 	}
 	return t
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -176,7 +176,7 @@
 		"latest deadline first": func(q *Queue) {
 			q.rules.next = func(l *line, urgent bool) (it *Item) {
 				if it = l.next(urgent); it != nil {
-					it = slices.MaxFunc(l.waiting[classOf(it.Urgent)].items, byDeadline)
+					it = slices.MaxFunc(l.waiting[classOf(it.Urgent)].Items, byDeadline)
 				}
 				return it
 			}
@@ -188,7 +188,7 @@
 		"item is queued again": func(q *Queue) {
 			q.rules.drop = func(q *Queue, now time.Time, it *Item) { q.drop(now, it); _ = q.Push(now, it) }
 		},
-		"no expiry": func(q *Queue) { q.expiry.less = func(a, b *Item) bool { return earlier(b, a) } },
+		"no expiry": func(q *Queue) { q.expiry.Less = func(a, b *Item) bool { return earlier(b, a) } },
 		"sheds the earliest": func(q *Queue) {
 			for _, t := range q.teams {
 				t.shed.less = earlier
--- a/queue/team.go
+++ b/queue/team.go
@@ -1,5 +1,7 @@
 package queue
 
+import "egretdrum.example/heap"
+
 import "time"
 
 const (
@@ -18,12 +20,12 @@
 	guaranteed int // part of hostBound that other teams cannot take
 	meanRun    time.Duration
 	waiting    int
-	shed       heap[*Item]
+	shed       heap.Heap[*Item]
 	place      int32 // position plus one among the teams
 }
 
 func newTeam(name string) *team {
-	return &team{name: name, limit: 1, shed: heap[*Item]{less: shedBefore, at: func(it *Item) *int32 { return &it.inShed }}}
+	return &team{name: name, limit: 1, shed: heap.Heap[*Item]{Less: shedBefore, At: func(it *Item) *int32 { return &it.inShed }}}
 }
 
 func (t *team) excess() int { return t.waiting - t.guaranteed }
--- a/slot/allocator.go
+++ b/slot/allocator.go
@@ -3,6 +3,8 @@
 // are exact over all senders.
 package slot
 
+import "egretdrum.example/heap"
+
 import "time"
 
 // ejectablePercent of a service's minions may be ejected at a time. More failures than
@@ -21,7 +23,7 @@
 	shares   map[string]int64
 	records  map[uint64]*record
 	ends     wheel
-	due      heap[*minion]
+	due      heap.Heap[*minion]
 	spare    []*record
 	out      []Grant
 	nextID   uint64
@@ -49,9 +51,9 @@
 	return &Allocator{
 		services: make(map[string]*service),
 		records:  make(map[uint64]*record),
-		due: heap[*minion]{
-			less: func(a, b *minion) bool { return a.due.Before(b.due) },
-			at:   func(m *minion) *int32 { return &m.inDue },
+		due: heap.Heap[*minion]{
+			Less: func(a, b *minion) bool { return a.due.Before(b.due) },
+			At:   func(m *minion) *int32 { return &m.inDue },
 		},
 		nextID: cfg.FirstID,
 		rules: rules{
@@ -120,7 +122,7 @@
 		return 0
 	}
 	for _, z := range s.zones {
-		for _, m := range z.free.items {
+		for _, m := range z.free.Items {
 			n += a.rules.slots(m) - m.inUse
 		}
 	}
@@ -202,8 +204,8 @@
 		a.end(now, r, Unused)
 	}
 	a.accrue(now)
-	for len(a.due.items) > 0 && !now.Before(a.due.items[0].due) {
-		a.refresh(now, a.due.items[0])
+	for len(a.due.Items) > 0 && !now.Before(a.due.Items[0].due) {
+		a.refresh(now, a.due.Items[0])
 	}
 }
 
--- a/slot/service.go
+++ b/slot/service.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"egretdrum.example/heap"
 )
 
 // service holds the minions and the demand of one service. Services have no minion in
@@ -13,29 +15,29 @@
 	minions map[string]*minion
 	zones   []*zone
 	flows   map[string]*flow
-	order   heap[*flow] // by virtual time
-	urgent  heap[*flow] // flows whose next grant is urgent, by virtual time less lead
-	blocked []*flow     // have demand that no free minion may serve now
+	order   heap.Heap[*flow] // by virtual time
+	urgent  heap.Heap[*flow] // flows whose next grant is urgent, by virtual time less lead
+	blocked []*flow          // have demand that no free minion may serve now
 }
 
 // zone holds the minions of an availability zone that have a free slot, least loaded
 // first.
 type zone struct {
 	name string
-	free heap[*minion]
+	free heap.Heap[*minion]
 }
 
 func newService(name string, r *rules) *service {
 	return &service{
 		name: name, rules: r,
 		minions: make(map[string]*minion), flows: make(map[string]*flow),
-		order: heap[*flow]{
-			less: func(a, b *flow) bool { return a.virtual < b.virtual },
-			at:   func(f *flow) *int32 { return &f.inOrder },
+		order: heap.Heap[*flow]{
+			Less: func(a, b *flow) bool { return a.virtual < b.virtual },
+			At:   func(f *flow) *int32 { return &f.inOrder },
 		},
-		urgent: heap[*flow]{
-			less: func(a, b *flow) bool { return a.leadStart() < b.leadStart() },
-			at:   func(f *flow) *int32 { return &f.inUrgent },
+		urgent: heap.Heap[*flow]{
+			Less: func(a, b *flow) bool { return a.leadStart() < b.leadStart() },
+			At:   func(f *flow) *int32 { return &f.inUrgent },
 		},
 	}
 }
@@ -52,13 +54,13 @@
 			return z
 		}
 	}
-	z := &zone{name: name, free: heap[*minion]{less: lessLoaded, at: func(m *minion) *int32 { return &m.inZone }}}
+	z := &zone{name: name, free: heap.Heap[*minion]{Less: lessLoaded, At: func(m *minion) *int32 { return &m.inZone }}}
 	s.zones = append(s.zones, z)
 	return z
 }
 
 func (s *service) hasFree() bool {
-	return slices.ContainsFunc(s.zones, func(z *zone) bool { return len(z.free.items) > 0 })
+	return slices.ContainsFunc(s.zones, func(z *zone) bool { return len(z.free.Items) > 0 })
 }
 
 // seat keeps the minion among the free ones of its zone exactly while it may get a grant.
@@ -71,21 +73,21 @@
 // starts at the current minimum, so that unused share is not accumulated.
 func (s *service) place(f *flow) {
 	want := f.open[urgentClass]+f.open[ordinaryClass] > 0
-	if want && f.inOrder == 0 && len(s.order.items) > 0 {
-		f.virtual = s.rules.start(f.virtual, s.order.items[0].virtual)
+	if want && f.inOrder == 0 && len(s.order.Items) > 0 {
+		f.virtual = s.rules.start(f.virtual, s.order.Items[0].virtual)
 	}
 	set(&s.order, f, f.inOrder > 0, want)
 	set(&s.urgent, f, f.inUrgent > 0, want && f.nextClass() == urgentClass)
 }
 
-func set[T any](h *heap[T], x T, has, want bool) {
+func set[T any](h *heap.Heap[T], x T, has, want bool) {
 	switch {
 	case has && want:
-		h.fix(x)
+		h.Fix(x)
 	case has:
-		h.remove(x)
+		h.Remove(x)
 	case want:
-		h.push(x)
+		h.Push(x)
 	}
 }
 
@@ -100,23 +102,23 @@
 // choose decides the next grant. It sets aside flows that no free minion may serve;
 // unblock returns them to the order.
 func (s *service) choose() (choice, bool) {
-	for s.hasFree() && len(s.order.items) > 0 {
+	for s.hasFree() && len(s.order.Items) > 0 {
 		if f := s.runAhead(); f != nil {
 			if c, m := f.pick(urgentClass); c != nil {
 				return choice{f, urgentClass, c, m}, true
 			}
-			s.urgent.remove(f)
+			s.urgent.Remove(f)
 			s.blocked = append(s.blocked, f)
 			continue
 		}
-		f := s.order.items[0]
+		f := s.order.Items[0]
 		first := f.nextClass()
 		for _, class := range [classes]int{first, ordinaryClass - first} {
 			if c, m := f.pick(class); c != nil {
 				return choice{f, class, c, m}, true
 			}
 		}
-		s.order.remove(f)
+		s.order.Remove(f)
 		set(&s.urgent, f, f.inUrgent > 0, false)
 		s.blocked = append(s.blocked, f)
 	}
@@ -126,11 +128,11 @@
 // runAhead returns the flow whose urgent demand goes before the order, if any. After the
 // grant its lead over the order is still within the bound.
 func (s *service) runAhead() *flow {
-	if len(s.urgent.items) == 0 {
+	if len(s.urgent.Items) == 0 {
 		return nil
 	}
-	f := s.urgent.items[0]
-	if f.leadStart()+f.meanUse/f.weight > s.order.items[0].virtual {
+	f := s.urgent.Items[0]
+	if f.leadStart()+f.meanUse/f.weight > s.order.Items[0].virtual {
 		return nil
 	}
 	return f
@@ -161,17 +163,17 @@
 // first returns the least loaded free minion that is not excluded.
 func (z *zone) first(excluded []string) (found *minion) {
 	var aside []*minion
-	for len(z.free.items) > 0 {
-		m := z.free.items[0]
+	for len(z.free.Items) > 0 {
+		m := z.free.Items[0]
 		if !slices.Contains(excluded, m.name) {
 			found = m
 			break
 		}
-		z.free.remove(m)
+		z.free.Remove(m)
 		aside = append(aside, m)
 	}
 	for _, m := range aside {
-		z.free.push(m)
+		z.free.Push(m)
 	}
 	return found
 }
