--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -191,10 +191,10 @@
 		"no expiry": func(q *Queue) { q.expiry.Less = func(a, b *Item) bool { return earlier(b, a) } },
 		"sheds the earliest": func(q *Queue) {
 			for _, t := range q.teams {
-				t.shed.less = earlier
+				t.shed.Less = earlier
 			}
 		},
-		"sheds from any team": func(q *Queue) { q.excess.less = func(a, b *team) bool { return a.name < b.name } },
+		"sheds from any team": func(q *Queue) { q.excess.Less = func(a, b *team) bool { return a.name < b.name } },
 	}
 	for name, breakRule := range variants {
 		t.Run(name, func(t *testing.T) {
