Log reclaimed members as a string

Cause: the logfmt encoder panics on a slice that zap has no own type for. The event members-reclaimed passed a []epoch.ID, so the entry host that removed a lost member crashed right after the compare-and-swap, and the next one crashed after reclaiming it. Change: the ids are joined to one string. Conclusion: log fields are strings, numbers and errors only.

--- a/membership/reclaim.go
+++ b/membership/reclaim.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,11 +38,20 @@
 		return e.Reclaim(a.self.ID(), lost, confirms, epoch.LongestWork)
 	})
 	if err == nil {
-		a.log.Info("members-reclaimed", zap.Any("lost", lost), zap.Any("replaced", e.Departed))
+		a.log.Info("members-reclaimed", zap.String("lost", listOf(lost)), zap.String("replaced", listOf(e.Departed)))
 	}
 	return err
 }
 
+// listOf joins ids for the log. The logfmt encoder panics on slices of non-standard types.
+func listOf(ids []epoch.ID) string {
+	names := make([]string, len(ids))
+	for n, id := range ids {
+		names[n] = string(id)
+	}
+	return strings.Join(names, ",")
+}
+
 func (a *Agent) first(e *epoch.Epoch, lost []string) bool {
 	for _, m := range e.Members {
 		if !slices.Contains(lost, m.Name) {
