Add a control interface to the stand-in processes

Cause: faults of the stand-ins could be set from the same process only. Change: the platform stand-in takes its faults and hosts at /stand-in/, with two new ones: paused calls and lost answers for one key. Conclusion: the failure tests can drive processes.

--- a/cmd/egretdrum/process_test.go
+++ b/cmd/egretdrum/process_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,46 +24,75 @@
 	"egretdrum.example/minionfake"
 )
 
-// bench holds the binaries and the processes of one test.
+// bench holds the files and the processes of one test.
 type bench struct {
 	c   *qt.C
 	dir string
 }
 
-func newBench(t *testing.T) *bench {
-	c := qt.New(t)
-	b := &bench{c: c, dir: t.TempDir()}
-	out, err := exec.Command("go", "build", "-o", b.dir, "egretdrum.example/cmd/...").CombinedOutput()
-	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
-	return b
+// binaries is the directory of the built binaries, for all tests of this package.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		var err error
+		if binaries, err = os.MkdirTemp("", "egretdrum-test"); err != nil {
+			panic(err)
+		}
+		defer os.RemoveAll(binaries)
+		if out, err := exec.Command("go", "build", "-o", binaries, "egretdrum.example/cmd/...").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
 }
 
-// address returns a loopback address whose port was free a moment ago.
+func newBench(t *testing.T) *bench { return &bench{c: qt.New(t), dir: t.TempDir()} }
+
+// nextPort walks through ports below those that the kernel gives to outgoing connections,
+// so that a stopped process finds its port free when it starts again.
+var nextPort atomic.Uint32
+
+// address returns a loopback address on which nothing listens. It dials to find out: a
+// listener could pass to a process that another test starts at the same moment, and would
+// then keep the port for longer than the test does.
 func (b *bench) address() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	b.c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	for {
+		port := 20_000 + (uint32(os.Getpid())*50+nextPort.Add(1))%12_000
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		conn, err := net.Dial("tcp", address.String())
+		if err != nil {
+			return address
+		}
+		conn.Close()
+	}
 }
 
 // start runs a binary until the test ends or stop is called.
 func (b *bench) start(name string, args ...string) *exec.Cmd {
-	cmd := exec.Command(filepath.Join(b.dir, name), args...)
+	cmd := exec.Command(filepath.Join(binaries, name), args...)
 	cmd.Stderr = &bytes.Buffer{}
 	b.c.Assert(cmd.Start(), qt.IsNil)
 	b.c.Cleanup(func() {
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 		if b.c.Failed() {
-			b.c.Logf("%s %v:\n%s", name, args, cmd.Stderr)
+			b.c.Logf("%s %v:\n%s", name, args, lastLines(cmd.Stderr.(*bytes.Buffer).String()))
 		}
 	})
 	return cmd
 }
 
+// lastLines shortens the output of a process for the report of a failed test.
+func lastLines(s string) string {
+	const shown = 4000
+	return s[max(0, len(s)-shown):]
+}
+
 // run runs an operator command to its end and returns its standard output.
 func (b *bench) run(args ...string) string {
-	cmd := exec.Command(filepath.Join(b.dir, "egretdrum"), args...)
+	cmd := exec.Command(filepath.Join(binaries, "egretdrum"), args...)
 	var errors bytes.Buffer
 	cmd.Stderr = &errors
 	out, err := cmd.Output()
@@ -106,12 +136,12 @@
 // each part in a process of its own.
 func TestWholePath(t *testing.T) {
 	b := newBench(t)
-	minion, platform := b.address(), b.address()
+	minion, control, platform := b.address(), b.address(), b.address()
 	callers, operators, peers := b.address(), b.address(), b.address()
 
 	hosts, err := json.Marshal([]hostlist.Host{{Worker: "w1", Zone: "a", Rack: "r1", Address: minion, Slots: 8, Connections: 64}})
 	b.c.Assert(err, qt.IsNil)
-	b.start("minion-stand-in", "w1", minion.String(), "1ms")
+	b.start("minion-stand-in", "w1", minion.String(), control.String(), "1ms")
 	b.start("platform-stand-in", platform.String(), b.file("hosts.json", string(hosts)))
 	b.waitFor(fmt.Sprintf("http://%s/hosts", platform))
 
@@ -160,7 +190,7 @@
 		c.Check(resp.Header.Get("Egretdrum-Run"), qt.Equals, "no")
 	})
 	b.c.Run("runs recorded by the minion", func(c *qt.C) {
-		resp, err := http.Get(fmt.Sprintf("http://%s/stand-in/runs", minion))
+		resp, err := http.Get(fmt.Sprintf("http://%s/stand-in/runs", control))
 		c.Assert(err, qt.IsNil)
 		defer resp.Body.Close()
 		var runs []minionfake.Run
--- a/cmd/minion-stand-in/main.go
+++ b/cmd/minion-stand-in/main.go
@@ -1,11 +1,9 @@
 // Command minion-stand-in serves one stand-in minion, for tests and trials. Its record
-// of runs is at /stand-in/runs.
+// of runs and its faults are under /stand-in/ at the control address.
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -20,20 +18,14 @@
 }
 
 func run() error {
-	if len(os.Args) != 4 {
-		return fmt.Errorf("usage: minion-stand-in NAME ADDRESS RUN-TIME")
+	if len(os.Args) != 5 {
+		return fmt.Errorf("usage: minion-stand-in NAME ADDRESS CONTROL-ADDRESS RUN-TIME")
 	}
-	delay, err := time.ParseDuration(os.Args[3])
+	delay, err := time.ParseDuration(os.Args[4])
 	if err != nil {
 		return err
 	}
 	m := minionfake.New(os.Args[1])
 	m.Set(minionfake.Behaviour{Delay: delay})
-	mux := http.NewServeMux()
-	mux.Handle("/", m)
-	mux.HandleFunc("GET /stand-in/runs", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(m.Runs())
-	})
-	s := &http.Server{Addr: os.Args[2], Handler: mux, ReadHeaderTimeout: 10 * time.Second}
-	return s.ListenAndServe()
+	return m.Serve(os.Args[2], os.Args[3])
 }
--- a/cmd/platform-stand-in/main.go
+++ b/cmd/platform-stand-in/main.go
@@ -1,5 +1,6 @@
 // Command platform-stand-in serves a small stand-in for the platform, for tests and
-// trials: the key-value service and the list of hosts, read from a JSON file.
+// trials: the key-value service and the list of hosts, read from a JSON file. Its faults
+// are set at /stand-in/.
 package main
 
 import (
@@ -35,6 +36,9 @@
 	p := platformfake.New()
 	p.SetHosts(hosts)
 	p.PublishHosts()
-	s := &http.Server{Addr: os.Args[1], Handler: p.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	mux := http.NewServeMux()
+	mux.Handle("/", p.Handler())
+	mux.Handle("/stand-in/", p.Control())
+	s := &http.Server{Addr: os.Args[1], Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	return s.ListenAndServe()
 }
--- a/minionfake/minion.go
+++ b/minionfake/minion.go
@@ -53,6 +53,7 @@
 	peak      int
 	accepted  int
 	listener  net.Listener
+	server    *http.Server
 	conns     map[*conn]struct{}
 }
 
@@ -144,8 +145,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.running--
-	m.runs[n].Ended = time.Now()
-	m.runs[n].Complete = complete
+	if m.runs[n].Ended.IsZero() {
+		m.runs[n].Ended = time.Now()
+		m.runs[n].Complete = complete
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/platformfake/platform.go
+++ b/platformfake/platform.go
@@ -56,6 +56,8 @@
 	down       bool
 	delay      time.Duration
 	loseWrites int
+	loseKey    string
+	paused     chan struct{}
 	holdWrites int
 	stale      bool
 }
@@ -95,7 +97,29 @@
 func (p *Platform) LoseWrites(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.faults.loseWrites = n
+	p.faults.loseWrites, p.faults.loseKey = n, ""
+}
+
+// LoseWritesOf makes the next n writes of one key take effect without an answer. Entry
+// hosts write other keys at any time, and those would use up LoseWrites.
+func (p *Platform) LoseWritesOf(key string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.loseWrites, p.faults.loseKey = n, key
+}
+
+// SetPaused makes calls wait, or lets the waiting ones go on. A call whose client gave up
+// in between has no effect.
+func (p *Platform) SetPaused(paused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case paused && p.faults.paused == nil:
+		p.faults.paused = make(chan struct{})
+	case !paused && p.faults.paused != nil:
+		close(p.faults.paused)
+		p.faults.paused = nil
+	}
 }
 
 // HoldWrites makes the next n writes fail without an answer and keeps them for
@@ -190,6 +214,13 @@
 		if f.delay > 0 && !pause(r.Context(), f.delay) {
 			return
 		}
+		if f.paused != nil {
+			select {
+			case <-f.paused:
+			case <-r.Context().Done():
+				return
+			}
+		}
 		if f.down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
@@ -260,12 +291,12 @@
 		return
 	}
 	p.write(key, entry{value: value, lease: id})
-	p.acknowledge(w, p.entries[key])
+	p.acknowledge(w, key, p.entries[key])
 }
 
 // acknowledge answers a write, or drops the connection when the answer is to be lost.
-func (p *Platform) acknowledge(w http.ResponseWriter, e entry) {
-	if p.faults.loseWrites > 0 {
+func (p *Platform) acknowledge(w http.ResponseWriter, key string, e entry) {
+	if p.faults.loseWrites > 0 && (p.faults.loseKey == "" || p.faults.loseKey == key) {
 		p.faults.loseWrites--
 		panic(http.ErrAbortHandler)
 	}
@@ -304,7 +335,7 @@
 		return
 	}
 	p.write(key, entry{})
-	p.acknowledge(w, entry{revision: p.revision})
+	p.acknowledge(w, key, entry{revision: p.revision})
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
