Keep serving for a moment after readiness fails

Cause: a planned stop closed idle connections at once. Change: after readiness fails, the host answers for 1.5 s with refusals that close their connection (half of stop-timeout if that is shorter), and only then closes idle connections. Conclusion: balancers that probe at least once a second lose no request. Each planned stop takes 1.5 s longer.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -10,6 +10,9 @@
 
 // serveCaller checks and authenticates one request and runs its exchange.
 func (h *Host) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	req, err := parseRequest(r, time.Now())
 	if err != nil {
 		refusal.BadRequest.Write(w, req.id, refusal.RunNo, err.Error(), 0)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -19,6 +19,10 @@
 	maxHeaderBytes = 64 << 10
 	bodyTimeout    = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
+	// unreadyNotice is the time between the failure of readiness and the close of idle
+	// connections. A request on an idle connection that is closed at the same moment gets
+	// no response; balancers that probe at least once a second have left by then.
+	unreadyNotice = 1500 * time.Millisecond
 )
 
 // listeners are the open addresses of the host.
@@ -119,7 +123,8 @@
 
 // shutdown ends the host in the order that cuts no request: readiness fails, waiting
 // requests are refused, running ones finish, slots and credits pass to the others, and
-// the host leaves the epoch.
+// the host leaves the epoch. Requests that still come during unreadyNotice get a refusal
+// that closes their connection.
 func (h *Host) shutdown(s servers, leave bool) error {
 	h.ready.Store(false)
 	h.stopping.Store(true)
@@ -127,6 +132,7 @@
 	defer cancel()
 	h.node.Drain(time.Now())
 	h.log.Info("draining", zap.Int("running", h.node.Running()))
+	awaitNotice(ctx, min(unreadyNotice, h.settings.StopTimeout/2))
 	errs := []error{s.callers.http.Shutdown(ctx)}
 	if leave {
 		errs = append(errs, h.agent.Leave(ctx))
@@ -140,3 +146,13 @@
 	h.minions.Close()
 	return errors.Join(errs...)
 }
+
+// awaitNotice waits until balancers have noticed that the host is not ready.
+func awaitNotice(ctx context.Context, notice time.Duration) {
+	timer := time.NewTimer(notice)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
