operator: show the progress of waves and explain decisions

Cause: an operator could not see why a worker waits, or who decided what.

Change: GET /waves returns the progress of all waves by the document and the host list. explain takes move and wave; for a host, a move and a wave it ends with the decisions from the audit trail, with their times and causes.

Conclusion: the chain of decisions needs no log of an entry host.

--- a/operator/api.go
+++ b/operator/api.go
@@ -10,6 +10,7 @@
 
 	"egretdrum.example/change"
 	"egretdrum.example/fleet"
+	"egretdrum.example/hostlist"
 	"egretdrum.example/rollout"
 )
 
@@ -35,6 +36,8 @@
 	// Explain explains an object; team names are qualified. If it is nil, the answer is
 	// ExplanationOf the configuration.
 	Explain func(ctx context.Context, kind, name string) (Explanation, error)
+	// Hosts reads the platform's host list. If it is nil, the list counts as empty.
+	Hosts func(ctx context.Context) ([]hostlist.Host, error)
 }
 
 // self names the answering entry host in the list of hosts that are behind.
@@ -53,6 +56,7 @@
 	mux.HandleFunc("GET /audit", a.audit)
 	mux.HandleFunc("GET /behind", a.behind)
 	mux.HandleFunc("GET /status", a.status)
+	mux.HandleFunc("GET /waves", a.waves)
 	mux.HandleFunc("GET /explain/{kind}/{name...}", a.explain)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
@@ -122,11 +126,11 @@
 	kind, name := r.PathValue("kind"), r.PathValue("name")
 	var err error
 	switch kind {
-	case KindRequest, KindHost:
+	case KindRequest, KindHost, KindMove, KindWave:
 	case KindTeam:
 		name, err = a.keeper.Config().Resolve(change.KindContract, name)
 	default:
-		err = &NotFoundError{Kind: kind, Name: name, Reason: "is not a kind that can be explained; accepted: request, host, team"}
+		err = &NotFoundError{Kind: kind, Name: name, Reason: "is not a kind that can be explained; accepted: request, host, team, move, wave"}
 	}
 	if err != nil {
 		writeError(w, statusOf(err), err)
@@ -138,7 +142,13 @@
 			return ExplanationOf(a.keeper.Config(), kind, name)
 		}
 	}
+	if kind == KindWave {
+		explain = func(ctx context.Context, _, name string) (Explanation, error) { return a.explainWave(ctx, name) }
+	}
 	e, err := explain(r.Context(), kind, name)
+	if err == nil && (kind == KindHost || kind == KindMove || kind == KindWave) {
+		a.addHistory(r.Context(), &e)
+	}
 	respond(w, e, err)
 }
 
--- a/operator/explanation.go
+++ b/operator/explanation.go
@@ -15,6 +15,8 @@
 	KindRequest = "request"
 	KindHost    = "host"
 	KindTeam    = "team"
+	KindMove    = "move"
+	KindWave    = "wave"
 )
 
 // Explanation says why an object is in its present state.
@@ -50,27 +52,41 @@
 		e.Facts = []Fact{{Name: "keys", Value: strconv.Itoa(len(c.Keys))}}
 		e.addLastChange(cfg, change.KindContract)
 		return e, nil
-	case KindHost:
+	case KindHost, KindMove:
 		w, ok := cfg.Workers[name]
 		if !ok {
 			return e, &NotFoundError{Kind: kind, Name: name, Reason: "is not in the configuration"}
 		}
-		e.Summary = fmt.Sprintf("%s serves in pool %s", name, w.Pool)
-		if w.Leaving {
-			e.Summary = fmt.Sprintf("%s is leaving pool %s and gets no new work", name, w.Pool)
+		e.addWorker(w)
+		if kind == KindMove && w.Move == nil {
+			e.Summary = fmt.Sprintf("%s is in no move; it is in pool %s", name, w.Pool)
 		}
-		e.Facts = []Fact{{Name: "pool", Value: w.Pool}, {Name: "leaving", Value: strconv.FormatBool(w.Leaving)}}
-		if p := w.Permit; p != nil {
-			e.Facts = append(e.Facts, Fact{Name: "permit", Value: fmt.Sprintf("%s since %s, forced %t", p.Cause, p.At.Format(time.RFC3339), p.Forced)})
-		}
-		e.addMove(w.Move)
-		e.addLastChange(cfg, change.KindWorker)
 		return e, nil
 	default:
 		return e, &NotFoundError{Kind: kind, Name: name, Reason: "this entry host keeps no record of it"}
 	}
 }
 
+// addWorker adds the state of a worker; its history follows from the audit trail.
+func (e *Explanation) addWorker(w fleet.Worker) {
+	e.Summary = fmt.Sprintf("%s serves in pool %s", e.Name, w.Pool)
+	if w.Leaving {
+		e.Summary = fmt.Sprintf("%s is leaving pool %s and gets no new work", e.Name, w.Pool)
+	}
+	e.Facts = []Fact{{Name: "pool", Value: w.Pool}, {Name: "leaving", Value: strconv.FormatBool(w.Leaving)}}
+	if p := w.Permit; p != nil {
+		e.Facts = append(e.Facts, Fact{Name: "permit", Value: fmt.Sprintf("%s since %s, forced %t", p.Cause, p.At.Format(time.RFC3339), p.Forced)})
+	}
+	if m := w.Maintenance; m != nil {
+		v := fmt.Sprintf("%s in wave %s since %s", m.Step, m.Wave, m.At.Format(time.RFC3339))
+		if m.Reason != "" {
+			v += ": " + m.Reason
+		}
+		e.Facts = append(e.Facts, Fact{Name: "maintenance", Value: v})
+	}
+	e.addMove(w.Move)
+}
+
 // addMove adds the state of a move in progress.
 func (e *Explanation) addMove(m *fleet.Move) {
 	if m == nil {
