entry: give the operator API the host list

Cause: the progress of a wave counts unplanned absences.

Change: API.Hosts reads the platform's host list.

Conclusion: any entry host answers for every wave.

--- a/entry/host.go
+++ b/entry/host.go
@@ -69,6 +69,7 @@
 	h.keeper.Check = maintenance.Check(client.Hosts)
 	h.api = operator.New(h.keeper)
 	h.api.Push = h.push
+	h.api.Hosts = client.Hosts
 	h.api.Admitting = func() error {
 		if h.node.MayAdmit(time.Now()) {
 			return nil
