Start, follow and control waves by command

Cause: waves had no operator interface.

Conclusion: a wave's finish time and the reason for each worker not done are visible from any entry host.

--- a/command/app.go
+++ b/command/app.go
@@ -33,6 +33,7 @@
 			keyCommand(),
 			poolCommand(),
 			moveCommand(),
+			waveCommand(),
 			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
--- a/command/explain.go
+++ b/command/explain.go
@@ -11,10 +11,12 @@
 
 func explainCommand() *cli.Command {
 	return group(
-		"explain", "say why a request, a host or a team is in its present state",
+		"explain", "say why a request, a host, a team, a move or a wave is in its present state",
 		explainLeaf(operator.KindRequest, "ID", ""),
 		explainLeaf(operator.KindHost, "NAME", change.KindWorker),
 		explainLeaf(operator.KindTeam, "NAME", change.KindContract),
+		explainLeaf(operator.KindMove, "WORKER", change.KindWorker),
+		explainLeaf(operator.KindWave, "NAME", change.KindWave),
 	)
 }
 
--- a/command/pool.go
+++ b/command/pool.go
@@ -169,6 +169,11 @@
 	if leaving && w.Permit == nil {
 		w.Permit = &fleet.Permit{ID: rand.Text(), Cause: fleet.CauseDrain, At: time.Now().UTC(), Forced: op.cmd.Bool("force")}
 	}
+	if m := w.Maintenance; !leaving && m != nil && m.Step == fleet.MaintenanceQuarantined {
+		returned := *m
+		returned.Step, returned.At, returned.Reason = fleet.MaintenanceReturning, time.Now().UTC(), "returned by "+operatorName()
+		w.Maintenance = &returned
+	}
 	p := proposal{action: action, kind: change.KindWorker, name: name, value: w}
 	if leaving {
 		p.cautions = append(p.cautions, fmt.Sprintf("stops new work on %s; pool %s has one worker less", name, w.Pool))
--- a/wave/control.go
+++ b/wave/control.go
@@ -61,13 +61,15 @@
 	if !ok {
 		return change.Change{}, &fleet.ReferenceError{Kind: change.KindWave, Name: name, From: "the command"}
 	}
-	accepted := map[fleet.WaveState][]fleet.WaveState{
-		fleet.WavePaused:  {fleet.WaveRunning},
-		fleet.WaveRunning: {fleet.WavePaused},
-		fleet.WaveAborted: {fleet.WaveRunning, fleet.WavePaused},
-	}[state]
-	if !slices.Contains(accepted, w.State) {
-		return change.Change{}, &fleet.RangeError{Field: "wave " + name + ": state", Value: string(w.State), Accepted: fmt.Sprintf("%v, to become %s", accepted, state)}
+	accepted, fits := "running or paused", w.State == fleet.WaveRunning || w.State == fleet.WavePaused
+	switch state {
+	case fleet.WavePaused:
+		accepted, fits = "running", w.State == fleet.WaveRunning
+	case fleet.WaveRunning:
+		accepted, fits = "paused", w.State == fleet.WavePaused
+	}
+	if !fits {
+		return change.Change{}, &fleet.RangeError{Field: "wave " + name + ": state", Value: string(w.State), Accepted: accepted + ", to become " + string(state)}
 	}
 	w.State, w.Cause, w.At, w.Return = state, cause, now, state == fleet.WaveAborted
 	return put(cfg, name, w, id, actions[state], cause)
