--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -140,6 +141,27 @@
 	}
 }
 
+// Guards against refusing a non-idempotent request that no minion has seen, although
+// another minion could answer: small bodies are kept, larger ones are still unread.
+func TestRetryOfUnsentBody(t *testing.T) {
+	s := newStage(t, 1, 2)
+	s.listed[0].Address = netip.MustParseAddrPort("127.0.0.1:1")
+	s.platform.SetHosts(s.listed)
+	s.platform.PublishHosts()
+	s.eventually(func() bool { // The host list is read each second.
+		before := len(s.minions[0].Runs())
+		for range 3 {
+			s.do(s.request(0, http.MethodGet, "", ""))
+		}
+		return len(s.minions[0].Runs()) == before
+	})
+	for _, size := range []int{1, 100, 200 << 10} {
+		resp, body := s.do(s.request(0, http.MethodPost, "", strings.Repeat("x", size)))
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		qt.Check(t, len(body), qt.Equals, size)
+	}
+}
+
 // Guards against slots and credits that stay taken when callers leave, and against work
 // that waits on after its caller has left.
 func TestCallersLeave(t *testing.T) {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,8 @@
 
 	kept  []byte // the body, if it was kept
 	whole bool   // kept is the whole body
+	// stream is the body that was not kept.
+	stream *countedBody
 	tried []string
 	// mayHaveRun is set once an attempt was sent without a usable answer.
 	mayHaveRun bool
@@ -108,17 +111,17 @@
 	return reason == "" && team == x.team
 }
 
-// keepBody reads a small body of an idempotent request, so that it can be sent again.
-// It reports false when the caller's body could not be read.
+// keepBody reads a small body, so that it can be sent again to another minion. A larger
+// one is streamed and can be sent again only while nothing of it was read. It reports
+// false when the caller's body could not be read.
 func (x *exchange) keepBody() bool {
-	if !isIdempotent(x.r.Method) {
-		return true
-	}
 	if x.r.ContentLength == 0 {
 		x.whole = true
 		return true
 	}
 	if x.r.ContentLength < 0 || x.r.ContentLength > keptBodyBytes {
+		x.stream = &countedBody{ReadCloser: x.r.Body}
+		x.r.Body = x.stream
 		return true
 	}
 	b, err := io.ReadAll(x.r.Body)
@@ -250,12 +253,25 @@
 	return true
 }
 
-// replayable reports whether the body can be sent again. A body that was not kept can
-// still be sent if it is empty.
+// replayable reports whether the body can be sent again.
 func (x *exchange) replayable() bool {
-	return x.whole || x.r.ContentLength == 0
+	return x.whole || (x.stream != nil && !x.stream.read.Load())
+}
+
+// countedBody notes whether anything of a body was read.
+type countedBody struct {
+	io.ReadCloser
+	read atomic.Bool
+}
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	b.read.Store(true)
+	return b.ReadCloser.Read(p)
 }
 
+// Close leaves the caller's body open for another attempt; the server closes it.
+func (b *countedBody) Close() error { return nil }
+
 // refuse answers in place of a minion.
 func (x *exchange) refuse(reason refusal.Reason, detail string, after time.Duration) {
 	run := refusal.RunNo
--- a/entry/host.go
+++ b/entry/host.go
@@ -164,7 +164,10 @@
 		every(ctx, node.TickInterval, func() { h.node.Tick(time.Now()) })
 	})
 	start(func(ctx context.Context) {
-		every(ctx, refreshInterval, func() { h.refresh(ctx) })
+		every(ctx, refreshInterval, func() {
+			h.refresh(ctx)
+			h.gauges()
+		})
 	})
 	driver := h.newDriver()
 	start(func(ctx context.Context) {
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -19,18 +19,15 @@
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
-	metrics := h.metrics.handler()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
-		h.gauges()
-		metrics.ServeHTTP(w, r)
-	})
+	mux.Handle("GET /metrics", h.metrics.handler())
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return mux
 }
 
-// gauges updates the values that are read rather than counted.
+// gauges updates the values that are read rather than counted. It runs each second,
+// because the reporter passes values on at that pace.
 func (h *Host) gauges() {
 	now := time.Now()
 	live, lost := h.node.Peers(now)
