--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -16,6 +16,7 @@
 	"egretdrum.example/change"
 	"egretdrum.example/fleet"
 	"egretdrum.example/minionfake"
+	"egretdrum.example/settings"
 )
 
 // Guards the callers' interface: each faulty request gets its own refusal and reaches no
@@ -188,7 +189,7 @@
 // Guards against a planned stop that cuts requests, and against slots that stay with the
 // host that left.
 func TestPlannedStop(t *testing.T) {
-	s := newStageStopping(t, 3, 3, 20*time.Second)
+	s := newStageWith(t, 3, 3, func(set *settings.Settings) { set.StopTimeout = 20 * time.Second })
 	for _, m := range s.minions {
 		m.Set(minionfake.Behaviour{Delay: 50 * time.Millisecond})
 	}
--- a/entry/stage_test.go
+++ b/entry/stage_test.go
@@ -42,16 +42,17 @@
 	stops    []func() error
 	key      string
 	store    string
-	// stopTimeout is short in most tests, whose hosts need not leave in good order.
-	stopTimeout time.Duration
+	edit     func(*settings.Settings)
+	scheme   string // of the operator API
 }
 
 func newStage(t testing.TB, hosts, minions int) *stage {
-	return newStageStopping(t, hosts, minions, 100*time.Millisecond)
+	return newStageWith(t, hosts, minions, func(*settings.Settings) {})
 }
 
-func newStageStopping(t testing.TB, hosts, minions int, stopTimeout time.Duration) *stage {
-	s := &stage{t: t, platform: platformfake.New(), stopTimeout: stopTimeout}
+// newStageWith changes the settings of its hosts.
+func newStageWith(t testing.TB, hosts, minions int, edit func(*settings.Settings)) *stage {
+	s := &stage{t: t, platform: platformfake.New(), edit: edit, scheme: "http"}
 	server := httptest.NewServer(s.platform.Handler())
 	t.Cleanup(server.Close)
 	s.store = server.URL
@@ -89,11 +90,17 @@
 
 func (s *stage) startHost(name string) {
 	local := netip.MustParseAddrPort("127.0.0.1:0")
-	h := entry.New(&settings.Settings{
+	// The stop timeout is short, because in most tests hosts need not leave in good order.
+	set := &settings.Settings{
 		Name: name, Zone: "a", CallersAddress: local, OperatorAddress: local, PeerAddress: local,
 		StoreURL: s.store, StoreTimeout: time.Second, ClusterSecret: "test-secret-test-secret",
-		MaxBodyBytes: 1 << 20, MaxConnections: 1000, HeaderTimeout: 10 * time.Second, StopTimeout: s.stopTimeout,
-	}, zap.NewNop())
+		MaxBodyBytes: 1 << 20, MaxConnections: 1000, HeaderTimeout: 10 * time.Second, StopTimeout: 100 * time.Millisecond,
+	}
+	s.edit(set)
+	if set.CertificateFile != "" {
+		s.scheme = "https"
+	}
+	h := entry.New(set, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	qt.Assert(s.t, h.Listen(ctx), qt.IsNil)
 	done := make(chan error, 1)
@@ -105,16 +112,7 @@
 		done <- err
 		return err
 	})
-	s.eventually(func() bool { return ready(h) })
-}
-
-func ready(h *entry.Host) bool {
-	resp, err := http.Get(fmt.Sprintf("http://%s/readyz", h.OperatorAddr()))
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	s.eventually(h.Ready)
 }
 
 // eventually polls until a condition holds; the bound only ends a test that hangs.
@@ -142,7 +140,7 @@
 // change sets one object through the first host and waits until all hosts have it.
 func (s *stage) change(kind, name string, after any) {
 	s.t.Helper()
-	api := "http://" + s.hosts[0].OperatorAddr().String()
+	api := s.scheme + "://" + s.hosts[0].OperatorAddr().String()
 	cfg, err := operator.Fetch(context.Background(), api)
 	qt.Assert(s.t, err, qt.IsNil)
 	before, err := cfg.Object(kind, name)
