--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -39,7 +39,6 @@
 	DuplicateRequest    Reason = "duplicate-request"
 	QueueFull           Reason = "queue-full"
 	DeadlineUnreachable Reason = "deadline-unreachable"
-	TeamLimit           Reason = "team-limit"
 	Draining            Reason = "draining"
 	NotAdmitting        Reason = "not-admitting"
 	NoMinion            Reason = "no-minion"
@@ -63,7 +62,6 @@
 	DuplicateRequest:    {http.StatusConflict, false},
 	QueueFull:           {http.StatusTooManyRequests, true},
 	DeadlineUnreachable: {http.StatusTooManyRequests, true},
-	TeamLimit:           {http.StatusTooManyRequests, true},
 	Draining:            {http.StatusServiceUnavailable, true},
 	NotAdmitting:        {http.StatusServiceUnavailable, true},
 	NoMinion:            {http.StatusServiceUnavailable, true},
