Count refusals that come before the key is accepted

Cause: requests refused as bad-request, draining, service-unknown, key-missing or key-unknown on arrival were missing from the counter egretdrum_refusals, so a caller with a withdrawn key was invisible. Change: these refusals are counted. They are still not logged, so that callers without a key cannot fill the log.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -15,28 +15,35 @@
 	}
 	req, err := parseRequest(r, time.Now())
 	if err != nil {
-		refusal.BadRequest.Write(w, req.id, refusal.RunNo, err.Error(), 0)
+		h.refuse(w, req.id, refusal.BadRequest, err.Error(), 0)
 		return
 	}
 	if h.stopping.Load() {
-		refusal.Draining.Write(w, req.id, refusal.RunNo, "this entry host is stopping", time.Second)
+		h.refuse(w, req.id, refusal.Draining, "this entry host is stopping", time.Second)
 		return
 	}
 	cfg := h.keeper.Config()
 	service, ok := cfg.Services[req.service]
 	if !ok {
-		refusal.ServiceUnknown.Write(w, req.id, refusal.RunNo, "no service "+req.service, 0)
+		h.refuse(w, req.id, refusal.ServiceUnknown, "no service "+req.service, 0)
 		return
 	}
 	team, reason := authenticate(cfg, service, req.secret)
 	if reason != "" {
-		reason.Write(w, req.id, refusal.RunNo, "the request needs a key that is in force", 0)
+		h.refuse(w, req.id, reason, "the request needs a key that is in force", 0)
 		return
 	}
 	x := &exchange{host: h, w: w, r: r, request: req, team: team, pool: service.Pool}
 	x.run()
 }
 
+// refuse answers a request that did not become an exchange. It is counted and not logged,
+// so that callers without a key cannot fill the log.
+func (h *Host) refuse(w http.ResponseWriter, id string, reason refusal.Reason, detail string, after time.Duration) {
+	h.metrics.refused(reason)
+	reason.Write(w, id, refusal.RunNo, detail, after)
+}
+
 // openTeam is the team of requests without a key to services that are open to all. It
 // has no contract, so its limit is that of the service's open contract.
 const openTeam = "open"
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -115,7 +115,7 @@
 	}
 	b, err := io.ReadAll(x.r.Body)
 	if err != nil {
-		refusal.BadRequest.Write(x.w, x.request.id, refusal.RunNo, "the request body could not be read", 0)
+		x.host.refuse(x.w, x.request.id, refusal.BadRequest, "the request body could not be read", 0)
 		return false
 	}
 	x.kept, x.whole = b, true
