--- a/cmd/egretdrum/process_test.go
+++ b/cmd/egretdrum/process_test.go
@@ -100,19 +100,27 @@
 	return strings.TrimSpace(string(out))
 }
 
-// waitFor polls until the address answers; only a dead process makes it give up.
+// waitFor polls until the address answers.
 func (b *bench) waitFor(url string) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	for ctx.Err() == nil {
+	b.eventually(url+" answers", func() bool {
 		resp, err := http.Get(url)
 		if err == nil {
 			resp.Body.Close()
-			return
 		}
-		time.Sleep(10 * time.Millisecond)
+		return err == nil
+	})
+}
+
+// eventually polls until the condition holds.
+func (b *bench) eventually(what string, done func() bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for !done() {
+		if ctx.Err() != nil {
+			b.c.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
-	b.c.Fatalf("%s does not answer", url)
 }
 
 func (b *bench) file(name, content string) string {
@@ -189,6 +197,18 @@
 		c.Check(resp.StatusCode, qt.Equals, http.StatusUnauthorized)
 		c.Check(resp.Header.Get("Egretdrum-Run"), qt.Equals, "no")
 	})
+	// A refusal before the key is accepted used to be missing from the counter.
+	b.c.Run("counted refusal", func(c *qt.C) {
+		counted := func() bool {
+			resp, err := http.Get(api + "/metrics")
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			page, err := io.ReadAll(resp.Body)
+			c.Assert(err, qt.IsNil)
+			return strings.Contains(string(page), `egretdrum_refusals{reason="key_unknown"} 1`)
+		}
+		b.eventually("refusal in the metrics", counted)
+	})
 	b.c.Run("runs recorded by the minion", func(c *qt.C) {
 		resp, err := http.Get(fmt.Sprintf("http://%s/stand-in/runs", control))
 		c.Assert(err, qt.IsNil)
