Run the measurements of shapes and demands at the same time

Cause: the test of the measures page took 9 s.

Change: each shape and demand runs in a goroutine of its own; the rows keep their order.

Measured: go test ./command 10.4 s before, 6.2 s after; the same rows.

--- a/command/measure.go
+++ b/command/measure.go
@@ -24,12 +24,16 @@
 		Name:  "policy",
 		Usage: "measure buffer cost, moves, late work and distance to share next to baselines and the previous result",
 		Flags: []cli.Flag{outputFlag()},
-		Action: func(_ context.Context, cmd *cli.Command) error {
+		Action: func(ctx context.Context, cmd *cli.Command) error {
 			before, err := measure.Previous()
 			if err != nil {
 				return err
 			}
-			op, now := &operation{cmd: cmd}, measure.Policies()
+			now, err := measure.Policies(ctx)
+			if err != nil {
+				return err
+			}
+			op := &operation{cmd: cmd}
 			if op.isJSON() {
 				return op.show(policyView{now, now.Aims(), before}, nil)
 			}
--- a/measure/result.go
+++ b/measure/result.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"context"
 	_ "embed" // for the previous result
 	"encoding/json"
 	"math"
@@ -61,48 +62,80 @@
 	return nil
 }
 
-// Policies measures the policy and its baselines on all shapes and demands.
-func Policies() (r Result) {
+// task is the measurement of one shape and demand.
+type task struct {
+	shape  shape
+	demand string
+	rows   []Row
+}
+
+// Policies measures the policy and its baselines on all shapes and demands. The tasks run
+// at the same time, each with its own seed, so that the result does not depend on their
+// order. It returns an error only if the context ends.
+func Policies(ctx context.Context) (Result, error) {
+	var tasks []*task
 	for _, s := range shapes {
 		for _, demand := range []string{demandBursts, demandFree, demandShort, demandRise} {
-			s := s
+			t := &task{shape: s, demand: demand}
 			if demand == demandFree {
-				s.minAvailable = 0
-			}
-			for _, row := range s.measure(s.requests(demand)) {
-				row.Shape, row.Demand = s.name, demand
-				r.Policies = append(r.Policies, row)
+				t.shape.minAvailable = 0
 			}
+			tasks = append(tasks, t)
 		}
+	}
+	done := make(chan struct{})
+	for _, t := range tasks {
+		go func() {
+			t.run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range tasks {
+		<-done
+	}
+	var r Result
+	for _, t := range tasks {
+		r.Policies = append(r.Policies, t.rows...)
+	}
+	for _, s := range shapes {
 		r.Distances = append(r.Distances, s.distances()...)
 	}
-	return r
+	return r, ctx.Err()
 }
 
-func (s shape) measure(requests []request) (out []Row) {
-	for _, c := range []struct {
-		name string
-		make func(shape) (decider, []buffer.Worker)
-	}{
-		{rowPolicy, policy},
-		{rowFixed, fixed(workers, allSlots)},
-		{rowFixed32, fixed(workers, 32)},
-		{rowFixed16, fixed(workers, 16)},
-		{rowFixed90, fixed(burstWorkers, allSlots)},
-		{rowThreshold, threshold},
-	} {
-		by, members := c.make(s)
-		w := newWorld(s, members)
+// run measures all policies and then the bound, unless the context ends before.
+func (t *task) run(ctx context.Context) {
+	requests := t.shape.requests(t.demand)
+	for _, c := range candidates {
+		if ctx.Err() != nil {
+			return
+		}
+		by, members := c.make(t.shape)
+		w := newWorld(t.shape, members)
 		w.by = by
 		row := w.run(requests)
 		row.Policy = c.name
-		out = append(out, row)
+		t.rows = append(t.rows, row)
 	}
-	least := bound(s, requests)
-	for i := range out {
-		out[i].Floor = least.Floor
+	least := bound(t.shape, requests)
+	t.rows = append(t.rows, least)
+	for i := range t.rows {
+		r := &t.rows[i]
+		r.Shape, r.Demand, r.Floor = t.shape.name, t.demand, least.Floor
 	}
-	return append(out, least)
+}
+
+// candidates are the policy and the baselines that run in the model.
+var candidates = []struct {
+	name string
+	make func(shape) (decider, []buffer.Worker)
+}{
+	{rowPolicy, policy},
+	{rowFixed, fixed(workers, allSlots)},
+	{rowFixed32, fixed(workers, 32)},
+	{rowFixed16, fixed(workers, 16)},
+	{rowFixed90, fixed(burstWorkers, allSlots)},
+	{rowThreshold, threshold},
 }
 
 func round(x float64) int { return int(math.Round(x)) }
