--- a/node/grants.go
+++ b/node/grants.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -65,7 +64,7 @@
 		Host: n.self.Name, Zone: n.self.Zone, Service: f.pool, Team: f.team,
 		Urgent:   n.router.Asked(f.pool, f.team, true, host),
 		Ordinary: n.router.Asked(f.pool, f.team, false, host),
-		Excluded: slices.Sorted(maps.Keys(n.excluded[f])),
+		Excluded: sortedKeys(n.excluded[f]),
 	}
 }
 
@@ -77,7 +76,8 @@
 	}
 	for again := true; again; {
 		again = false
-		for _, g := range slices.Clone(n.alloc.Grants(now)) {
+		n.granting = append(n.granting[:0], n.alloc.Grants(now)...)
+		for _, g := range n.granting {
 			if g.Host != n.self.Name {
 				n.out.grant(g.Host, g)
 				continue
--- a/node/node.go
+++ b/node/node.go
@@ -80,8 +80,9 @@
 	mint     map[string]int64
 	signs    map[string]time.Time // minions seen to be leaving
 	runTimes map[flow]*runTime
-	repeated time.Time // last repetition of demands
-	credited time.Time // last exchange of credits
+	granting []slot.Grant // scratch space of pump
+	repeated time.Time    // last repetition of demands
+	credited time.Time    // last exchange of credits
 	// abandoned holds calls without a response whose requests may still be running, with
 	// the time at which they must have ended.
 	abandoned map[*Call]time.Time
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -56,7 +56,7 @@
 // lock, because demands are absolute and must arrive in the order of their making.
 func (n *Node) flush(now time.Time) {
 	defer n.mu.Unlock()
-	for _, host := range slices.Sorted(maps.Keys(n.out.slots)) {
+	for _, host := range sortedKeys(n.out.slots) {
 		m := n.out.slots[host]
 		for f := range n.out.demands[host] {
 			m.Demands = append(m.Demands, n.demandOf(f, host))
@@ -65,12 +65,21 @@
 	}
 	clear(n.out.slots)
 	clear(n.out.demands)
-	for _, host := range slices.Sorted(maps.Keys(n.out.grants)) {
+	for _, host := range sortedKeys(n.out.grants) {
 		n.sendGrants(now, host, n.out.grants[host])
 	}
 	clear(n.out.grants)
 }
 
+// sortedKeys gives loops over maps a fixed order. Most events leave the maps empty, and
+// then it costs nothing.
+func sortedKeys[V any](m map[string]V) []string {
+	if len(m) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(m))
+}
+
 // sendGrants takes grants back that were not queued for sending: the host never sees
 // them.
 func (n *Node) sendGrants(now time.Time, host string, grants []slot.Grant) {
