Judge a reclaim by each member list, let a lone member depend on its store lease

Cause: the rule compared the members without a confirmation from all lists since the lost member's last report with the smallest of these lists. A member that crashed while another reclaim was under way counted the reclaimed one against the shorter list, and a list with one member is its own majority, so a founder or a member that ended alone could never be removed.

Change: the rule is applied to each list by itself, because a host counts peer leases only from members of the list that it has adopted. A lone member admits with its store lease only, so its list does not count.

Before: a lone member was never removed (epoch.Reclaim returned ReclaimError for each epoch after it). After: the property test of epoch, whose oracle already judged by list, passes with its broken variants caught.

--- a/epoch/reclaim.go
+++ b/epoch/reclaim.go
@@ -56,7 +56,8 @@
 	return nil
 }
 
-// checkLost applies the rule unknown + 1 < majority(smallest size) to one lost member.
+// checkLost applies the rule unknown + 1 < majority to each member list that a lost member
+// may still be using.
 func (e *Epoch) checkLost(lost ID, together []ID, confirms []Confirm) error {
 	if !e.Has(lost) {
 		return &MemberError{Member: lost, Problem: "not a member"}
@@ -76,9 +77,16 @@
 	if e.faults.countCurrentOnly {
 		lists = lists[len(lists)-1:]
 	}
-	unknown, smallest := countUnknown(lost, lists, confirmed)
-	if unknown+1 >= Majority(smallest) {
-		return &ReclaimError{Member: lost, Unknown: unknown, SmallestSize: smallest}
+	for _, id := range ended(lists) {
+		confirmed[id] = true
+	}
+	for _, p := range lists {
+		if len(p.Members) == 1 {
+			continue // a lone member admits with its store lease only
+		}
+		if unknown := countUnknown(lost, p.Members, confirmed); unknown+1 >= Majority(len(p.Members)) {
+			return &ReclaimError{Member: lost, Unknown: unknown, Size: len(p.Members)}
+		}
 	}
 	return nil
 }
@@ -107,25 +115,21 @@
 	return nil, false
 }
 
-// countUnknown counts the members that may still have a peer lease to lost outstanding.
-func countUnknown(lost ID, lists []Past, confirmed map[ID]bool) (unknown, smallest int) {
-	smallest = len(lists[0].Members)
-	may := make(map[ID]bool)
-	for _, p := range lists {
-		smallest = min(smallest, len(p.Members))
-		for _, id := range p.Members {
-			may[id] = id != lost && !confirmed[id]
-		}
-	}
+func ended(lists []Past) (ids []ID) {
 	for _, p := range lists {
-		for _, id := range p.Ended {
-			may[id] = false
-		}
+		ids = append(ids, p.Ended...)
 	}
-	for _, m := range may {
-		if m {
+	return ids
+}
+
+// countUnknown counts the members of one list that may still have a peer lease to lost
+// outstanding. A host counts leases only from members of the list that it has adopted, so
+// lost members of other lists do not matter here.
+func countUnknown(lost ID, members []ID, confirmed map[ID]bool) (unknown int) {
+	for _, id := range members {
+		if id != lost && !confirmed[id] {
 			unknown++
 		}
 	}
-	return unknown, smallest
+	return unknown
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,7 +8,6 @@
 package lease
 
 import (
-	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -27,7 +26,6 @@
 	StoreTTL = 4 * time.Second
 	// sentKept heartbeats cover 4 s at 250 ms; answers to older ones are useless.
 	sentKept = 16
-	forever  = time.Duration(math.MaxInt64)
 )
 
 // Beat is the part of a heartbeat that asks for a lease and answers the receiver's last
@@ -152,7 +150,9 @@
 func (l *Lease) majorityUntil() time.Duration {
 	needed := epoch.Majority(len(l.ep.Members)) - 1
 	if needed == 0 {
-		return forever
+		// A lone member would be its own majority for ever and could never be removed from
+		// the epoch. It has only its store lease.
+		return 0
 	}
 	ends := make([]time.Duration, 0, len(l.ep.Members))
 	for _, m := range l.ep.Members {
