Make the membership steps that follow lost answers and reclaims

Cause and change, each with a test in agent_test.go: - After a new store lease whose epoch step failed, renewals succeeded but the lease never counted. The step is now repeated until it succeeds. - Nothing answered Beat.Reclaiming. The agent now makes a Touch step. - A leaving host whose last answer was lost waited until its context ended, because the others no longer answer it. It now ends when it is removed. - A reclaim uses its confirmations only if no step was made since the lapse of the lost member's lease was seen.

--- a/membership/agent.go
+++ b/membership/agent.go
@@ -34,10 +34,12 @@
 	node  *node.Node
 	self  epoch.Member
 
-	leaseID  string
-	renewed  time.Time
-	read     time.Time
-	revision uint64 // of the epoch document that the node has adopted
+	leaseID string
+	// confirmed tells that the epoch step that must follow a new store lease was made.
+	confirmed bool
+	renewed   time.Time
+	read      time.Time
+	revision  uint64 // of the epoch document that the node has adopted
 }
 
 // New returns an agent that has not joined.
@@ -82,6 +84,7 @@
 	a.node.StoreCreated(started)
 	a.node.AdoptEpoch(time.Now(), next)
 	a.node.StoreConfirmed()
+	a.confirmed = true
 	a.renewed = started
 	return a.node, nil
 }
@@ -166,7 +169,7 @@
 
 // step does what is due. A failed step is logged and repeated at a later tick.
 func (a *Agent) step(ctx context.Context) {
-	for _, do := range []func(context.Context) error{a.renew, a.refresh, a.mint, a.reclaim} {
+	for _, do := range []func(context.Context) error{a.renew, a.refresh, a.touch, a.mint, a.reclaim} {
 		if err := do(ctx); err != nil {
 			a.log.Warn("membership-step-failed", zap.Error(err))
 		}
@@ -179,6 +182,9 @@
 		return nil
 	}
 	a.renewed = now
+	if !a.confirmed {
+		return a.replaceLease(ctx)
+	}
 	err := a.store.RenewLease(ctx, a.leaseID)
 	var missing *store.NotFoundError
 	switch {
@@ -196,6 +202,7 @@
 // before the lease counts, so that a reclaim that saw the lapse loses its swap.
 func (a *Agent) replaceLease(ctx context.Context) error {
 	a.node.StoreLapsed()
+	a.confirmed = false
 	sent := time.Now()
 	if err := a.createLease(ctx, a.self.Name); err != nil {
 		return err
@@ -206,6 +213,7 @@
 		return err
 	}
 	a.node.StoreConfirmed()
+	a.confirmed = true
 	a.log.Info("store-lease-replaced")
 	return nil
 }
@@ -243,6 +251,15 @@
 	return nil
 }
 
+// touch answers a reclaim of this host that a peer has confirmed: the epoch step makes the
+// reclaimer's swap fail, because this host is alive.
+func (a *Agent) touch(ctx context.Context) error {
+	if !a.node.Reclaiming() {
+		return nil
+	}
+	return a.change(ctx, func(e *epoch.Epoch) (*epoch.Epoch, error) { return e.Touch(a.self.ID()) })
+}
+
 func (a *Agent) mint(ctx context.Context) error {
 	amounts := a.node.Mint()
 	if len(amounts) == 0 {
--- /dev/null
+++ b/membership/agent_test.go
@@ -0,0 +1,136 @@
+package membership
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/epoch"
+	"egretdrum.example/lease"
+	"egretdrum.example/platformfake"
+	"egretdrum.example/store"
+)
+
+func platform(t *testing.T) (*platformfake.Platform, *store.Client) {
+	p := platformfake.New()
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	return p, store.New(srv.URL, time.Second)
+}
+
+func join(t *testing.T, s *store.Client, name string) *Agent {
+	t.Helper()
+	a := New(s, zap.NewNop())
+	_, err := a.Join(t.Context(), epoch.Member{Name: name, Zone: "z", Peer: netip.MustParseAddrPort("127.0.0.1:1")})
+	qt.Assert(t, err, qt.IsNil)
+	return a
+}
+
+func stored(t *testing.T, p *platformfake.Platform) *epoch.Epoch {
+	t.Helper()
+	e, err := epoch.Decode(p.Value(epochKey))
+	qt.Assert(t, err, qt.IsNil)
+	return e
+}
+
+// Guards against a host that stays without its store lease when the epoch step that must
+// follow a new one failed once: every later renewal succeeds, but the lease never counts.
+func TestLeaseCountsAfterFailedTouch(t *testing.T) {
+	p, s := platform(t)
+	a := join(t, s, "a")
+	qt.Assert(t, s.EndLease(t.Context(), a.leaseID), qt.IsNil)
+	lapse := func() { a.renewed = time.Time{} }
+	lapse()
+	// The old epoch is read, so the Touch loses its swap.
+	_ = a.change(t.Context(), func(e *epoch.Epoch) (*epoch.Epoch, error) { return e.Touch(a.self.ID()) })
+	p.SetStale(true)
+	qt.Assert(t, a.renew(t.Context()), qt.IsNotNil)
+	qt.Check(t, a.node.MayAdmit(time.Now()), qt.IsFalse)
+	p.SetStale(false)
+	lapse()
+	qt.Assert(t, a.renew(t.Context()), qt.IsNil)
+	qt.Check(t, a.node.MayAdmit(time.Now()), qt.IsTrue)
+}
+
+// Guards against a reclaim of a live host that was only taken for a lost one: its peers
+// confirmed, and its store lease lapsed while it was paused.
+func TestHostThatIsReclaimedTouches(t *testing.T) {
+	p, s := platform(t)
+	a, b := join(t, s, "a"), join(t, s, "b")
+	qt.Assert(t, a.adoptNewest(t.Context()), qt.IsNil)
+	before := stored(t, p).Number
+	body, err := cbor.Marshal(struct {
+		Beat lease.Beat `cbor:"beat"`
+	}{lease.Beat{Number: 1, Epoch: before, Reclaiming: true}})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = a.node.Receive(time.Now(), b.self.ID(), "heartbeat", func(v any) error { return cbor.Unmarshal(body, v) })
+	qt.Assert(t, err, qt.IsNil)
+	a.step(t.Context())
+	qt.Check(t, stored(t, p).Number, qt.Equals, before+1)
+	a.step(t.Context())
+	qt.Check(t, stored(t, p).Number, qt.Equals, before+1, qt.Commentf("one step for one reclaim"))
+}
+
+// Guards against a leaving host that waits for ever when the answer to its last step was
+// lost: the others no longer answer a host that is not a member.
+func TestLeaveAfterLostAnswer(t *testing.T) {
+	p, s := platform(t)
+	a, b := join(t, s, "a"), join(t, s, "b")
+	gone := []epoch.ID{a.self.ID()}
+	err := b.change(t.Context(), func(e *epoch.Epoch) (*epoch.Epoch, error) {
+		return e.Leave(gone[0], b.self.ID(), []epoch.Confirm{{Member: b.self.ID(), Number: e.Number, Lost: gone}})
+	})
+	qt.Assert(t, err, qt.IsNil)
+	number := stored(t, p).Number
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	qt.Check(t, a.Leave(ctx), qt.IsNil)
+	qt.Check(t, stored(t, p).Number, qt.Equals, number)
+	qt.Check(t, p.Value(hostPrefix+"a"), qt.IsNil)
+}
+
+// Guards against steps that are done twice or not adopted after a lost answer, also when
+// the read that should settle it returns an old value.
+func TestLostAnswers(t *testing.T) {
+	p, s := platform(t)
+	p.LoseWrites(1) // of the host's key
+	a := join(t, s, "a")
+	qt.Check(t, len(stored(t, p).Members), qt.Equals, 1)
+	touch := func(e *epoch.Epoch) (*epoch.Epoch, error) { return e.Touch(a.self.ID()) }
+	before := stored(t, p).Number
+	p.LoseWrites(1)
+	qt.Check(t, a.change(t.Context(), touch), qt.IsNil)
+	qt.Check(t, a.node.Epoch().Number, qt.Equals, before+1)
+
+	e, revision, err := a.load(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	next, err := touch(e)
+	qt.Assert(t, err, qt.IsNil)
+	p.LoseWrites(1)
+	p.SetStale(true)
+	qt.Check(t, a.swap(t.Context(), next, revision), qt.IsNotNil)
+	qt.Check(t, a.adoptNewest(t.Context()), qt.IsNil)
+	qt.Check(t, a.node.Epoch().Number, qt.Equals, before+1, qt.Commentf("an old value changes nothing"))
+	p.SetStale(false)
+	qt.Check(t, a.adoptNewest(t.Context()), qt.IsNil)
+	qt.Check(t, a.node.Epoch().Number, qt.Equals, before+2)
+}
+
+// Guards against a host that joined without knowing it and stays beside its own second
+// incarnation.
+func TestJoinAfterLostAnswer(t *testing.T) {
+	p, s := platform(t)
+	join(t, s, "b")
+	p.HoldWrites(1) // the join is refused late, the host key is written again
+	a := join(t, s, "a")
+	p.ReleaseWrites()
+	e := stored(t, p)
+	qt.Check(t, len(e.Members), qt.Equals, 2)
+	qt.Check(t, e.Has(a.self.ID()), qt.IsTrue)
+}
--- a/membership/reclaim.go
+++ b/membership/reclaim.go
@@ -27,7 +27,9 @@
 	}
 	a.node.Reclaim(time.Now(), lost, false)
 	ask, confirms, ok := a.node.Confirmed()
-	if !ok || !slices.Equal(ask.Lost, append(slices.Clone(lost), e.Departed...)) {
+	// A member whose lease was found lapsed may have made a step since e, which shows that
+	// it is alive.
+	if !ok || ask.Number != e.Number || !slices.Equal(ask.Lost, append(slices.Clone(lost), e.Departed...)) {
 		return nil
 	}
 	err = a.change(ctx, func(e *epoch.Epoch) (*epoch.Epoch, error) {
@@ -95,11 +97,15 @@
 	if err := a.refresh(ctx); err != nil {
 		return false, err
 	}
+	if a.node.Removed() {
+		// The answer to an earlier attempt was lost, or the others have reclaimed this host.
+		return true, a.store.EndLease(ctx, a.leaseID)
+	}
 	a.node.HandOver(now)
 	successor, ok := a.node.Successor()
 	if !ok {
-		// The last host has nobody to pass anything on to; the next one to start finds
-		// it as a lost member.
+		// The last host has nobody to pass anything on to; the next one to start reclaims
+		// it, because a lone member admits with its store lease only.
 		return true, a.store.EndLease(ctx, a.leaseID)
 	}
 	if !a.node.HandedOver(now) {
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,8 @@
 	mint     map[string]int64
 	signs    map[string]time.Time // minions seen to be leaving
 	claims   claims
+	// reclaimedAt is the epoch in which a peer confirmed the reclaim of this host.
+	reclaimedAt uint64
 }
 
 // minion is one back end of a pool with the member that owns its slots.
--- a/node/peers.go
+++ b/node/peers.go
@@ -81,6 +81,9 @@
 		return
 	}
 	p.heard, p.synced, p.config = now, m.Synced, m.Beat.Config
+	if m.Beat.Reclaiming && m.Beat.Epoch == n.ep.Number {
+		n.reclaimedAt = n.ep.Number
+	}
 	for _, s := range m.Free {
 		n.router.Report(s.Pool, from.Name(), s.Free)
 	}
@@ -162,6 +165,14 @@
 	return slices.ContainsFunc(n.ep.Members, func(m epoch.Member) bool { return n.lease.Behind(m.ID()) })
 }
 
+// Reclaiming reports whether a peer has confirmed the reclaim of this host from the
+// adopted epoch. The host then makes an epoch step, which shows that it is alive.
+func (n *Node) Reclaiming() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reclaimedAt > 0 && n.reclaimedAt == n.ep.Number
+}
+
 // Peers returns the members that were heard lately, and those that were not.
 func (n *Node) Peers(now time.Time) (live, lost []string) {
 	n.mu.Lock()
