Know the senders of slot demand by incarnation

Cause: the owner asked the present host of a name about grants older than 10 s. A replacement under the same name does not hold the grants of its crashed predecessor and released them, while the predecessor's requests still ran, so a minion got more than its slots. The replacement also got no report of free slots that had not changed since its predecessor heard them.

Change: the allocator knows senders by incarnation, only the same incarnation is asked, and the state of a peer ends with its incarnation.

--- a/node/grants.go
+++ b/node/grants.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"egretdrum.example/epoch"
 	"egretdrum.example/slot"
 )
 
@@ -41,7 +42,7 @@
 
 func (n *Node) demandOf(f flow, host string) slot.Demand {
 	return slot.Demand{
-		Host: n.self.Name, Zone: n.self.Zone, Service: f.pool, Team: f.team,
+		Host: string(n.id), Zone: n.self.Zone, Service: f.pool, Team: f.team,
 		Urgent:   n.router.Asked(f.pool, f.team, true, host),
 		Ordinary: n.router.Asked(f.pool, f.team, false, host),
 		Excluded: slices.Sorted(maps.Keys(n.excluded[f])),
@@ -57,8 +58,8 @@
 	for again := true; again; {
 		again = false
 		for _, g := range slices.Clone(n.alloc.Grants(now)) {
-			if g.Host != n.self.Name {
-				n.out.grant(g.Host, g)
+			if g.Host != string(n.id) {
+				n.out.grant(epoch.ID(g.Host).Name(), g)
 				continue
 			}
 			again = n.take(now, n.self.Name, g) || again
@@ -135,9 +136,11 @@
 	}
 }
 
-func (n *Node) onSlots(now time.Time, from string, m slotsMessage) {
+// onSlots takes a sender's message. The allocator knows senders by incarnation: work of a
+// crashed one may still run, and its replacement under the same name does not know of it.
+func (n *Node) onSlots(now time.Time, from epoch.ID, m slotsMessage) {
 	for _, d := range m.Demands {
-		d.Host = from
+		d.Host = string(from)
 		n.alloc.Demand(now, d)
 	}
 	for _, b := range m.Binds {
@@ -158,8 +161,10 @@
 // checkGrants asks senders about grants that are old.
 func (n *Node) checkGrants(now time.Time) {
 	for host, ids := range n.alloc.Overdue(now, checkAfter) {
-		if host != n.self.Name {
-			n.sendTo(n.member(host).ID(), kindGrantsCheck, grantsCheck{IDs: ids})
+		if id := epoch.ID(host); id != n.id {
+			if n.ep.Has(id) {
+				n.sendTo(id, kindGrantsCheck, grantsCheck{IDs: ids})
+			}
 			continue
 		}
 		for _, id := range ids {
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 type flow struct{ pool, team string }
 
 type peerState struct {
+	id     epoch.ID
 	heard  time.Time
 	beat   time.Time
 	free   map[string]int // last sent, by pool
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -75,8 +75,8 @@
 	if n.Send(host, kindGrants, grantsMessage{Grants: grants}) == nil {
 		return
 	}
-	n.alloc.DropHost(now, host)
 	for _, g := range grants {
+		n.alloc.DropHost(now, g.Host)
 		n.alloc.Release(now, g.ID, slot.Unused)
 	}
 }
--- a/node/owners.go
+++ b/node/owners.go
@@ -91,15 +91,15 @@
 
 // dropPeers forgets peers that are no longer members, with their demand.
 func (n *Node) dropPeers(now time.Time) {
-	for name := range n.peers {
-		if !slices.ContainsFunc(n.ep.Members, func(m epoch.Member) bool { return m.Name == name }) {
+	for name, p := range n.peers {
+		if !n.ep.Has(p.id) {
 			delete(n.peers, name)
-			n.alloc.DropHost(now, name)
+			n.alloc.DropHost(now, string(p.id))
 		}
 	}
 	for _, m := range n.ep.Members {
 		if m.Name != n.self.Name && n.peers[m.Name] == nil {
-			n.peers[m.Name] = &peerState{heard: now, free: make(map[string]int)}
+			n.peers[m.Name] = &peerState{id: m.ID(), heard: now, free: make(map[string]int)}
 		}
 	}
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,7 +23,7 @@
 	case kindCredit:
 		return true, handle(n, now, decode, func(m credit.Message) { n.onCredit(now, from, m) })
 	case kindSlots:
-		return true, handle(n, now, decode, func(m slotsMessage) { n.onSlots(now, from.Name(), m) })
+		return true, handle(n, now, decode, func(m slotsMessage) { n.onSlots(now, from, m) })
 	case kindGrants:
 		return true, handle(n, now, decode, func(m grantsMessage) { n.onGrants(now, from.Name(), m) })
 	case kindGrantsCheck:
@@ -126,7 +126,7 @@
 			Beat: n.lease.Beat(now, m.ID()), Free: p.changed(free), Synced: n.syncedList(),
 		})
 		if n.lost(now, m.Name) {
-			n.alloc.DropHost(now, m.Name)
+			n.alloc.DropHost(now, string(m.ID()))
 		}
 	}
 }
