Grant a moved worker's slots only after its old pool's grants ended

Cause: the allocator counts slots by pool. A worker that was moved to another pool while it ran requests was granted in full again there.

Change: the owner grants nothing of a worker in its new pool while a grant of another pool is open on it, its own or one that it took over, and looks again every 250 ms.

Conclusion: a move costs the time until the worker is empty.

--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,8 @@
 	handOver map[string]bool // successors that have not acknowledged the hand-over
 	mint     map[string]int64
 	signs    map[string]time.Time // minions seen to be leaving
+	moving   map[string]bool      // workers with grants of a pool that they have left
+	moved    time.Time            // of the last look at them
 	claims   claims
 	// reclaimedAt is the epoch in which a peer confirmed the reclaim of this host.
 	reclaimedAt uint64
--- a/node/owners.go
+++ b/node/owners.go
@@ -14,6 +14,10 @@
 // list confirms it.
 const signPeriod = 30 * time.Second
 
+// moveInterval is how often the owner looks whether workers that change their pool are
+// empty.
+const moveInterval = 250 * time.Millisecond
+
 // AdoptEpoch takes a newer epoch.
 func (n *Node) AdoptEpoch(now time.Time, e *epoch.Epoch) {
 	n.mu.Lock()
@@ -126,6 +130,7 @@
 			n.router.SetOwners(pool, nil)
 		}
 	}
+	n.findMoving(now)
 	for pool, minions := range n.pools {
 		n.alloc.SetMinions(now, pool, n.granted(now, minions))
 		n.router.SetOwners(pool, n.owners(pool, minions))
@@ -134,10 +139,22 @@
 	n.pump(now)
 }
 
+// findMoving finds the workers that still run requests of a pool that they have left.
+// Slots are counted by pool, so such a worker gets no grants in its new pool before these
+// have ended.
+func (n *Node) findMoving(now time.Time) {
+	n.moving, n.moved = make(map[string]bool), now
+	for _, held := range n.alloc.Table(now, func(string) bool { return true }).Grants {
+		if g := held.Grant; n.cfg.Workers[g.Minion].Pool != g.Service {
+			n.moving[g.Minion] = true
+		}
+	}
+}
+
 func (n *Node) granted(now time.Time, minions []minion) []slot.Target {
 	var targets []slot.Target
 	for _, m := range minions {
-		if m.owner.ID() == n.id && n.table.MayGrant(now, m.host.Worker) {
+		if m.owner.ID() == n.id && !n.moving[m.host.Worker] && n.table.MayGrant(now, m.host.Worker) {
 			targets = append(targets, slot.Target{
 				Name: m.host.Worker, Zone: m.host.Zone, Slots: m.host.Slots, Leaving: m.host.Leaving,
 			})
@@ -177,7 +194,7 @@
 	for _, id := range n.table.Pending() {
 		n.sendTo(epoch.ID(id), kindOwnerSyncAsk, ownerSyncAsk{Epoch: n.table.Epoch()})
 	}
-	if n.table.Complete(now) != n.complete {
+	if n.table.Complete(now) != n.complete || len(n.moving) > 0 && now.Sub(n.moved) >= moveInterval {
 		n.rebuild(now)
 	}
 }
