Do not use a grant of a minion that the sender knows to leave

Cause: only the owner looked at the signs of leaving. An owner that was paused and resumes grants by its old host list before it reads the new one.

Change: the sender gives such a grant back.

--- a/node/grants.go
+++ b/node/grants.go
@@ -111,7 +111,7 @@
 		return nil
 	}
 	n.left(c)
-	if _, known := n.hosts[g.Minion]; !known || slices.Contains(c.Excluded, g.Minion) || !n.ledger.Acquire(c.Team) {
+	if _, known := n.hosts[g.Minion]; !known || n.isLeaving(now, g.Minion) || slices.Contains(c.Excluded, g.Minion) || !n.ledger.Acquire(c.Team) {
 		n.enqueue(now, c)
 		return nil
 	}
--- a/node/owners.go
+++ b/node/owners.go
@@ -121,7 +121,7 @@
 		if !ok {
 			continue
 		}
-		host.Leaving = host.Leaving || record.Leaving || now.Sub(n.signs[worker]) < signPeriod
+		host.Leaving = n.isLeaving(now, worker)
 		n.pools[record.Pool] = append(n.pools[record.Pool], minion{host: host, owner: n.ep.Rank(worker)[0]})
 	}
 	for pool := range old {
@@ -228,6 +228,11 @@
 	return epoch.Member{}
 }
 
+// isLeaving reports whether any source says that the minion leaves.
+func (n *Node) isLeaving(now time.Time, worker string) bool {
+	return n.hosts[worker].Leaving || n.cfg.Workers[worker].Leaving || now.Sub(n.signs[worker]) < signPeriod
+}
+
 // Leaving notes a minion's own sign that it leaves, ahead of the lagging host list.
 func (n *Node) Leaving(now time.Time, worker string) {
 	n.mu.Lock()
