--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,10 @@
 	// the time at which they must have ended.
 	abandoned map[*Call]time.Time
 	claims    claims
+	moving    map[string]bool // workers with grants of a pool that they have left
+	moved     time.Time       // of the last look at them
+	// reclaimedAt is the epoch in which a peer confirmed the reclaim of this host.
+	reclaimedAt uint64
 }
 
 // minion is one back end of a pool with the member that owns its slots.
@@ -99,6 +103,7 @@
 type flow struct{ pool, team string }
 
 type peerState struct {
+	id     epoch.ID
 	heard  time.Time
 	beat   time.Time
 	free   map[string]int // last sent, by pool
--- a/node/owners.go
+++ b/node/owners.go
@@ -14,6 +14,10 @@
 // list confirms it.
 const signPeriod = 30 * time.Second
 
+// moveInterval is how often the owner looks whether workers that change their pool are
+// empty.
+const moveInterval = 250 * time.Millisecond
+
 // AdoptEpoch takes a newer epoch.
 func (n *Node) AdoptEpoch(now time.Time, e *epoch.Epoch) {
 	n.mu.Lock()
@@ -91,15 +95,15 @@
 
 // dropPeers forgets peers that are no longer members, with their demand.
 func (n *Node) dropPeers(now time.Time) {
-	for name := range n.peers {
-		if !slices.ContainsFunc(n.ep.Members, func(m epoch.Member) bool { return m.Name == name }) {
+	for name, p := range n.peers {
+		if !n.ep.Has(p.id) {
 			delete(n.peers, name)
-			n.alloc.DropHost(now, name)
+			n.alloc.DropHost(now, string(p.id))
 		}
 	}
 	for _, m := range n.ep.Members {
 		if m.Name != n.self.Name && n.peers[m.Name] == nil {
-			n.peers[m.Name] = &peerState{heard: now, free: make(map[string]int)}
+			n.peers[m.Name] = &peerState{id: m.ID(), heard: now, free: make(map[string]int)}
 		}
 	}
 }
@@ -117,7 +121,7 @@
 		if !ok {
 			continue
 		}
-		host.Leaving = host.Leaving || record.Leaving || now.Sub(n.signs[worker]) < signPeriod
+		host.Leaving = n.isLeaving(now, worker)
 		n.pools[record.Pool] = append(n.pools[record.Pool], minion{host: host, owner: n.ep.First(worker)})
 	}
 	for pool := range old {
@@ -126,6 +130,7 @@
 			n.router.SetOwners(pool, nil)
 		}
 	}
+	n.findMoving(now)
 	for pool, minions := range n.pools {
 		n.alloc.SetMinions(now, pool, n.granted(now, minions))
 		n.router.SetOwners(pool, n.owners(pool, minions))
@@ -134,10 +139,22 @@
 	n.pump(now)
 }
 
+// findMoving finds the workers that still run requests of a pool that they have left.
+// Slots are counted by pool, so such a worker gets no grants in its new pool before these
+// have ended.
+func (n *Node) findMoving(now time.Time) {
+	n.moving, n.moved = make(map[string]bool), now
+	for _, held := range n.alloc.Table(now, func(string) bool { return true }).Grants {
+		if g := held.Grant; n.cfg.Workers[g.Minion].Pool != g.Service {
+			n.moving[g.Minion] = true
+		}
+	}
+}
+
 func (n *Node) granted(now time.Time, minions []minion) []slot.Target {
 	var targets []slot.Target
 	for _, m := range minions {
-		if m.owner.ID() == n.id && n.table.MayGrant(now, m.host.Worker) {
+		if m.owner.ID() == n.id && !n.moving[m.host.Worker] && n.table.MayGrant(now, m.host.Worker) {
 			targets = append(targets, slot.Target{
 				Name: m.host.Worker, Zone: m.host.Zone, Slots: m.host.Slots, Leaving: m.host.Leaving,
 			})
@@ -177,7 +194,7 @@
 	for _, id := range n.table.Pending() {
 		n.sendTo(epoch.ID(id), kindOwnerSyncAsk, ownerSyncAsk{Epoch: n.table.Epoch()})
 	}
-	if n.table.Complete(now) != n.complete {
+	if n.table.Complete(now) != n.complete || len(n.moving) > 0 && now.Sub(n.moved) >= moveInterval {
 		n.rebuild(now)
 	}
 }
@@ -211,6 +228,11 @@
 	return epoch.Member{}
 }
 
+// isLeaving reports whether any source says that the minion leaves.
+func (n *Node) isLeaving(now time.Time, worker string) bool {
+	return n.hosts[worker].Leaving || n.cfg.Workers[worker].Leaving || now.Sub(n.signs[worker]) < signPeriod
+}
+
 // Leaving notes a minion's own sign that it leaves, ahead of the lagging host list.
 func (n *Node) Leaving(now time.Time, worker string) {
 	n.mu.Lock()
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,7 +23,7 @@
 	case kindCredit:
 		return true, handle(n, now, decode, func(m credit.Message) { n.onCredit(now, from, m) })
 	case kindSlots:
-		return true, handle(n, now, decode, func(m slotsMessage) { n.onSlots(now, from.Name(), m) })
+		return true, handle(n, now, decode, func(m slotsMessage) { n.onSlots(now, from, m) })
 	case kindGrants:
 		return true, handle(n, now, decode, func(m grantsMessage) { n.onGrants(now, from.Name(), m) })
 	case kindGrantsCheck:
@@ -81,6 +81,9 @@
 		return
 	}
 	p.heard, p.synced, p.config = now, m.Synced, m.Beat.Config
+	if m.Beat.Reclaiming && m.Beat.Epoch == n.ep.Number {
+		n.reclaimedAt = n.ep.Number
+	}
 	for _, s := range m.Free {
 		n.router.Report(s.Pool, from.Name(), s.Free)
 	}
@@ -124,7 +127,7 @@
 			Beat: n.lease.Beat(now, m.ID()), Free: p.changed(free), Synced: n.syncedList(),
 		})
 		if n.lost(now, m.Name) {
-			n.alloc.DropHost(now, m.Name)
+			n.alloc.DropHost(now, string(m.ID()))
 		}
 	}
 }
@@ -163,6 +166,14 @@
 	return slices.ContainsFunc(n.ep.Members, func(m epoch.Member) bool { return n.lease.Behind(m.ID()) })
 }
 
+// Reclaiming reports whether a peer has confirmed the reclaim of this host from the
+// adopted epoch. The host then makes an epoch step, which shows that it is alive.
+func (n *Node) Reclaiming() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reclaimedAt > 0 && n.reclaimedAt == n.ep.Number
+}
+
 // Peers returns the members that were heard lately, and those that were not.
 func (n *Node) Peers(now time.Time) (live, lost []string) {
 	n.mu.Lock()
--- a/node/slots_test.go
+++ b/node/slots_test.go
@@ -37,10 +37,10 @@
 	n.SetHosts(now, []hostlist.Host{{Worker: "w", Slots: 8}})
 	demand := func(waiting int) slot.Demand { return slot.Demand{Service: "p", Team: "t", Ordinary: waiting} }
 	n.mu.Lock()
-	n.onSlots(now, other.Name, slotsMessage{Demands: []slot.Demand{demand(1)}})
+	n.onSlots(now, other.ID(), slotsMessage{Demands: []slot.Demand{demand(1)}})
 	id := n.out.grants[other.Name][0].ID
-	n.onSlots(now, other.Name, slotsMessage{Binds: []bind{{ID: id, Timeout: time.Second}}, Demands: []slot.Demand{demand(0)}})
-	n.onSlots(now, other.Name, slotsMessage{Releases: []release{{ID: id, Outcome: slot.OK}}, Demands: []slot.Demand{demand(1)}})
+	n.onSlots(now, other.ID(), slotsMessage{Binds: []bind{{ID: id, Timeout: time.Second}}, Demands: []slot.Demand{demand(0)}})
+	n.onSlots(now, other.ID(), slotsMessage{Releases: []release{{ID: id, Outcome: slot.OK}}, Demands: []slot.Demand{demand(1)}})
 	n.flush(now)
 	qt.Check(t, granted, qt.Equals, 2)
 }
