Let the buffer policy follow lost and added workers

Change: SetWorkers replaces the serving workers; loans that a smaller pool cannot afford are returned by the next decision, and slots of available workers are never replaced by borrowed ones. The oracle loses and adds workers and compares the held slots with the policy's count. That found a new worker's slots being released without an action.

--- a/buffer/lend.go
+++ b/buffer/lend.go
@@ -16,7 +16,7 @@
 // borrower no longer needs.
 func (p *Policy) takeBack() {
 	for _, d := range p.pools {
-		p.end(d, p.rules.owed(d))
+		p.end(d, p.rules.owed(p, d))
 	}
 	for _, to := range p.pools {
 		for _, from := range slices.Backward(p.byPreference(to)) {
@@ -32,7 +32,7 @@
 // owed counts the lent slots that the lender needs. It does not wait for the recall of
 // released slots, so that the lender has its slots again as soon as the requests on them
 // have ended.
-func (d *pool) owed() int { return max(0, d.need-(d.hold-d.lentOut())) }
+func (p *Policy) owed(d *pool) int { return max(0, p.wanted(d)-(d.hold-d.lentOut())) }
 
 // end takes n lent slots back from the borrowers in turn.
 func (p *Policy) end(from *pool, n int) {
@@ -52,8 +52,12 @@
 }
 
 // coverShortages lends slots that are ready before it recalls released ones: ready slots
-// cost the same whether idle or lent. Own slots are recalled before those of others.
+// cost the same whether idle or lent. Slots of available workers are never replaced by
+// borrowed ones. Own slots are recalled before those of others.
 func (p *Policy) coverShortages() {
+	for _, d := range p.pools {
+		d.hold = max(d.hold, p.rules.floor(d))
+	}
 	for _, to := range p.pools {
 		lenders := p.byPreference(to)
 		if !p.rules.brief(to) {
--- a/buffer/move.go
+++ b/buffer/move.go
@@ -35,6 +35,7 @@
 		to := p.find(m.to)
 		to.capacity += m.worker.Slots
 		to.hold += m.worker.Slots
+		to.told += m.worker.Slots
 		to.size = max(to.size, m.worker.Slots)
 		for j := range p.workers {
 			if p.workers[j].Name == worker {
--- a/buffer/policy.go
+++ b/buffer/policy.go
@@ -37,7 +37,7 @@
 // rules are the rules that tests replace to show that they would notice their absence.
 type rules struct {
 	busy    func(p *Policy, worker string) bool
-	owed    func(d *pool) int
+	owed    func(p *Policy, d *pool) int
 	floor   func(d *pool) int
 	payBack func(p *Policy) time.Duration
 	brief   func(d *pool) bool
@@ -48,6 +48,7 @@
 	Pool
 	capacity  int
 	hold      int
+	told      int // the hold that the last action named
 	lent      map[*pool]int
 	load      load
 	need      int
@@ -57,10 +58,10 @@
 
 // New returns a policy that holds all slots ready until the first decision.
 func New(pools []Pool, workers []Worker) *Policy {
-	p := &Policy{workers: slices.Clone(workers), recall: firstRecall, moving: firstDrain + firstWarmUp}
+	p := &Policy{recall: firstRecall, moving: firstDrain + firstWarmUp}
 	p.rules = rules{
 		busy:    (*Policy).isMoving,
-		owed:    (*pool).owed,
+		owed:    (*Policy).owed,
 		floor:   (*pool).floor,
 		payBack: (*Policy).payBack,
 		brief:   (*pool).isBrief,
@@ -69,16 +70,34 @@
 		p.pools = append(p.pools, &pool{Pool: d, lent: make(map[*pool]int)})
 	}
 	slices.SortFunc(p.pools, func(a, b *pool) int { return cmp.Compare(a.Name, b.Name) })
+	p.SetWorkers(workers)
+	return p
+}
+
+// SetWorkers replaces the workers that serve, after one failed, was drained or was added.
+// A worker under way counts in no pool until Moved. The slots of a new worker are held
+// ready; the next decision returns loans that a pool can no longer afford.
+func (p *Policy) SetWorkers(workers []Worker) {
+	p.workers = slices.Clone(workers)
 	slices.SortFunc(p.workers, func(a, b Worker) int { return cmp.Compare(a.Name, b.Name) })
-	for _, w := range p.workers {
-		d := p.find(w.Pool)
-		d.capacity += w.Slots
-		d.size = max(d.size, w.Slots)
-	}
+	p.moves = slices.DeleteFunc(p.moves, func(m move) bool { return !m.arrived && !p.serves(m.worker.Name) })
 	for _, d := range p.pools {
-		d.hold = d.capacity
+		old := d.capacity
+		d.capacity, d.size = 0, 0
+		for _, w := range p.workers {
+			if w.Pool == d.Name && !p.isMoving(w.Name) {
+				d.capacity += w.Slots
+				d.size = max(d.size, w.Slots)
+			}
+		}
+		added := max(0, d.capacity-old)
+		d.hold = min(d.capacity, d.hold+added)
+		d.told = min(d.capacity, d.told+added)
 	}
-	return p
+}
+
+func (p *Policy) serves(worker string) bool {
+	return slices.ContainsFunc(p.workers, func(w Worker) bool { return w.Name == worker })
 }
 
 // Recalled records how long a released slot took until it was ready.
@@ -92,16 +111,13 @@
 		p.find(r.Pool).load.observe(now, r)
 	}
 	p.setNeeds(now)
-	held := make(map[*pool]int, len(p.pools))
-	for _, d := range p.pools {
-		held[d] = d.hold
-	}
 	p.takeBack()
 	p.moveForLastingDemand(now)
 	p.coverShortages()
 	p.release(now)
 	for _, d := range p.pools {
-		if d.hold != held[d] {
+		if d.hold != d.told {
+			d.told = d.hold
 			p.act(Action{Kind: Hold, From: d.Name, Slots: d.hold})
 		}
 	}
--- a/buffer/policy_test.go
+++ b/buffer/policy_test.go
@@ -138,11 +138,37 @@
 			_, slots, _ := o.serving(moved.Pool)
 			o.moveCost = o.now.Sub(o.begun[w.Name])
 			p.Moved(o.now, w.Name)
-			o.hold[moved.Pool] = min(slots+moved.Slots, o.hold[moved.Pool]+moved.Slots)
+			o.hold[moved.Pool] = min(slots, o.hold[moved.Pool]+moved.Slots)
 		}
 	}
 }
 
+// change loses or adds one worker that is not under way.
+func (o *oracle) change(t *rapid.T, p *Policy) {
+	d := rapid.SampledFrom(o.pools).Draw(t, "pool")
+	serving, _, _ := o.serving(d.Name)
+	name := fmt.Sprint("x", len(o.workers))
+	for _, w := range p.workers {
+		if _, moving := o.arrivals[w.Name]; w.Pool == d.Name && !moving {
+			name = w.Name
+		}
+	}
+	if o.workers[name].Slots > 0 && serving > d.MinAvailable && rapid.Bool().Draw(t, "lose") {
+		delete(o.workers, name)
+	} else {
+		w := Worker{fmt.Sprint("x", o.now.UnixNano()), d.Name, rapid.IntRange(1, 8).Draw(t, "slots")}
+		o.workers[w.Name] = w
+		o.hold[d.Name] += w.Slots
+	}
+	var workers []Worker
+	for _, w := range o.workers {
+		workers = append(workers, w)
+	}
+	p.SetWorkers(workers)
+	_, slots, _ := o.serving(d.Name)
+	o.hold[d.Name] = min(o.hold[d.Name], slots)
+}
+
 // play runs a policy on drawn demand and returns the oracle.
 func play(t *rapid.T, broken func(*rules)) *oracle {
 	o := &oracle{
@@ -164,6 +190,7 @@
 	moveTime := rapid.IntRange(1, 40)
 	for range rapid.IntRange(1, 10).Draw(t, "phases") {
 		length := rapid.SampledFrom([]int{4, 16, 40, 320}).Draw(t, "steps")
+		o.change(t, p)
 		level, within := map[string]float64{}, map[string]time.Duration{}
 		for _, d := range o.pools[:3] {
 			level[d.Name] = rapid.SampledFrom([]float64{0, 0.1, 1.5, 4.5}).Draw(t, "level")
@@ -190,6 +217,9 @@
 					o.arrivals[a.Worker] = o.now.Add(step * time.Duration(moveTime.Draw(t, "move")))
 				}
 			}
+			for _, d := range p.pools {
+				o.check(d.hold == o.hold[d.Name], "%s holds %d slots and the policy counts %d", d.Name, o.hold[d.Name], d.hold)
+			}
 			if o.verify(); o.err != nil {
 				return o
 			}
@@ -199,7 +229,8 @@
 }
 
 // Guards against workers moved twice at a time, slots lent for over 2 s after the lender
-// needs them, pools below min-available and moves that are soon undone.
+// needs them, pools below min-available, moves that are soon undone and a policy whose count of held
+// slots is not that of its host.
 func TestPolicyAgainstOracle(t *testing.T) {
 	moves := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -218,7 +249,7 @@
 		want   string
 	}{
 		"moves a moving worker":  {func(r *rules) { r.busy = func(*Policy, string) bool { return false } }, ".* moves from .* while it is elsewhere"},
-		"keeps lent slots":       {func(r *rules) { r.owed = func(*pool) int { return 0 } }, ".* still lends .* slots"},
+		"keeps lent slots":       {func(r *rules) { r.owed = func(*Policy, *pool) int { return 0 } }, ".* still lends .* slots"},
 		"ignores min-available":  {func(r *rules) { r.floor = func(*pool) int { return 0 } }, ".* keeps .* slots, .* must stay"},
 		"lends to long requests": {func(r *rules) { r.brief = func(*pool) bool { return true } }, "a loan to .*, whose requests run .*"},
 		"moves at each shortage": {func(r *rules) { r.payBack = func(*Policy) time.Duration { return 0 } }, "a move .* is undone within its pay-back time"},
