Share the check of broken variants among tests

Change: property.Fails and property.CheckBroken replace the copies. The tests check the same variants.

Conclusion: a new rule needs one line in its table of variants.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -15,6 +14,7 @@
 	"egretdrum.example/change"
 	"egretdrum.example/fleet"
 	"egretdrum.example/hostlist"
+	"egretdrum.example/property"
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
@@ -184,25 +184,13 @@
 	return hosts
 }
 
-// silent collects the failure of a property that is expected to fail.
-type silent struct {
-	testing.TB
-	failed bool
-}
-
-func (s *silent) Logf(string, ...any)   {}
-func (s *silent) Errorf(string, ...any) { s.failed = true }
-func (s *silent) Fatalf(string, ...any) { s.failed = true; runtime.Goexit() }
-func (s *silent) FailNow()              { s.failed = true; runtime.Goexit() }
-func (s *silent) Failed() bool          { return s.failed }
-
 // TestBudgets guards against a step that breaks a budget, against one that is refused
 // although it breaks none, and against permits that are lost.
 func TestBudgets(t *testing.T) { rapid.Check(t, checkBudgets) }
 
 // TestBudgetsBroken shows that TestBudgets fails without each of its rules.
 func TestBudgetsBroken(t *testing.T) {
-	for name, rule := range map[string]*bool{
+	property.CheckBroken(t, map[string]*bool{
 		"unplanned absence is not counted":                  &broken.ignoreUnplanned,
 		"permits of returning workers are not counted":      &broken.ignorePermits,
 		"min-available is ignored":                          &broken.ignoreMin,
@@ -211,19 +199,7 @@
 		"workers of unknown domains are ignored":            &broken.ignoreUnplaced,
 		"a permit is released before its worker serves":     &broken.earlyRelease,
 		"a permit is replaced while its worker is not back": &broken.swapPermit,
-	} {
-		t.Run(name, func(t *testing.T) {
-			*rule = true
-			defer func() { *rule = false }()
-			s, done := &silent{TB: t}, make(chan bool)
-			go func() {
-				defer close(done)
-				rapid.Check(s, checkBudgets)
-			}()
-			<-done
-			qt.Check(t, s.failed, qt.IsTrue)
-		})
-	}
+	}, func(t testing.TB) { rapid.Check(t, checkBudgets) })
 }
 
 // TestErrors guards against refusals that do not name the budget and the accepted range.
--- a/fleet/rapid_test.go
+++ b/fleet/rapid_test.go
@@ -5,16 +5,15 @@
 	"errors"
 	"flag"
 	"fmt"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
-	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"egretdrum.example/change"
 	"egretdrum.example/contract"
+	"egretdrum.example/property"
 	"egretdrum.example/teamkey"
 )
 
@@ -26,28 +25,6 @@
 	}
 }
 
-// silent collects the failure of a property that is expected to fail.
-type silent struct {
-	testing.TB
-	failed bool
-}
-
-func (s *silent) Logf(string, ...any)   {}
-func (s *silent) Errorf(string, ...any) { s.failed = true }
-func (s *silent) Fatalf(string, ...any) { s.failed = true; runtime.Goexit() }
-func (s *silent) FailNow()              { s.failed = true; runtime.Goexit() }
-func (s *silent) Failed() bool          { return s.failed }
-
-func fails(t *testing.T, prop func(*rapid.T)) bool {
-	s, done := &silent{TB: t}, make(chan bool)
-	go func() {
-		defer close(done)
-		rapid.Check(s, prop)
-	}()
-	<-done
-	return s.failed
-}
-
 // model is the oracle: the objects alone, and the rules written once more without
 // regard to cost.
 type model map[string]json.RawMessage
@@ -238,17 +215,11 @@
 
 // TestDocumentBroken shows that TestDocument fails without each of its rules.
 func TestDocumentBroken(t *testing.T) {
-	for name, rule := range map[string]*bool{
+	property.CheckBroken(t, map[string]*bool{
 		"the value that the operator saw is not compared": &broken.ignoreBefore,
 		"a delta with a gap is applied":                   &broken.acceptGap,
 		"the result is not validated":                     &broken.skipValidation,
 		"a worker in a move may be in any pool and serve": &broken.skipMoveCheck,
 		"a worker may be in two open waves":               &broken.skipOverlap,
-	} {
-		t.Run(name, func(t *testing.T) {
-			*rule = true
-			defer func() { *rule = false }()
-			qt.Check(t, fails(t, checkDocument), qt.IsTrue)
-		})
-	}
+	}, func(t testing.TB) { rapid.Check(t, checkDocument) })
 }
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"egretdrum.example/change"
 	"egretdrum.example/fleet"
+	"egretdrum.example/property"
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
@@ -199,28 +199,6 @@
 	}
 }
 
-// silent collects the failure of a property that is expected to fail.
-type silent struct {
-	testing.TB
-	failed bool
-}
-
-func (s *silent) Logf(string, ...any)   {}
-func (s *silent) Errorf(string, ...any) { s.failed = true }
-func (s *silent) Fatalf(string, ...any) { s.failed = true; runtime.Goexit() }
-func (s *silent) FailNow()              { s.failed = true; runtime.Goexit() }
-func (s *silent) Failed() bool          { return s.failed }
-
-func fails(t *testing.T, prop func(*rapid.T)) bool {
-	s, done := &silent{TB: t}, make(chan bool)
-	go func() {
-		defer close(done)
-		rapid.Check(s, prop)
-	}()
-	<-done
-	return s.failed
-}
-
 // TestMoves guards against a worker with work of two pools, a move that ends in the
 // wrong pool, and one that does not end, through racing operators and drivers, lost
 // answers, crashes, late readers and a change of the slot owner.
@@ -228,18 +206,12 @@
 
 // TestMovesBroken shows that TestMoves fails without each of its rules.
 func TestMovesBroken(t *testing.T) {
-	for name, rule := range map[string]*bool{
+	property.CheckBroken(t, map[string]*bool{
 		"outstanding grants are ignored":                 &broken.ignoreGrants,
 		"a host that does not own the slots drives":      &broken.ignoreOwner,
 		"members without the document are ignored":       &broken.ignoreBehind,
 		"a worker is admitted without being in the list": &broken.admitUnlisted,
-	} {
-		t.Run(name, func(t *testing.T) {
-			*rule = true
-			defer func() { *rule = false }()
-			qt.Check(t, fails(t, checkMoves), qt.IsTrue)
-		})
-	}
+	}, func(t testing.TB) { rapid.Check(t, checkMoves) })
 }
 
 // TestRefusedMoves guards against bad input that changes something or is not explained.
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -20,6 +20,7 @@
 	"egretdrum.example/change"
 	"egretdrum.example/fleet"
 	"egretdrum.example/platformfake"
+	"egretdrum.example/property"
 	"egretdrum.example/store"
 )
 
@@ -31,33 +32,8 @@
 	}
 }
 
-// silent collects the failure of a property that is expected to fail.
-type silent struct {
-	testing.TB
-	failed bool
-}
-
-func (s *silent) Logf(string, ...any)   {}
-func (s *silent) Errorf(string, ...any) { s.failed = true }
-func (s *silent) Fatalf(string, ...any) { s.failed = true; runtime.Goexit() }
-func (s *silent) Error(...any)          { s.failed = true }
-func (s *silent) Fatal(...any)          { s.failed = true; runtime.Goexit() }
-func (s *silent) FailNow()              { s.failed = true; runtime.Goexit() }
-func (s *silent) Failed() bool          { return s.failed }
-
-// fails reports whether a test fails.
-func fails(t *testing.T, test func(testing.TB)) bool {
-	s, done := &silent{TB: t}, make(chan bool)
-	go func() {
-		defer close(done)
-		test(s)
-	}()
-	<-done
-	return s.failed
-}
-
-// property makes a test of the rules of b.
-func property(b broken) func(testing.TB) {
+// rulesOf makes a test of the rules of b.
+func rulesOf(b broken) func(testing.TB) {
 	return func(t testing.TB) { rapid.Check(t, keeperProperty(b)) }
 }
 
@@ -296,7 +272,7 @@
 
 // TestKeeper guards against a change that is lost, applied twice or audited twice, and
 // against a host that goes back to an older version.
-func TestKeeper(t *testing.T) { property(broken{})(t) }
+func TestKeeper(t *testing.T) { rulesOf(broken{})(t) }
 
 // TestKeeperBroken shows that TestKeeper fails without each of its rules.
 func TestKeeperBroken(t *testing.T) {
@@ -307,7 +283,7 @@
 		"changes leave the document without an archive":   {skipArchive: true},
 		"a read older than the host's version is trusted": {acceptOldReads: true},
 	} {
-		t.Run(name, func(t *testing.T) { qt.Check(t, fails(t, property(b)), qt.IsTrue) })
+		t.Run(name, func(t *testing.T) { qt.Check(t, property.Fails(t, rulesOf(b)), qt.IsTrue) })
 	}
 }
 
@@ -393,7 +369,7 @@
 	} {
 		t.Run(name, func(t *testing.T) { checkUnusable(test.value, test.want, broken{})(t) })
 	}
-	qt.Check(t, fails(t, checkUnusable([]byte("oops"), ".*", broken{trustDamaged: true})), qt.IsTrue)
+	qt.Check(t, property.Fails(t, checkUnusable([]byte("oops"), ".*", broken{trustDamaged: true})), qt.IsTrue)
 }
 
 // fullDocument returns a bench whose next change moves others to the audit keys.
@@ -421,7 +397,7 @@
 		}
 	}
 	test(broken{})(t)
-	qt.Check(t, fails(t, test(broken{archiveFirst: true})), qt.IsTrue)
+	qt.Check(t, property.Fails(t, test(broken{archiveFirst: true})), qt.IsTrue)
 }
 
 // TestOtherHistory guards against dropping changes after a restored backup, whose audit
@@ -436,7 +412,7 @@
 		}
 	}
 	test(broken{})(t)
-	qt.Check(t, fails(t, test(broken{anyArchive: true})), qt.IsTrue)
+	qt.Check(t, property.Fails(t, test(broken{anyArchive: true})), qt.IsTrue)
 }
 
 // racingPermits lets the hosts take workers out of a pool that can spare one, each from
@@ -491,5 +467,5 @@
 // write replaces: two operators would both get the last permit.
 func TestRacingPermits(t *testing.T) {
 	racingPermits(broken{})(t)
-	qt.Check(t, fails(t, racingPermits(broken{checkKnown: true})), qt.IsTrue)
+	qt.Check(t, property.Fails(t, racingPermits(broken{checkKnown: true})), qt.IsTrue)
 }
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -5,13 +5,11 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"egretdrum.example/budget"
@@ -19,6 +17,7 @@
 	"egretdrum.example/fleet"
 	"egretdrum.example/hostlist"
 	"egretdrum.example/move"
+	"egretdrum.example/property"
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
@@ -355,18 +354,6 @@
 	}
 }
 
-// silent collects the failure of a property that is expected to fail.
-type silent struct {
-	testing.TB
-	failed bool
-}
-
-func (s *silent) Logf(string, ...any)   {}
-func (s *silent) Errorf(string, ...any) { s.failed = true }
-func (s *silent) Fatalf(string, ...any) { s.failed = true; runtime.Goexit() }
-func (s *silent) FailNow()              { s.failed = true; runtime.Goexit() }
-func (s *silent) Failed() bool          { return s.failed }
-
 // TestWaves guards against waves that break a budget, cut work, reboot a worker twice,
 // return a bad one, run on after a pause or a correlated failure, lose a permit or never
 // end, through racing operators and drivers, crashes, store outages and a late host list.
@@ -374,7 +361,7 @@
 
 // TestWavesBroken shows that TestWaves fails without each of its rules.
 func TestWavesBroken(t *testing.T) {
-	for name, rule := range map[string]*bool{
+	property.CheckBroken(t, map[string]*bool{
 		"the plan ignores the budgets":                &broken.ignoreBudget,
 		"a paused wave drains":                        &broken.ignorePause,
 		"a wave drains outside its window":            &broken.ignoreWindow,
@@ -384,17 +371,5 @@
 		"a worker that stays away is waited for":      &broken.waitForEver,
 		"a worker is rebooted before it is empty":     &broken.rebootUndrained,
 		"a worker is drained again after it was done": &broken.drainAgain,
-	} {
-		t.Run(name, func(t *testing.T) {
-			*rule = true
-			defer func() { *rule = false }()
-			s, ended := &silent{TB: t}, make(chan bool)
-			go func() {
-				defer close(ended)
-				rapid.Check(s, checkWaves)
-			}()
-			<-ended
-			qt.Check(t, s.failed, qt.IsTrue)
-		})
-	}
+	}, func(t testing.TB) { rapid.Check(t, checkWaves) })
 }
