Test several nodes together against an oracle of their rules

Three to five nodes exchange CBOR messages over links that lose what is under way, delay and cut one way, with a stand-in for the store and minions that go on when a sender crashes. Random steps (load, crash, pause, replacement under the same and a new name, planned stop, limits, moved workers, failing and leaving minions, store down, lost answers) are followed by the end of all faults, after which nothing may be left over and everything must be usable. Ten scripts each run with a broken variant, which has to be reported, and without it.

--- a/node/call.go
+++ b/node/call.go
@@ -52,7 +52,7 @@
 	switch {
 	case n.leaving:
 		c.refuse(refusal.Draining, "this entry host is stopping", time.Second)
-	case !n.lease.MayAdmit(now):
+	case !n.mayAdmit(now):
 		c.refuse(refusal.NotAdmitting, "this entry host has lost contact with the others", time.Second)
 	case !n.servable(c):
 		c.refuse(refusal.NoMinion, "no minion of pool "+c.Pool+" can take this request", time.Second)
@@ -133,7 +133,9 @@
 		return
 	}
 	delete(n.open, c.grant.ID)
-	n.ledger.Release(c.Team)
+	if !n.faults.keepCredit {
+		n.ledger.Release(c.Team)
+	}
 	if outcome == slot.OK {
 		n.queue.Ran(c.Team, ran)
 	}
--- a/node/grants.go
+++ b/node/grants.go
@@ -52,7 +52,7 @@
 // pump grants what can be granted now. An owner without its admission lease grants
 // nothing, because another one may have taken its place.
 func (n *Node) pump(now time.Time) {
-	if !n.lease.MayAdmit(now) {
+	if !n.mayAdmit(now) {
 		return
 	}
 	for again := true; again; {
@@ -79,6 +79,9 @@
 		n.demand(now, f, owner)
 		return true
 	}
+	if n.faults.keepQueued {
+		n.enqueue(now, c)
+	}
 	c.grant, c.owner = g, owner
 	n.open[g.ID] = c
 	if owner == n.self.Name {
@@ -95,7 +98,7 @@
 // choose takes the call that uses the grant out of the queue. The right to admit and
 // the credit are checked here, at the moment of admission.
 func (n *Node) choose(now time.Time, g slot.Grant) *Call {
-	if n.leaving || !n.lease.MayAdmit(now) {
+	if n.leaving || !n.mayAdmit(now) {
 		return nil
 	}
 	n.expire(now)
@@ -162,7 +165,7 @@
 func (n *Node) checkGrants(now time.Time) {
 	for host, ids := range n.alloc.Overdue(now, checkAfter) {
 		if id := epoch.ID(host); id != n.id {
-			if n.ep.Has(id) {
+			if n.ep.Has(id) || n.faults.checkByName {
 				n.sendTo(id, kindGrantsCheck, grantsCheck{IDs: ids})
 			}
 			continue
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,12 @@
 	claims   claims
 	// reclaimedAt is the epoch in which a peer confirmed the reclaim of this host.
 	reclaimedAt uint64
+	faults      faults
+}
+
+// faults are deliberately broken variants, set only by tests.
+type faults struct {
+	keepQueued, keepCredit, ignoreLeaving, ignoreMoves, checkByName, ignoreLease bool
 }
 
 // minion is one back end of a pool with the member that owns its slots.
@@ -125,6 +131,8 @@
 // MayAdmit reports whether this host has its admission lease at this instant.
 func (n *Node) MayAdmit(now time.Time) bool { return n.lease.MayAdmit(now) }
 
+func (n *Node) mayAdmit(now time.Time) bool { return n.faults.ignoreLease || n.lease.MayAdmit(now) }
+
 // Epoch returns the adopted epoch.
 func (n *Node) Epoch() *epoch.Epoch {
 	n.mu.Lock()
--- a/node/owners.go
+++ b/node/owners.go
@@ -145,7 +145,7 @@
 func (n *Node) findMoving(now time.Time) {
 	n.moving, n.moved = make(map[string]bool), now
 	for _, held := range n.alloc.Table(now, func(string) bool { return true }).Grants {
-		if g := held.Grant; n.cfg.Workers[g.Minion].Pool != g.Service {
+		if g := held.Grant; !n.faults.ignoreMoves && n.cfg.Workers[g.Minion].Pool != g.Service {
 			n.moving[g.Minion] = true
 		}
 	}
@@ -230,6 +230,9 @@
 
 // isLeaving reports whether any source says that the minion leaves.
 func (n *Node) isLeaving(now time.Time, worker string) bool {
+	if n.faults.ignoreLeaving {
+		return false
+	}
 	return n.hosts[worker].Leaving || n.cfg.Workers[worker].Leaving || now.Sub(n.signs[worker]) < signPeriod
 }
 
