Send no claim after its attempt has ended

Cause: the reply of the sender's own registry can end the attempt while its claims are being sent. The other witness then got the claim after the message that ends it, and kept the id for 11 minutes.

Change: the loop stops when the attempt has ended.

--- a/node/claims.go
+++ b/node/claims.go
@@ -162,6 +162,9 @@
 		if name == missing || (i == 2 && missing == "") {
 			continue
 		}
+		if r.decided || r.attempt == nil {
+			return // the reply of this host's own registry ended the attempt
+		}
 		n.claimAt(now, name, c)
 	}
 }
