Tell new witnesses of an id how its request ended

Cause: the end of a request went to the witnesses of its registration. A host that became a witness since then had got the id by a transfer and kept it as running, so an id that did not run could not be sent again.

Change: the end also goes to the present witnesses.

Before: TestReleaseReachesNewWitnesses found the id at the host that joined. Not covered: a release that arrives before the transfer; the id is then refused as a duplicate for 11 minutes, which is safe.

--- a/node/claims.go
+++ b/node/claims.go
@@ -228,7 +228,7 @@
 		return
 	}
 	end := claimEnd{Key: r.key, Owner: r.owner, State: state}
-	for _, name := range r.attempt.Witnesses() {
+	for _, name := range n.endedAt(r) {
 		if name == n.self.Name {
 			n.onClaimEnd(now, end)
 			continue
@@ -237,6 +237,19 @@
 	}
 }
 
+// endedAt returns the witnesses of the attempt, and those that got its id by a transfer
+// since then.
+func (n *Node) endedAt(r *Registration) []string {
+	names := slices.Clone(r.attempt.Witnesses())
+	ranked := n.witnesses(r.key)
+	for _, name := range ranked[:min(2, len(ranked))] {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (n *Node) onClaimEnd(now time.Time, m claimEnd) {
 	if m.State == 0 {
 		n.claims.registry.Release(now, m.Key, m.Owner)
