Ask the members of skipped lists for request ids

Cause: a host that missed a member list asked only the members of the last one that it had. The ids that a newer member had registered in the missed list did not reach it, although it counted as ready.

Change: it asks the present members of every list since its last one.

Before: TestPredecessorsOfSkippedLists found h7 missing.

--- a/node/claims.go
+++ b/node/claims.go
@@ -97,16 +97,19 @@
 	return n.claims.ranks[bucket]
 }
 
-// beginClaims follows a new member list. Ids come from the members that were there
-// before it; a crashed one is not waited for, because its fellow witness has its ids.
+// beginClaims follows a new member list. Ids come from the members of the lists since the
+// one that this host followed last, which may have registered ids that it has not got; a
+// crashed one is not waited for, because its fellow witness has its ids.
 func (n *Node) beginClaims(from, to *epoch.Epoch) {
 	list := listOf(to)
 	if list.Number == n.claims.list || len(to.Members) == 0 {
 		return
 	}
-	before := listOf(from).Members
-	if from.Number == 0 && len(to.History) > 1 {
-		before = to.History[len(to.History)-2].Members
+	before := slices.Clone(listOf(from).Members)
+	for i, p := range to.History[:len(to.History)-1] {
+		if from.Number == 0 && i == len(to.History)-2 || from.Number > 0 && p.Number > from.Number {
+			before = append(before, p.Members...)
+		}
 	}
 	c := &n.claims
 	c.list, c.ranks, c.predecessors = list.Number, [rankBuckets][]string{}, nil
--- a/node/claims_test.go
+++ b/node/claims_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -116,3 +117,20 @@
 	qt.Check(t, w.hosts[0].n.ledger.Running(teams[0]), qt.Equals, int64(0))
 	w.advance(10 * time.Second)
 }
+
+// Guards against an id that a host misses because it skipped the member list in which the
+// id was registered: it has to ask the members of every list since its last one.
+func TestPredecessorsOfSkippedLists(t *testing.T) {
+	w := members(t, 3)
+	a := w.hosts[0]
+	a.paused = true
+	w.join("h7")
+	w.join("h8")
+	w.advance(time.Second)
+	a.paused = false
+	a.n.AdoptEpoch(w.now, w.epoch())
+	slices.Sort(a.n.claims.predecessors)
+	qt.Check(t, a.n.claims.predecessors, qt.DeepEquals, []string{"h1", "h2", "h7"})
+	w.advance(3 * time.Second)
+	qt.Check(t, a.n.claims.registry.Ready(), qt.IsTrue)
+}
