--- a/node/call.go
+++ b/node/call.go
@@ -23,6 +23,8 @@
 	// Verdict yields the minion to use, or a refusal.
 	Verdict chan Verdict
 
+	submitted time.Time
+
 	item  *queue.Item
 	grant slot.Grant
 	owner string
@@ -49,10 +51,11 @@
 func (n *Node) Submit(now time.Time, c *Call) {
 	n.mu.Lock()
 	defer n.flush(now)
+	c.submitted = now
 	switch {
 	case n.leaving:
 		c.refuse(refusal.Draining, "this entry host is stopping", time.Second)
-	case !n.lease.MayAdmit(now):
+	case !n.mayAdmit(now):
 		c.refuse(refusal.NotAdmitting, "this entry host has lost contact with the others", time.Second)
 	case !n.servable(c):
 		c.refuse(refusal.NoMinion, "no minion of pool "+c.Pool+" can take this request", time.Second)
@@ -150,7 +153,9 @@
 		return
 	}
 	delete(n.open, c.grant.ID)
-	n.ledger.Release(c.Team)
+	if !n.faults.keepCredit {
+		n.ledger.Release(c.Team)
+	}
 	n.release(now, c.owner, c.grant, outcome)
 	n.rebalance(now, flow{c.Pool, c.Team})
 }
--- a/node/claims.go
+++ b/node/claims.go
@@ -97,16 +97,19 @@
 	return n.claims.ranks[bucket]
 }
 
-// beginClaims follows a new member list. Ids come from the members that were there
-// before it; a crashed one is not waited for, because its fellow witness has its ids.
+// beginClaims follows a new member list. Ids come from the members of the lists since the
+// one that this host followed last, which may have registered ids that it has not got; a
+// crashed one is not waited for, because its fellow witness has its ids.
 func (n *Node) beginClaims(from, to *epoch.Epoch) {
 	list := listOf(to)
 	if list.Number == n.claims.list || len(to.Members) == 0 {
 		return
 	}
-	before := listOf(from).Members
-	if from.Number == 0 && len(to.History) > 1 {
-		before = to.History[len(to.History)-2].Members
+	before := slices.Clone(listOf(from).Members)
+	for i, p := range to.History[:len(to.History)-1] {
+		if from.Number == 0 && i == len(to.History)-2 || from.Number > 0 && p.Number > from.Number {
+			before = append(before, p.Members...)
+		}
 	}
 	c := &n.claims
 	c.list, c.ranks, c.predecessors = list.Number, [rankBuckets][]string{}, nil
@@ -162,6 +165,9 @@
 		if name == missing || (i == 2 && missing == "") {
 			continue
 		}
+		if r.decided || r.attempt == nil {
+			return // the reply of this host's own registry ended the attempt
+		}
 		n.claimAt(now, name, c)
 	}
 }
@@ -225,7 +231,7 @@
 		return
 	}
 	end := claimEnd{Key: r.key, Owner: r.owner, State: state}
-	for _, name := range r.attempt.Witnesses() {
+	for _, name := range n.endedAt(r) {
 		if name == n.self.Name {
 			n.onClaimEnd(now, end)
 			continue
@@ -234,6 +240,19 @@
 	}
 }
 
+// endedAt returns the witnesses of the attempt, and those that got its id by a transfer
+// since then.
+func (n *Node) endedAt(r *Registration) []string {
+	names := slices.Clone(r.attempt.Witnesses())
+	ranked := n.witnesses(r.key)
+	for _, name := range ranked[:min(2, len(ranked))] {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (n *Node) onClaimEnd(now time.Time, m claimEnd) {
 	if m.State == 0 {
 		n.claims.registry.Release(now, m.Key, m.Owner)
--- a/node/grants.go
+++ b/node/grants.go
@@ -72,7 +72,7 @@
 // pump grants what can be granted now. An owner without its admission lease grants
 // nothing, because another one may have taken its place.
 func (n *Node) pump(now time.Time) {
-	if !n.lease.MayAdmit(now) {
+	if !n.mayAdmit(now) {
 		return
 	}
 	for again := true; again; {
@@ -100,6 +100,9 @@
 		n.demand(now, f, owner)
 		return true
 	}
+	if n.faults.keepQueued {
+		n.enqueue(now, c)
+	}
 	c.grant, c.owner = g, owner
 	n.open[g.ID] = c
 	if owner == n.self.Name {
@@ -116,7 +119,7 @@
 // choose takes the call that uses the grant out of the queue. The right to admit and
 // the credit are checked here, at the moment of admission.
 func (n *Node) choose(now time.Time, g slot.Grant) *Call {
-	if n.leaving || !n.lease.MayAdmit(now) {
+	if n.leaving || !n.mayAdmit(now) {
 		return nil
 	}
 	n.expire(now)
@@ -133,7 +136,7 @@
 
 // pop takes the best call that can still end in time. Under overload the earliest
 // deadlines are nearly over; starting them would waste the slot and end with an unknown
-// outcome, so they are refused as not run.
+// outcome, so they are refused as not run while others wait.
 func (n *Node) pop(now time.Time, g slot.Grant) *Call {
 	for {
 		it := n.queue.Pop(now, g.Service, g.Team, g.Urgent)
@@ -148,9 +151,12 @@
 			return nil
 		}
 		n.left(c)
-		if usual := n.runTimes[flow{c.Pool, c.Team}].usual(); c.Deadline.Sub(now) >= usual {
+		f := flow{c.Pool, c.Team}
+		estimate := n.runTimes[f]
+		if n.active[f] == 0 || !c.late(now, estimate.usual()) {
 			return c
 		}
+		estimate.lower()
 		c.refuse(refusal.DeadlineUnreachable, "the remaining time is shorter than the usual run time", time.Second)
 	}
 }
@@ -203,7 +209,7 @@
 func (n *Node) checkGrants(now time.Time) {
 	for host, ids := range n.alloc.Overdue(now, checkAfter) {
 		if id := epoch.ID(host); id != n.id {
-			if n.ep.Has(id) {
+			if n.ep.Has(id) || n.faults.checkByName {
 				n.sendTo(id, kindGrantsCheck, grantsCheck{IDs: ids})
 			}
 			continue
