budget: let workers be added before the host list shows them

Cause: a worker that is not on the host list yet counted as a new absence, so a second one could not be added to a pool with max-absent-per-rack 1.

Change: absent workers that a step adds to the document do not count as made worse by it; they do count for later steps.

Measurement: the oracle has the same rule; with the rule switched off TestBudgets fails.

Conclusion: pools with budgets can be filled in any order.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -61,6 +61,14 @@
 // keeps is the rule written once more: what gets worse must stay within its budget.
 func keeps(cur, next *fleet.Config, hosts []hostlist.Host) bool {
 	before, after := countOf(cur, hosts), countOf(next, hosts)
+	for name, w := range next.Workers {
+		if _, known := cur.Workers[name]; !known {
+			alone := countOf(&fleet.Config{Workers: map[string]fleet.Worker{name: w}}, hosts)
+			for key, n := range alone.absent {
+				before.absent[key] += n
+			}
+		}
+	}
 	for pool, p := range next.Pools {
 		if n := after.available[pool]; n < before.available[pool] && n < p.MinAvailable {
 			return false
@@ -198,6 +206,7 @@
 		"max-absent-per-zone is ignored":                    &broken.ignoreZones,
 		"workers of unknown domains are ignored":            &broken.ignoreUnplaced,
 		"a permit is released before its worker serves":     &broken.earlyRelease,
+		"a new worker takes room before it is listed":       &broken.chargeNew,
 		"a permit is replaced while its worker is not back": &broken.swapPermit,
 	}, func(t testing.TB) { rapid.Check(t, checkBudgets) })
 }
--- a/budget/check.go
+++ b/budget/check.go
@@ -28,6 +28,7 @@
 		return err
 	}
 	before, after := New(cur, list), New(next, list)
+	before.addNew(cur, after)
 	for _, pool := range slices.Sorted(maps.Keys(next.Pools)) {
 		was, would, limit := before.Available(pool), after.Available(pool), next.Pools[pool].MinAvailable
 		if would < was && would < limit && !broken.ignoreMin {
@@ -43,6 +44,20 @@
 	return nil
 }
 
+// addNew counts the absent workers that the step adds to the document as absent before
+// it as well. A new worker did not serve, so adding it ahead of the host list takes
+// nothing away.
+func (t *Tally) addNew(cur *fleet.Config, after *Tally) {
+	for name := range after.cfg.Workers {
+		if _, known := cur.Workers[name]; known || after.Serves(name) || broken.chargeNew {
+			continue
+		}
+		for _, d := range after.domains(name) {
+			t.addTo(d)
+		}
+	}
+}
+
 // occupied lists the domains in which workers may be absent, in order.
 func (t *Tally) occupied() []domain {
 	all := make(map[domain]bool)
--- a/budget/tally.go
+++ b/budget/tally.go
@@ -35,7 +35,7 @@
 // broken switches off single rules. Only tests set it, to show that the test of each
 // rule fails without the rule.
 var broken struct {
-	ignoreUnplanned, ignorePermits, ignoreMin, ignoreRacks, ignoreZones, ignoreUnplaced, earlyRelease, swapPermit bool
+	ignoreUnplanned, ignorePermits, ignoreMin, ignoreRacks, ignoreZones, ignoreUnplaced, earlyRelease, swapPermit, chargeNew bool
 }
 
 // ExceededError reports a change that would break a budget.
@@ -157,11 +157,15 @@
 
 func (t *Tally) addAbsent(worker string) {
 	for _, d := range t.domains(worker) {
-		if d.name == "" {
-			t.unplaced[d]++
-		} else {
-			t.absent[d]++
-		}
+		t.addTo(d)
+	}
+}
+
+func (t *Tally) addTo(d domain) {
+	if d.name == "" {
+		t.unplaced[d]++
+	} else {
+		t.absent[d]++
 	}
 }
 
