Move asks away from owners that leave them open

Cause: owners report free slots only when they change, and each read of the host list sets the sender's view back to all slots. A sender then asked an owner without free slots while another one had some, until either changed.

Change: asks that stay open from one heartbeat of the owner to the next count as a report of no free slots, and move one by one.

TestOpenAsksMove covers the rule by itself.

--- a/node/peers.go
+++ b/node/peers.go
@@ -84,6 +84,7 @@
 	if m.Beat.Reclaiming && m.Beat.Epoch == n.ep.Number {
 		n.reclaimedAt = n.ep.Number
 	}
+	n.router.Heard(from.Name())
 	for _, s := range m.Free {
 		n.router.Report(s.Pool, from.Name(), s.Free)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,8 @@
 type owner struct {
 	Owner
 	asked int
+	// waited tells that asks were open at the last Heard and none was granted since.
+	waited bool
 }
 
 // flow is one stream of equivalent requests.
@@ -61,7 +63,22 @@
 // Report updates the free slots that an owner announced.
 func (r *Router) Report(pool, host string, free int) {
 	if o := r.find(pool, host); o != nil {
-		o.Free = free
+		o.Free, o.waited = free, false
+	}
+}
+
+// Heard notes a heartbeat of an owner. Asks that stay open from one to the next show that
+// it has no slot for this host, whatever it reported: it grants free slots at once.
+func (r *Router) Heard(host string) {
+	for pool := range r.owners {
+		o := r.find(pool, host)
+		if o == nil {
+			continue
+		}
+		if o.waited && o.asked > 0 {
+			o.Free = 0
+		}
+		o.waited = o.asked > 0
 	}
 }
 
@@ -76,8 +93,8 @@
 	if r.asks[f][host] > 0 {
 		r.add(f, host, -1)
 	}
-	if o := r.find(pool, host); o != nil && o.Free > 0 {
-		o.Free--
+	if o := r.find(pool, host); o != nil {
+		o.Free, o.waited = max(0, o.Free-1), false
 	}
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -73,3 +73,20 @@
 		t.Fatalf("%d asks for %d waiting requests", sum, waiting)
 	}
 }
+
+// Guards against requests that wait at an owner without free slots, as an old report says
+// that it has some, while another owner has free ones.
+func TestOpenAsksMove(t *testing.T) {
+	r := New("self")
+	r.SetOwners("p", []Owner{{Host: "a", Usable: 6, Free: 6, Near: true}, {Host: "b", Usable: 6, Free: 6}})
+	r.Balance("p", "t", false, 3)
+	qt.Assert(t, r.Asked("p", "t", false, "a"), qt.Equals, 3)
+	r.Heard("a")
+	r.Balance("p", "t", false, 3)
+	qt.Check(t, r.Asked("p", "t", false, "a"), qt.Equals, 3, qt.Commentf("one heartbeat may have crossed the asks"))
+	r.Heard("a")
+	for range 3 {
+		r.Balance("p", "t", false, 3)
+	}
+	qt.Check(t, r.Asked("p", "t", false, "b"), qt.Equals, 3)
+}
