Load each team of the full pool beyond its share in the demo

Cause: each team sent a third of the load; the largest one then asked for little more than its share, so the distance measured its demand. Change: the demo's load is divided by the shares.

--- a/demo/load.go
+++ b/demo/load.go
@@ -141,7 +141,7 @@
 }
 
 func (l *load) start(random *rand.Rand, side side, service string) {
-	t := side.teams[random.IntN(len(side.teams))]
+	t := side.pick(random)
 	method := http.MethodPost
 	if random.IntN(10) < 3 {
 		method = http.MethodGet
@@ -169,6 +169,23 @@
 	})
 }
 
+// pick chooses a team in proportion to the shares, so that in a full pool each team asks
+// for more than its share and the distance to share can be measured.
+func (s side) pick(random *rand.Rand) team {
+	var whole int64
+	for _, t := range s.teams {
+		whole += t.share
+	}
+	at := random.Int64N(whole)
+	for _, t := range s.teams {
+		if at < t.share {
+			return t
+		}
+		at -= t.share
+	}
+	return s.teams[0]
+}
+
 // call sends one request through a ready entry host, as the platform's balancer would.
 // A refused connection means that nothing was sent, so the balancer tries another host.
 func (l *load) call(o *outcome, service, key string, urgent bool) {
