Name the health of a minion as such, and plain verbs in comments

Cause: slot.Standing said less than slot.Health; some comments used figures of speech. Conclusion: none further.

--- a/entry/servers.go
+++ b/entry/servers.go
@@ -121,7 +121,7 @@
 	return running
 }
 
-// shutdown ends the host in the order that cuts no request: readiness fails, waiting
+// shutdown ends the host in the order that interrupts no request: readiness fails, waiting
 // requests are refused, running ones finish, slots and credits pass to the others, and
 // the host leaves the epoch. Requests that still come during unreadyNotice get a refusal
 // that closes their connection.
--- a/node/wire.go
+++ b/node/wire.go
@@ -72,7 +72,7 @@
 }
 
 // grantsCheck asks a sender whether it still holds old grants; it releases those that it
-// does not. This heals releases and grants that were lost with a connection.
+// does not. This repairs the loss of releases and grants with a connection.
 type grantsCheck struct {
 	IDs []uint64 `cbor:"ids"`
 }
--- a/router/router.go
+++ b/router/router.go
@@ -126,7 +126,7 @@
 }
 
 // shift moves one ask per call from an owner without free slots to one with free slots
-// that nobody of this host asks for. It heals asks that were placed on old reports.
+// that nobody of this host asks for. It corrects asks that were placed on old reports.
 func (r *Router) shift(f flow, skip []string) []string {
 	if len(skip) > 0 {
 		return nil
--- a/slot/handover.go
+++ b/slot/handover.go
@@ -13,7 +13,7 @@
 	for _, s := range a.list {
 		for _, name := range sortedKeys(s.minions) {
 			if m := s.minions[name]; wanted(name) && m.known {
-				t.Minions = append(t.Minions, m.standing(now))
+				t.Minions = append(t.Minions, m.health(now))
 			}
 		}
 	}
@@ -36,14 +36,14 @@
 	return overdue
 }
 
-func (m *minion) standing(now time.Time) Standing {
+func (m *minion) health(now time.Time) Health {
 	left := func(t time.Time) time.Duration {
 		if t.IsZero() {
 			return 0
 		}
 		return max(0, t.Sub(now))
 	}
-	return Standing{
+	return Health{
 		Service: m.service.name, Minion: m.name, Usable: m.usable, Owned: m.owned,
 		Ejection: left(m.ejectedUntil), Leaving: left(m.leavingUntil), Quiet: left(m.quietUntil),
 	}
--- a/slot/messages.go
+++ b/slot/messages.go
@@ -59,12 +59,12 @@
 // Table is what an owner hands over to the next one. Times are relative to the hand-over,
 // because clocks are not synchronized.
 type Table struct {
-	Minions []Standing `cbor:"minions,omitempty"`
+	Minions []Health `cbor:"minions,omitempty"`
 	Grants  []Held     `cbor:"grants,omitempty"`
 }
 
-// Standing is the health of a minion.
-type Standing struct {
+// Health is what the owner knows about the state of a minion.
+type Health struct {
 	Service string `cbor:"service"`
 	Minion  string `cbor:"minion"`
 	Usable  int    `cbor:"usable"`
--- a/slot/safety_test.go
+++ b/slot/safety_test.go
@@ -180,7 +180,7 @@
 	clear(o.failures)
 	// The new owner has no knowledge of minions that the former ones never owned.
 	maps.DeleteFunc(o.signs, func(name string, _ time.Time) bool {
-		return !slices.ContainsFunc(table.Minions, func(st Standing) bool { return st.Minion == name })
+		return !slices.ContainsFunc(table.Minions, func(st Health) bool { return st.Minion == name })
 	})
 }
 
