--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -45,7 +45,7 @@
 	whole bool   // kept is the whole body
 	// stream is the body that was not kept.
 	stream *countedBody
-	tried []string
+	tried  []string
 	// mayHaveRun is set once an attempt was sent without a usable answer.
 	mayHaveRun bool
 	// ran is set once a minion answered.
--- a/slot/messages.go
+++ b/slot/messages.go
@@ -60,7 +60,7 @@
 // because clocks are not synchronized.
 type Table struct {
 	Minions []Health `cbor:"minions,omitempty"`
-	Grants  []Held     `cbor:"grants,omitempty"`
+	Grants  []Held   `cbor:"grants,omitempty"`
 }
 
 // Health is what the owner knows about the state of a minion.
