--- a/node/runtime.go
+++ b/node/runtime.go
@@ -43,5 +43,5 @@
 	if r == nil {
 		return 0
 	}
-	return r.mean + r.deviation
+	return r.mean + 2*r.deviation
 }
