--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -143,10 +143,13 @@
 }
 
 // forget is called before a host ends or is paused. A host that is lost before the loss of
-// another was repaired may leave an id without a witness; package claim does not promise
-// anything for that.
+// another was repaired may leave an id without a witness, and so does the loss of a lone
+// member; package claim does not promise anything for that.
 func (w *world) forget() {
 	e := w.epoch()
+	if len(e.Members) == 1 {
+		clear(w.sent)
+	}
 	for _, m := range e.Members {
 		ok := false
 		for _, h := range w.live() {
