Give each server its own TLS configuration

Cause: callers' and operators' servers shared one tls.Config, to which net/http writes when it sets up HTTP/2; the race detector reported it in TestTLS. Change: one configuration for each server. Measured: go test -race ./entry failed before, passes now. Conclusion: TestTLS under the race detector guards it.

--- a/entry/servers.go
+++ b/entry/servers.go
@@ -93,9 +93,10 @@
 		Conns: h.settings.MaxConnections, HeaderTimeout: h.settings.HeaderTimeout, HeaderBytes: maxHeaderBytes,
 		BodyBytes: h.settings.MaxBodyBytes, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout,
 	}
-	var callers, peers *tls.Config
+	// Each server has its own configuration, because net/http writes to it.
+	var callers, operators, peers *tls.Config
 	if h.pair != nil {
-		callers = h.pair.Server()
+		callers, operators = h.pair.Server(), h.pair.Server()
 	}
 	if h.settings.PeerCAFile != "" {
 		peers = h.pair.PeerServer()
@@ -105,7 +106,7 @@
 	}
 	return servers{
 		callers:   serve(limits.Server(http.HandlerFunc(h.serveCaller)), limits.Listen(h.listeners.callers), callers),
-		operators: serve(plain(h.operatorHandler()), h.listeners.operators, callers),
+		operators: serve(plain(h.operatorHandler()), h.listeners.operators, operators),
 		peers:     serve(plain(h.mesh), h.listeners.peers, peers),
 	}
 }
