--- a/demo/stage.go
+++ b/demo/stage.go
@@ -26,6 +26,7 @@
 	connections    = 64
 	runTime        = 20 * time.Millisecond
 	stopTimeout    = 10 * time.Second
+	endTimeout     = 300 * time.Millisecond
 	readyTimeout   = 10 * time.Second
 )
 
@@ -73,6 +74,7 @@
 // running is one entry host in this process.
 type running struct {
 	host   *entry.Host
+	set    *settings.Settings
 	cancel context.CancelFunc
 	done   chan error
 }
@@ -141,14 +143,15 @@
 // startEntry starts an entry host and waits until it is ready.
 func (s *stage) startEntry(ctx context.Context, name, zone string) error {
 	any4 := netip.MustParseAddrPort("127.0.0.1:0")
-	h := entry.New(&settings.Settings{
+	set := &settings.Settings{
 		Name: name, Zone: zone, CallersAddress: any4, OperatorAddress: any4, PeerAddress: any4,
 		StoreURL: "http://" + s.store.address.String(), StoreTimeout: time.Second,
 		ClusterSecret: "demo-secret-demo-secret", MaxBodyBytes: 1 << 30, MaxConnections: 20_000,
 		HeaderTimeout: 10 * time.Second, StopTimeout: stopTimeout,
-	}, zap.NewNop())
+	}
+	h := entry.New(set, zap.NewNop())
 	ctx, cancel := context.WithCancel(ctx)
-	r := &running{host: h, cancel: cancel, done: make(chan error, 1)}
+	r := &running{host: h, set: set, cancel: cancel, done: make(chan error, 1)}
 	if err := h.Listen(ctx); err != nil {
 		cancel()
 		return err
@@ -203,17 +206,19 @@
 
 func entryName(n int) string { return fmt.Sprintf("entry-%d", n+1) }
 
+// stop ends everything. The run is over by then, so the entry hosts need not leave in
+// good order, which would take some seconds for each of them.
 func (s *stage) stop() error {
 	var errs []error
 	s.mu.Lock()
-	var names []string
-	for name := range s.entries {
-		names = append(names, name)
+	for _, r := range s.entries {
+		r.set.StopTimeout = endTimeout
+		r.cancel()
 	}
-	s.mu.Unlock()
-	for _, name := range names {
-		errs = append(errs, s.stopEntry(name))
+	for _, r := range s.entries {
+		<-r.done
 	}
+	s.mu.Unlock()
 	for _, server := range append(s.servers, s.store) {
 		errs = append(errs, server.http.Close())
 		if err := <-server.done; !errors.Is(err, http.ErrServerClosed) {
