Give the loops of a node a fixed order

Change: flows, demands, pools, workers and pending claims are visited in order; calls without a response are a list.

--- a/node/call.go
+++ b/node/call.go
@@ -169,7 +169,7 @@
 	if n.open[c.grant.ID] != c {
 		return
 	}
-	n.abandoned[c] = until
+	n.abandoned = append(n.abandoned, abandoned{c, until})
 	if outcome == slot.OK || outcome == slot.Unused {
 		return
 	}
@@ -180,13 +180,21 @@
 	n.out.report(c.owner, release{ID: c.grant.ID, Outcome: outcome})
 }
 
+// abandoned is a call without a complete response, whose request may still be running
+// until a given time.
+type abandoned struct {
+	call  *Call
+	until time.Time
+}
+
 func (n *Node) endAbandoned(now time.Time) {
-	for c, until := range n.abandoned {
-		if !now.Before(until) {
-			delete(n.abandoned, c)
-			n.finish(now, c, slot.Unused)
+	n.abandoned = slices.DeleteFunc(n.abandoned, func(a abandoned) bool {
+		over := !now.Before(a.until)
+		if over {
+			n.finish(now, a.call, slot.Unused)
 		}
-	}
+		return over
+	})
 }
 
 // shed refuses a waiting call in favour of one that is entitled to its place.
--- a/node/claims.go
+++ b/node/claims.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -261,10 +263,18 @@
 	n.claims.registry.Finish(now, m.Key, m.Owner, m.State)
 }
 
+func (n *Node) pendingClaims() []claim.Owner {
+	return slices.SortedFunc(maps.Keys(n.claims.pending), func(a, b claim.Owner) int {
+		return cmp.Compare(a.Attempt, b.Attempt)
+	})
+}
+
 // tickClaims repeats claims without an answer and asks for ids that are missing.
 func (n *Node) tickClaims(now time.Time) {
-	for owner, r := range n.claims.pending {
+	for _, owner := range n.pendingClaims() {
+		r := n.claims.pending[owner]
 		switch {
+		case r == nil:
 		case !now.Before(r.deadline):
 			n.decide(now, r, claim.Refuse)
 		case r.attempt == nil:
--- a/node/grants.go
+++ b/node/grants.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,14 +29,21 @@
 }
 
 func (n *Node) rebalanceAll(now time.Time) {
-	for f, waiting := range n.active {
+	for _, f := range n.activeFlows() {
 		n.rebalance(now, f)
-		if waiting == 0 {
+		if n.active[f] == 0 {
 			delete(n.active, f)
 		}
 	}
 }
 
+func (n *Node) activeFlows() []flow {
+	if len(n.active) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Keys(n.active), flow.compare)
+}
+
 // repeatDemands sends the demand of waiting requests again, in case a message was lost
 // with its connection.
 func (n *Node) repeatDemands(now time.Time) {
@@ -43,7 +51,7 @@
 		return
 	}
 	n.repeated = now
-	for f := range n.active {
+	for _, f := range n.activeFlows() {
 		for _, m := range n.ep.Members {
 			if n.router.Asked(f.pool, f.team, true, m.Name)+n.router.Asked(f.pool, f.team, false, m.Name) > 0 {
 				n.demand(now, f, m.Name)
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -67,25 +68,23 @@
 	pools   map[string][]minion
 	peers   map[string]*peerState
 
-	open     map[uint64]*Call // by grant id
-	waiting  map[string]int   // requests in the queue by team
-	active   map[flow]int     // requests in the queue by flow; kept while slots are asked for
-	excluded map[flow]map[string]int
-	out      outbox
-	complete bool
-	leaving  bool
-	confirms map[epoch.ID]epoch.Confirm
-	asked    epoch.Ask
-	handOver map[string]bool // successors that have not acknowledged the hand-over
-	mint     map[string]int64
-	signs    map[string]time.Time // minions seen to be leaving
-	runTimes map[flow]*runTime
-	granting []slot.Grant // scratch space of pump
-	repeated time.Time    // last repetition of demands
-	credited time.Time    // last exchange of credits
-	// abandoned holds calls without a response whose requests may still be running, with
-	// the time at which they must have ended.
-	abandoned map[*Call]time.Time
+	open      map[uint64]*Call // by grant id
+	waiting   map[string]int   // requests in the queue by team
+	active    map[flow]int     // requests in the queue by flow; kept while slots are asked for
+	excluded  map[flow]map[string]int
+	out       outbox
+	complete  bool
+	leaving   bool
+	confirms  map[epoch.ID]epoch.Confirm
+	asked     epoch.Ask
+	handOver  map[string]bool // successors that have not acknowledged the hand-over
+	mint      map[string]int64
+	signs     map[string]time.Time // minions seen to be leaving
+	runTimes  map[flow]*runTime
+	granting  []slot.Grant // scratch space of pump
+	repeated  time.Time    // last repetition of demands
+	credited  time.Time    // last exchange of credits
+	abandoned []abandoned
 	claims    claims
 	moving    map[string]bool // workers with grants of a pool that they have left
 	moved     time.Time       // of the last look at them
@@ -108,6 +107,11 @@
 // flow is the requests of one team to one pool.
 type flow struct{ pool, team string }
 
+// compare orders flows, so that loops over them are the same in each run.
+func (f flow) compare(g flow) int {
+	return cmp.Or(cmp.Compare(f.pool, g.pool), cmp.Compare(f.team, g.team))
+}
+
 type peerState struct {
 	id     epoch.ID
 	heard  time.Time
@@ -142,8 +146,6 @@
 		out:      newOutbox(),
 		signs:    make(map[string]time.Time),
 		runTimes: make(map[flow]*runTime),
-
-		abandoned: make(map[*Call]time.Time),
 	}
 	n.queue = queue.New(n.shed)
 	n.claims = n.newClaims(now)
--- a/node/outbox.go
+++ b/node/outbox.go
@@ -13,14 +13,14 @@
 // message of a kind for it.
 type outbox struct {
 	slots   map[string]*slotsMessage
-	demands map[string]map[flow]bool
+	demands map[string][]flow
 	grants  map[string][]slot.Grant
 }
 
 func newOutbox() outbox {
 	return outbox{
 		slots:   make(map[string]*slotsMessage),
-		demands: make(map[string]map[flow]bool),
+		demands: make(map[string][]flow),
 		grants:  make(map[string][]slot.Grant),
 	}
 }
@@ -44,10 +44,9 @@
 
 func (o *outbox) demand(host string, f flow) {
 	o.to(host)
-	if o.demands[host] == nil {
-		o.demands[host] = make(map[flow]bool)
+	if !slices.Contains(o.demands[host], f) {
+		o.demands[host] = append(o.demands[host], f)
 	}
-	o.demands[host][f] = true
 }
 
 func (o *outbox) grant(host string, g slot.Grant) { o.grants[host] = append(o.grants[host], g) }
@@ -58,7 +57,7 @@
 	defer n.mu.Unlock()
 	for _, host := range sortedKeys(n.out.slots) {
 		m := n.out.slots[host]
-		for f := range n.out.demands[host] {
+		for _, f := range n.out.demands[host] {
 			m.Demands = append(m.Demands, n.demandOf(f, host))
 		}
 		_ = n.Send(host, kindSlots, m)
--- a/node/owners.go
+++ b/node/owners.go
@@ -116,7 +116,8 @@
 	if len(n.ep.Members) == 0 {
 		return
 	}
-	for worker, record := range n.cfg.Workers {
+	for _, worker := range sortedKeys(n.cfg.Workers) {
+		record := n.cfg.Workers[worker]
 		host, ok := n.hosts[worker]
 		if !ok {
 			continue
@@ -131,7 +132,8 @@
 		}
 	}
 	n.findMoving(now)
-	for pool, minions := range n.pools {
+	for _, pool := range sortedKeys(n.pools) {
+		minions := n.pools[pool]
 		n.alloc.SetMinions(now, pool, n.granted(now, minions))
 		n.router.SetOwners(pool, n.owners(pool, minions))
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -140,8 +140,8 @@
 
 func (n *Node) freeSlots() []poolSlots {
 	var free []poolSlots
-	for pool, minions := range n.pools {
-		if slices.ContainsFunc(minions, func(m minion) bool { return m.owner.Name == n.self.Name }) {
+	for _, pool := range sortedKeys(n.pools) {
+		if slices.ContainsFunc(n.pools[pool], func(m minion) bool { return m.owner.Name == n.self.Name }) {
 			free = append(free, poolSlots{Pool: pool, Free: n.alloc.Free(pool)})
 		}
 	}
