Share the pause that ends with its context

Cause: command, minionfake and platformfake had the same function. Change: package wait. Measured: their tests pass. Conclusion: no change of behaviour.

--- a/command/proposal.go
+++ b/command/proposal.go
@@ -17,6 +17,7 @@
 
 	"egretdrum.example/change"
 	"egretdrum.example/operator"
+	"egretdrum.example/wait"
 )
 
 const (
@@ -136,7 +137,7 @@
 
 func (op *operation) submit(ctx context.Context, c change.Change) (version uint64, behind []string, err error) {
 	for try := range submitTries {
-		if try > 0 && !pause(ctx, submitPause) {
+		if try > 0 && !wait.For(ctx, submitPause) {
 			break
 		}
 		version, behind, err = operator.Submit(ctx, op.api, c)
@@ -162,7 +163,7 @@
 			_, err := fmt.Fprintf(op.stderr(), "no entry host is behind version %d\n", version)
 			return err
 		}
-		if pause(waiting, behindRefresh) {
+		if wait.For(waiting, behindRefresh) {
 			continue
 		}
 		if err != nil {
@@ -172,17 +173,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func behindText(behind []string) string {
 	if len(behind) == 0 {
 		return ""
--- a/minionfake/minion.go
+++ b/minionfake/minion.go
@@ -3,12 +3,13 @@
 package minionfake
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"egretdrum.example/wait"
 )
 
 // Run is one request that reached the minion.
@@ -105,7 +106,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if !pause(r.Context(), b.Delay) {
+	if !wait.For(r.Context(), b.Delay) {
 		return
 	}
 	complete = true
@@ -150,14 +151,3 @@
 		m.runs[n].Complete = complete
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/platformfake/platform.go
+++ b/platformfake/platform.go
@@ -17,6 +17,7 @@
 
 	"egretdrum.example/hostlist"
 	"egretdrum.example/store"
+	"egretdrum.example/wait"
 )
 
 // Platform is one stand-in. The zero value is not usable; call New.
@@ -213,7 +214,7 @@
 		p.counts[op]++
 		f := p.faults
 		p.mu.Unlock()
-		if f.delay > 0 && !pause(r.Context(), f.delay) {
+		if f.delay > 0 && !wait.For(r.Context(), f.delay) {
 			return
 		}
 		if f.paused != nil {
@@ -231,17 +232,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.lapse(time.Now())
