Let open services run under a contract of their own

Cause: requests without a key belonged to a team without a contract and so without credits; an open service answered nothing (found by reading). Change: they count for the side's team 'open'; without its contract they are refused at once. Conclusion: open services have a share and a limit like teams.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"egretdrum.example/fleet"
@@ -28,7 +29,7 @@
 		h.refuse(w, req.id, refusal.ServiceUnknown, "no service "+req.service, 0)
 		return
 	}
-	team, reason := authenticate(cfg, service, req.secret)
+	team, reason := authenticate(cfg, req.service, req.secret)
 	if reason != "" {
 		h.refuse(w, req.id, reason, "the request needs a key that is in force", 0)
 		return
@@ -44,15 +45,18 @@
 	reason.Write(w, id, refusal.RunNo, detail, after)
 }
 
-// openTeam is the team of requests without a key to services that are open to all. It
-// has no contract, so its limit is that of the service's open contract.
+// openTeam is the bare name of the team that requests without a key belong to at open
+// services. Its contract, for example tengri/open, needs no keys; it bounds what anybody
+// may run.
 const openTeam = "open"
 
 // authenticate returns the team of the key, or the reason for a refusal.
-func authenticate(cfg *fleet.Config, s fleet.Service, secret string) (string, refusal.Reason) {
+func authenticate(cfg *fleet.Config, service, secret string) (string, refusal.Reason) {
 	if secret == "" {
-		if s.Open {
-			return openTeam, ""
+		side, _, _ := strings.Cut(service, "/")
+		team := side + "/" + openTeam
+		if _, ok := cfg.Contracts[team]; ok && cfg.Services[service].Open {
+			return team, ""
 		}
 		return "", refusal.KeyMissing
 	}
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"egretdrum.example/change"
+	"egretdrum.example/contract"
 	"egretdrum.example/fleet"
 	"egretdrum.example/minionfake"
 	"egretdrum.example/settings"
@@ -64,6 +65,22 @@
 	}
 }
 
+// Guards against open services that nobody can use, and against closed ones that are
+// open: without a key, work counts for the side's open contract.
+func TestOpenService(t *testing.T) {
+	s := newStage(t, 1, 1)
+	r := s.request(0, http.MethodPost, "", "x")
+	r.Header.Del("Egretdrum-Key")
+	s.change(change.KindContract, "tengri/open", contract.Contract{Team: "tengri/open", Share: 1, Limit: 2})
+	resp, _ := s.do(r.Clone(t.Context()))
+	checkRefusal(t, resp, http.StatusUnauthorized, "key-missing", "no")
+	s.change(change.KindService, "tengri/pairings", fleet.Service{Pool: "tengri/rounds", Open: true})
+	r.Body = io.NopCloser(strings.NewReader("x"))
+	resp, _ = s.do(r)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	qt.Check(t, s.minions[0].Runs()[0].Team, qt.Equals, "tengri/open")
+}
+
 // Guards against a second run of a non-idempotent id, at any entry host.
 func TestRepeatedID(t *testing.T) {
 	s := newStage(t, 3, 2)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -107,7 +107,7 @@
 // withdrawn while the request waited.
 func (x *exchange) entitled() bool {
 	cfg := x.host.keeper.Config()
-	team, reason := authenticate(cfg, cfg.Services[x.request.service], x.request.secret)
+	team, reason := authenticate(cfg, x.request.service, x.request.secret)
 	return reason == "" && team == x.team
 }
 
