Keep a slot as long at its owner as at its sender

Cause: a sender keeps the slot of a request without a response until its deadline plus 1 s, but its owner ended the grant 10% after the deadline; with timeouts below 10 s the slot could be granted while the minion still ran the request (found by reading). Change: a binding names the deadline plus EndGrace. Measured: TestSlotIsKeptUntilTheRunMustHaveEnded fails without the change (0 grants held, 1 wanted) and passes with it. Conclusion: both sides end at the same time.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -21,13 +21,8 @@
 	"egretdrum.example/slot"
 )
 
-const (
-	// leaveGrace is how long a run goes on after its caller has left.
-	leaveGrace = time.Second
-	// endGrace covers the time for which a request was on its way: the minion counts its
-	// time limit from the arrival.
-	endGrace = time.Second
-)
+// leaveGrace is how long a run goes on after its caller has left.
+const leaveGrace = time.Second
 
 // keptBodyBytes bounds the body that is kept so that a request can be sent again.
 const keptBodyBytes = 64 << 10
@@ -167,7 +162,7 @@
 			x.host.node.Finish(time.Now(), call, outcome, time.Since(started))
 			return
 		}
-		x.host.node.Abandon(time.Now(), call, outcome, x.request.deadline.Add(endGrace))
+		x.host.node.Abandon(time.Now(), call, outcome, x.request.deadline.Add(node.EndGrace))
 	}()
 	ctx, cancel := x.minionContext(ctx)
 	defer cancel()
--- a/node/grants.go
+++ b/node/grants.go
@@ -114,9 +114,9 @@
 	c.grant, c.owner = g, owner
 	n.open[g.ID] = c
 	if owner == n.self.Name {
-		n.alloc.Bind(now, g.ID, c.Deadline)
+		n.alloc.Bind(now, g.ID, c.Deadline.Add(EndGrace))
 	} else {
-		n.out.bind(owner, bind{ID: g.ID, Timeout: c.Deadline.Sub(now)})
+		n.out.bind(owner, bind{ID: g.ID, Timeout: c.Deadline.Add(EndGrace).Sub(now)})
 	}
 	n.rebalance(now, f)
 	n.demand(now, f, owner)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,9 @@
 	TickInterval = credit.TickInterval
 	// HeartbeatInterval is how often a peer hears from this host.
 	HeartbeatInterval = 250 * time.Millisecond
+	// EndGrace is how long after its deadline a request may still run at its minion: the
+	// minion counts its time limit from the arrival of the request.
+	EndGrace = time.Second
 	// lostAfter is the time without a heartbeat after which a peer counts as lost.
 	lostAfter = 3 * time.Second
 	// checkAfter is the age at which the owner asks whether a grant is still held.
--- a/node/slots_test.go
+++ b/node/slots_test.go
@@ -10,6 +10,7 @@
 	"egretdrum.example/epoch"
 	"egretdrum.example/fleet"
 	"egretdrum.example/hostlist"
+	"egretdrum.example/refusal"
 	"egretdrum.example/slot"
 )
 
@@ -44,3 +45,20 @@
 	n.flush(now)
 	qt.Check(t, granted, qt.Equals, 2)
 }
+
+// Guards against an owner that takes a slot back at the deadline, while the minion, which
+// counts its time limit from the arrival, may still run the request.
+func TestSlotIsKeptUntilTheRunMustHaveEnded(t *testing.T) {
+	now := time.Now()
+	n := newBenchNode(t, now, 1)
+	c := NewCall("id", "s/p", "s/t0", false, now.Add(time.Second))
+	n.Submit(now, c)
+	qt.Assert(t, (<-c.Verdict).Reason, qt.Equals, refusal.Reason(""))
+	n.Abandon(now, c, slot.Silent, c.Deadline.Add(EndGrace))
+	inUse := func(after time.Duration) int {
+		n.Tick(now.Add(after))
+		return len(n.alloc.Overdue(now.Add(after), 0))
+	}
+	qt.Check(t, inUse(time.Second+EndGrace-time.Millisecond), qt.Equals, 1)
+	qt.Check(t, inUse(time.Second+EndGrace), qt.Equals, 0)
+}
