Follow certificate changes when dialing peers

Cause: the configuration for dialing kept the certificate of the start; after its expiry new links would have failed until a restart (found by reading). Conclusion: partial, for authorities.

--- a/certificate/pair.go
+++ b/certificate/pair.go
@@ -160,15 +160,18 @@
 	}
 }
 
-// PeerClient returns a configuration for one connection to the peer of this name or IP
-// address. Each connection needs a new one: crypto/tls has no hook for new authorities.
+// PeerClient returns a configuration for connections to the peer of this name or IP
+// address; with an empty name the dialer sets it. The own certificate follows changes of
+// the files. The authorities are those of the time of the call, because crypto/tls has no
+// hook for new ones: a new authority for dialing needs a new configuration.
 func (p *Pair) PeerClient(name string) *tls.Config {
-	s := p.state()
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		ServerName:   name,
-		RootCAs:      s.authorities,
-		Certificates: []tls.Certificate{*s.cert},
-		NextProtos:   []string{"http/1.1"},
+		MinVersion: tls.VersionTLS13,
+		ServerName: name,
+		RootCAs:    p.state().authorities,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return p.state().cert, nil
+		},
+		NextProtos: []string{"http/1.1"},
 	}
 }
--- a/certificate/pair_test.go
+++ b/certificate/pair_test.go
@@ -71,12 +71,15 @@
 func TestFollowsFilesAndKeepsLastGood(t *testing.T) {
 	c := qt.New(t)
 	f, p := newPair(c, 1)
-	server := p.Server()
+	server, client := p.Server(), p.PeerClient("127.0.0.1")
 	shows := func(serial int64) {
 		c.Helper()
 		got, err := handshake(c, server, &tls.Config{InsecureSkipVerify: true})
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.Equals, serial)
+		shown, err := client.GetClientCertificate(nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(shown.Leaf.SerialNumber.Int64(), qt.Equals, serial)
 	}
 	shows(1)
 	write(c, f, 2, time.Now().Add(time.Hour))
