Measure the throughput per core

Cause: the benchmark gave requests per second only. Change: requests per second of processor time, from getrusage.

--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -51,14 +52,15 @@
 	b.ReportMetric(float64(times[0][len(times[0])/2].Microseconds()), "µs-direct-p50")
 }
 
-// BenchmarkThroughput prints the requests per second of 8 callers against direct calls.
+// BenchmarkThroughput prints the requests per second of 8 callers, and per second of
+// processor time, against direct calls. Callers and minions are in the same process.
 func BenchmarkThroughput(b *testing.B) {
 	s := newStage(b, 2, 4)
 	direct := "http://" + s.listed[0].Address.String() + service
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	rate := func(request func(n int) *http.Request) float64 {
-		const calls = 4000
-		started := time.Now()
+	rate := func(request func(n int) *http.Request) (perSecond, perCore float64) {
+		const calls = 8000
+		started, used := time.Now(), processorTime(b)
 		var wg sync.WaitGroup
 		for caller := range 8 {
 			wg.Go(func() {
@@ -68,16 +70,25 @@
 			})
 		}
 		wg.Wait()
-		return calls / time.Since(started).Seconds()
+		return calls / time.Since(started).Seconds(), calls / (processorTime(b) - used).Seconds()
 	}
 	through := func(n int) *http.Request { return s.request(n%2, http.MethodGet, "", "") }
 	rate(through) // spreads the credits, opens connections
-	base := rate(func(int) *http.Request { return get(b, direct) })
-	entry := rate(through)
+	base, baseCore := rate(func(int) *http.Request { return get(b, direct) })
+	entry, entryCore := rate(through)
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(base, "direct/s")
 	b.ReportMetric(entry, "entry/s")
 	b.ReportMetric(entry/base, "x-direct")
+	b.ReportMetric(entryCore/baseCore, "x-direct-per-core")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func get(b *testing.B, url string) *http.Request {
