Show the share of each team in the demo

Cause: the demo's distance to share was 2.9, 3.3 and 6.2 points on an idle machine, above the aim of 2, without saying which team missed it. Change: a row for each team of the full pool.

--- a/demo/judge.go
+++ b/demo/judge.go
@@ -45,6 +45,7 @@
 	}
 	for _, t := range sides[0].teams {
 		got := used["tengri/"+t.name].Seconds() / max(whole.Seconds(), 1e-9)
+		d.report.shares = append(d.report.shares, fmt.Sprintf("tengri/%s %.1f%% of %.1f%%", t.name, 100*got, 100*float64(t.share)/float64(shares)))
 		d.report.shareDistance = max(d.report.shareDistance, math.Abs(got-float64(t.share)/float64(shares)))
 	}
 	d.report.shareMeasured = whole > 0
--- a/demo/report.go
+++ b/demo/report.go
@@ -23,6 +23,7 @@
 	rollOuts              []time.Duration
 	moves                 int
 	shareDistance         float64
+	shares                []string
 	shareMeasured         bool
 	broken                []string
 }
@@ -45,6 +46,9 @@
 	row("buffer cost", "not measured")
 	row("moves", r.moves)
 	row("distance to share", r.share())
+	for _, s := range r.shares {
+		row("", s)
+	}
 	row("broken rules", len(r.broken))
 	for _, b := range r.broken[:min(len(r.broken), shownBroken)] {
 		row("", b)
