Fix the seeds of property tests in one place

Change: property.Main; ownership uses property.Fails for its broken variant. Conclusion: the same seeds and numbers of checks as before.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -18,13 +16,7 @@
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "3")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.shrinktime", "0s")
-	_ = flag.Set("rapid.checks", "400")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "seed=3", "shrinktime=0s", "checks=400") }
 
 // counts are the oracle's absences, counted anew for each question.
 type counts struct {
--- a/buffer/policy_test.go
+++ b/buffer/policy_test.go
@@ -1,14 +1,14 @@
 package buffer
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"egretdrum.example/property"
 )
 
 const (
@@ -19,11 +19,7 @@
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "seed=1") }
 
 // oracle follows the actions alone and knows nothing of the policy's state.
 type oracle struct {
--- a/credit/ledger_test.go
+++ b/credit/ledger_test.go
@@ -1,9 +1,7 @@
 package credit
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -13,14 +11,10 @@
 	"pgregory.net/rapid"
 
 	"egretdrum.example/epoch"
+	"egretdrum.example/property"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "300")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "seed=20261204", "checks=300") }
 
 // disturb changes one thing about the fleet; two in a row act at the same time.
 func (w *world) disturb(t *rapid.T, i int) {
--- a/epoch/epoch_test.go
+++ b/epoch/epoch_test.go
@@ -3,24 +3,19 @@
 import (
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"egretdrum.example/property"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "2000")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "seed=20261204", "checks=2000") }
 
 func member(name string, incarnation uint64, zone string) Member {
 	return Member{Name: name, Incarnation: incarnation, Zone: zone, Peer: netip.MustParseAddrPort("127.0.0.1:7000")}
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -1,9 +1,7 @@
 package move
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -16,14 +14,7 @@
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "5")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.shrinktime", "0s")
-	_ = flag.Set("rapid.steps", "300")
-	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "seed=5", "shrinktime=0s", "steps=300", "checks=1000") }
 
 var pools = []string{"a/p", "a/q", "b/p"}
 
--- a/ownership/main_test.go
+++ b/ownership/main_test.go
@@ -1,15 +1,11 @@
 package ownership
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"egretdrum.example/property"
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict. A seed on the
 // command line replaces it.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "seed=1") }
--- a/ownership/table_test.go
+++ b/ownership/table_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"egretdrum.example/property"
 )
 
 // world drives several tables through racing epoch changes. Hosts adopt epochs late,
@@ -126,28 +128,13 @@
 // The broken variant skipSync grants without the other members' answers; the check of
 // TestOneOwner must find it.
 func TestOneOwnerFindsSkippedSync(t *testing.T) {
-	r := &recorder{TB: t}
-	func() {
-		defer func() { _ = recover() }()
-		rapid.Check(r, func(t *rapid.T) { walk(t, true) })
-	}()
-	if !r.failed {
+	if !property.Fails(t, func(t testing.TB) {
+		rapid.Check(t, func(t *rapid.T) { walk(t, true) })
+	}) {
 		t.Fatal("no run showed two owners")
 	}
 }
 
-// recorder turns a failure of a property into a value.
-type recorder struct {
-	testing.TB
-	failed bool
-}
-
-func (r *recorder) Errorf(string, ...any) { r.failed = true }
-func (r *recorder) Fatalf(string, ...any) { r.failed = true; panic("stop") }
-func (r *recorder) FailNow()              { r.failed = true; panic("stop") }
-func (r *recorder) Fail()                 { r.failed = true }
-func (r *recorder) Logf(string, ...any)   {}
-
 // Guards against granting slots that requests of a reclaimed member may still use.
 func TestQuietPeriod(t *testing.T) {
 	start := time.Unix(0, 0)
--- /dev/null
+++ b/property/main.go
@@ -0,0 +1,18 @@
+package property
+
+import (
+	"os"
+	"testing"
+)
+
+// Main runs the tests of a package with fixed settings of rapid, for example "seed=1"
+// and "checks=300", so that each run gives the same verdict. Settings on the command line
+// come later and count instead.
+func Main(m *testing.M, settings ...string) {
+	args := []string{os.Args[0], "-rapid.nofailfile"}
+	for _, s := range settings {
+		args = append(args, "-rapid."+s)
+	}
+	os.Args = append(args, os.Args[1:]...)
+	os.Exit(m.Run())
+}
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -21,12 +19,7 @@
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"seed": "9", "nofailfile": "true", "shrinktime": "0s", "steps": "120", "checks": "200"} {
-		_ = flag.Set("rapid."+name, value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "seed=9", "shrinktime=0s", "steps=120", "checks=200") }
 
 const workers, drivers = 8, 2
 
