--- a/command/key.go
+++ b/command/key.go
@@ -33,7 +33,7 @@
 	return op.propose(ctx, proposal{action: "give-key", kind: change.KindContract, name: c.Team, value: c.WithKey(key)}, secret)
 }
 
-// withdrawKey asks for no confirmation: it cuts no running request, and a key that
+// withdrawKey asks for no confirmation: it interrupts no running request, and a key that
 // became known to others has to end at once.
 func withdrawKey(ctx context.Context, op *operation) error {
 	c, err := op.contract()
--- a/command/proposal.go
+++ b/command/proposal.go
@@ -29,7 +29,7 @@
 )
 
 // proposal is a change before it is sent. A nil value removes the object. Cautions are
-// the effects that the operator has to confirm: work that is cut or stopped, and limits
+// the effects that the operator has to confirm: work that is interrupted or stopped, and limits
 // that are lowered.
 type proposal struct {
 	action, kind, name string
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -203,7 +203,7 @@
 	qt.Check(t, s.minions[0].Peak() <= 8, qt.IsTrue)
 }
 
-// Guards against a planned stop that cuts requests, and against slots that stay with the
+// Guards against a planned stop that interrupts requests, and against slots that stay with the
 // host that left.
 func TestPlannedStop(t *testing.T) {
 	s := newStageWith(t, 3, 3, func(set *settings.Settings) { set.StopTimeout = 20 * time.Second })
--- a/minion/client_test.go
+++ b/minion/client_test.go
@@ -272,7 +272,7 @@
 	}
 }
 
-// Guards against cutting a long run on a live connection, whatever its time.
+// Guards against the interruption of a long run on a live connection, whatever its time.
 func TestLongRunIsNotCut(t *testing.T) {
 	always := func(c *Client) { c.unacknowledged = func(*conn, time.Duration) bool { return true } }
 	guards(t, always, func(c *qt.C, r *rig) error {
