--- a/command/app.go
+++ b/command/app.go
@@ -28,6 +28,7 @@
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			entryCommand(),
+			platformHostCommand(),
 			checkConfigCommand(),
 			contractCommand(),
 			keyCommand(),
--- /dev/null
+++ b/command/platform.go
@@ -0,0 +1,191 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"egretdrum.example/boottime"
+	"egretdrum.example/desk"
+	"egretdrum.example/dispatch"
+	"egretdrum.example/eventlog"
+	"egretdrum.example/meter"
+	"egretdrum.example/platform"
+	"egretdrum.example/scheduler"
+	"egretdrum.example/subscription"
+	"egretdrum.example/tenure"
+	"egretdrum.example/wait"
+)
+
+const (
+	// memoryShare of the limit is what the garbage collector aims at; the rest is for
+	// sockets and stacks.
+	memoryShare = 0.7
+	// drainShare of the time between the signal and the kill is left to callers with open
+	// connections. The platform needs two seconds to notice that a host is not ready.
+	drainShare = 0.55
+	// slowHostDelay is multiplied by the lack of processor time against a whole core.
+	slowHostDelay = 60 * time.Millisecond
+	headerTimeout = 10 * time.Second
+	// callerIdleTimeout is above the pauses of callers that poll.
+	callerIdleTimeout = 60 * time.Second
+)
+
+func platformHostCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform-host",
+		Usage: "run an entry host on the users' platform; settings come from the file in " + platform.SettingsVariable,
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				return err
+			}
+			return newPlatformHost(s).run(ctx)
+		},
+	}
+}
+
+// platformHost is an entry host with its parts.
+type platformHost struct {
+	settings *platform.Settings
+	log      *zap.Logger
+	logEnd   <-chan struct{}
+	closeLog context.CancelFunc
+	meter    *meter.Meter
+	config   *subscription.Subscription
+	desk     *desk.Desk
+	tenure   *tenure.Tenure
+	draining atomic.Bool
+}
+
+func newPlatformHost(s *platform.Settings) *platformHost {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	logCtx, closeLog := context.WithCancel(context.Background())
+	out := eventlog.NewBuffered(logCtx, os.Stdout)
+	h := &platformHost{settings: s, log: eventlog.New(out), logEnd: out.Done(), closeLog: closeLog, meter: meter.New()}
+	client := platform.NewClient(s.Host)
+	store := client.Store(s.Store)
+	h.config = subscription.New(store, platform.OperatorPrefix, platform.ConfigKey, platform.DecodeOperator, h.log)
+	h.desk = &desk.Desk{Store: store, Config: h.config, RevokeWithin: s.RevokeWithin, Log: h.log, Meter: h.meter}
+	machines := &platform.Machines{Client: client, At: s.Machines}
+	owner := &dispatch.Owner{
+		Store: store, Config: h.config, Limits: schedulerLimits(s), KeepResults: s.KeepResults, Log: h.log, Meter: h.meter,
+		Calls: dispatch.Calls{
+			Start: client.Start, Stop: client.Stop, Pace: client.Pace, Look: client.Look,
+			ListMachines: machines.List, Order: machines.Order,
+			DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix,
+			WaveStatus: platform.EncodeWaveStatus, WaveStatusPrefix: platform.WaveStatusPrefix,
+		},
+	}
+	h.tenure = &tenure.Tenure{
+		Store: store, Host: s.Host, Work: owner.Run, Log: h.log, Now: boottime.Now,
+		Delay: time.Duration(max(0, 1-s.CPU) * float64(slowHostDelay)),
+	}
+	return h
+}
+
+func schedulerLimits(s *platform.Settings) scheduler.Limits {
+	limits := scheduler.DefaultLimits()
+	limits.Lease = min(limits.Lease, s.MaxLease)
+	limits.Maintenance, limits.Move, limits.RemoteFactor = s.MaintenanceTime, s.MoveTime, s.RemoteFactor
+	return limits
+}
+
+// run serves until a signal to stop, and then drains.
+func (h *platformHost) run(ctx context.Context) error {
+	defer func() { h.closeLog(); <-h.logEnd }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	h.log.Info("host-started", zap.String("host", h.settings.Host), zap.String("version", Version), zap.String("availability-zone", h.settings.AvailabilityZone))
+	failed := make(chan error, 3)
+	callers := &http.Server{
+		Handler:           &platform.Callers{Desk: h.desk, Log: h.log, Draining: &h.draining},
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+	}
+	ready := func() bool { return !h.draining.Load() && h.desk.Ready() }
+	readiness := &http.Server{Handler: platform.Readiness(ready), ReadHeaderTimeout: headerTimeout}
+	metrics := &http.Server{Handler: h.meter.Handler(), ReadHeaderTimeout: headerTimeout}
+	for server, at := range map[*http.Server]netip.AddrPort{callers: h.settings.Callers, readiness: h.settings.Readiness, metrics: h.settings.Metrics} {
+		if err := serve(ctx, server, at, failed); err != nil {
+			return err
+		}
+	}
+	duty, resign := context.WithCancel(ctx)
+	defer resign()
+	ended := make(chan struct{}, 2)
+	go func() { h.config.Run(ctx); ended <- struct{}{} }()
+	go func() { h.tenure.Run(duty); ended <- struct{}{} }()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-reload:
+			h.reload()
+		case <-stop.Done():
+			h.drain(resign, callers)
+			cancel()
+			<-ended
+			<-ended
+			h.log.Info("host-stopped", zap.String("host", h.settings.Host))
+			return nil
+		}
+	}
+}
+
+// serve listens and serves in the background; an error that is not the end of the server
+// goes to failed.
+func serve(ctx context.Context, server *http.Server, at netip.AddrPort, failed chan<- error) error {
+	if !at.IsValid() {
+		return nil
+	}
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", at.String())
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// reload reads the settings again. Addresses and limits hold for the life of a process,
+// so a change of them is only reported.
+func (h *platformHost) reload() {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		h.log.Warn("settings-not-reloaded", zap.Error(err))
+		return
+	}
+	h.log.Info("settings-reloaded", zap.Bool("changed", *s != *h.settings))
+}
+
+// drain gives the right to schedule back, lets callers finish and ends their connections.
+func (h *platformHost) drain(resign context.CancelFunc, callers *http.Server) {
+	h.log.Info("host-draining", zap.Duration("grace", h.settings.Grace))
+	h.draining.Store(true)
+	resign()
+	open := time.Duration(drainShare * float64(h.settings.Grace))
+	wait.For(context.Background(), open)
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace-open-time.Second/2)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		h.log.Warn("callers-cut", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/dispatch/execute.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/scheduler"
+	"egretdrum.example/wait"
+)
+
+const (
+	// orderTimeout is far above the few milliseconds of an answer; after it, the next look
+	// finds out what became of the order.
+	orderTimeout = 500 * time.Millisecond
+	// lookPatience is how late the answer to a look may be.
+	lookPatience = 700 * time.Millisecond
+	stopRetry    = 200 * time.Millisecond
+	// ordersPerWorker keeps the number of connections to a worker low.
+	ordersPerWorker = 2
+	// machineTimeout bounds an order to the platform.
+	machineTimeout = 1500 * time.Millisecond
+)
+
+// execute carries out actions; each answer becomes an event.
+func (o *Owner) execute(a scheduler.Actions) {
+	for _, n := range a.Notes {
+		o.logNote(n)
+	}
+	for _, s := range a.Saves {
+		select {
+		case o.saver.queue <- s:
+		default:
+			o.core.Saved(s.Job, s.Version, false, time.Now())
+		}
+	}
+	for _, l := range a.Looks {
+		go o.look(l)
+	}
+	for _, s := range a.Stops {
+		go o.stopRun(s)
+	}
+	for _, s := range a.Starts {
+		go o.start(s, o.slot(s.Worker.ID))
+	}
+	for _, p := range a.Paces {
+		go o.pace(p)
+	}
+	for _, order := range a.Orders {
+		go o.order(order)
+	}
+	for _, w := range a.WaveStates {
+		o.saveWave(w)
+	}
+}
+
+func (o *Owner) slot(worker string) chan struct{} {
+	s := o.slots[worker]
+	if s == nil {
+		s = make(chan struct{}, ordersPerWorker)
+		o.slots[worker] = s
+	}
+	return s
+}
+
+// start sends an order if this host may still give any.
+func (o *Owner) start(a scheduler.Start, slot chan struct{}) {
+	select {
+	case slot <- struct{}{}:
+		defer func() { <-slot }()
+	case <-o.ctx.Done():
+		return
+	}
+	if !o.term.Valid() {
+		o.stop()
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	result, reason := o.Calls.Start(ctx, a)
+	o.Meter.Scope.Timer("start_time").Record(time.Since(sent))
+	o.post(func(now time.Time) { o.core.Started(a, result, reason, now) })
+}
+
+func (o *Owner) stopRun(a scheduler.Stop) {
+	if !o.term.Valid() {
+		return
+	}
+	o.Log.Info("run-stopped", zap.String("request", a.Task.Job), zap.Stringer("task", a.Task), zap.Int64("run", a.Run), zap.String("worker", a.Worker.ID), zap.String("reason", a.Reason))
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	ok := o.Calls.Stop(ctx, a)
+	if !ok {
+		wait.For(o.ctx, stopRetry)
+	}
+	o.post(func(now time.Time) { o.core.StopAnswered(a, ok, now) })
+}
+
+func (o *Owner) pace(a scheduler.Pace) {
+	if !o.term.Valid() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	ok := o.Calls.Pace(ctx, a)
+	o.post(func(now time.Time) { o.core.Paced(a, ok, now) })
+}
+
+func (o *Owner) look(a scheduler.Look) {
+	if !o.term.Valid() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, a.Wait+lookPatience)
+	defer cancel()
+	listing, otherLife, err := o.Calls.Look(ctx, a)
+	if err != nil && o.ctx.Err() == nil {
+		o.Log.Info("look-failed", zap.String("worker", a.Worker.ID), zap.Int64("fence", a.Fence), zap.Error(err))
+	}
+	o.post(func(now time.Time) { o.core.Looked(a, listing, otherLife, now) })
+}
+
+func (o *Owner) order(a scheduler.Order) {
+	if !o.term.Valid() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, machineTimeout)
+	defer cancel()
+	accepted, impossible, err := o.Calls.Order(ctx, a, o.term.Number)
+	o.Log.Info("machine-ordered", zap.String("machine", a.Machine), zap.String("pool", a.Pool), zap.Int64("wave", a.Wave), zap.Bool("accepted", accepted), zap.Error(err))
+	o.post(func(now time.Time) { o.core.Ordered(a, accepted, impossible, now) })
+}
+
+func (o *Owner) logNote(n scheduler.Note) {
+	fields := make([]zap.Field, 0, 8)
+	if n.Job != "" {
+		fields = append(fields, zap.String("request", n.Job))
+	}
+	if n.Task.Job != "" {
+		fields = append(fields, zap.Stringer("task", n.Task), zap.Int64("run", n.Run))
+	}
+	if n.Worker != "" {
+		fields = append(fields, zap.String("worker", n.Worker))
+	}
+	if n.Reason != "" {
+		fields = append(fields, zap.String("reason", n.Reason))
+	}
+	if n.Workers != 0 {
+		fields = append(fields, zap.Int("affected", n.Workers), zap.Bool("by-time", n.Late))
+	}
+	o.Log.Info(n.Event, fields...)
+}
--- /dev/null
+++ b/dispatch/machines.go
@@ -0,0 +1,181 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/kv"
+	"egretdrum.example/layout"
+	"egretdrum.example/scheduler"
+	"egretdrum.example/subscription"
+	"egretdrum.example/wait"
+)
+
+const (
+	// machineInterval is how often machines are listed while some are on their way.
+	machineInterval = 400 * time.Millisecond
+	// idleMachineInterval is how often they are listed otherwise.
+	idleMachineInterval = 2 * time.Second
+)
+
+// waveRecord is the durable progress of a wave.
+type waveRecord struct {
+	// Due is the Unix time in milliseconds by which the wave is to be done.
+	Due      int64    `cbor:"1,keyasint"`
+	Done     []string `cbor:"2,keyasint,omitempty"`
+	Finished bool     `cbor:"3,keyasint,omitempty"`
+}
+
+// pollMachines lists the machines.
+func (o *Owner) pollMachines() {
+	lost := false
+	for o.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.ctx, machineTimeout)
+		list, err := o.Calls.ListMachines(ctx)
+		cancel()
+		pause := machineInterval
+		if err == nil {
+			wants := make(chan bool, 1)
+			o.post(func(now time.Time) {
+				o.core.SetMachines(list, now)
+				wants <- o.core.WantsMachines()
+			})
+			select {
+			case w := <-wants:
+				if !w {
+					pause = idleMachineInterval
+				}
+			case <-o.ctx.Done():
+				return
+			}
+		}
+		if lost != (err != nil) {
+			lost = err != nil
+			o.Log.Info("machine-list", zap.Bool("lost", lost), zap.Error(err))
+		}
+		wait.For(o.ctx, pause)
+	}
+}
+
+func (o *Owner) loadWaves(ctx context.Context) error {
+	items, _, err := o.Store.Range(ctx, layout.Waves)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		number, err := strconv.ParseInt(strings.TrimPrefix(item.Key, layout.Waves), 10, 64)
+		var r waveRecord
+		if err := errors.Join(err, cbor.Unmarshal(item.Value, &r)); err != nil {
+			o.Log.Warn("wave-not-decoded", zap.String("key", item.Key), zap.Error(err))
+			continue
+		}
+		o.waves[number] = r
+	}
+	return nil
+}
+
+// takeWave hands a wave of the operators to the scheduler. Its deadline counts from the
+// time at which the first owner saw it.
+func (o *Owner) takeWave(w subscription.Wave, now time.Time) {
+	r, known := o.waves[w.Number]
+	if !known {
+		r.Due = now.Add(w.Term).UnixMilli()
+		o.waves[w.Number] = r
+	}
+	o.core.SetWave(w.Number, w.Machines, now.Add(time.Duration(r.Due-now.UnixMilli())*time.Millisecond), w.Limit, r.Done, r.Finished)
+}
+
+// saveWave stores the progress of a wave and tells the operators.
+func (o *Owner) saveWave(state scheduler.WaveState) {
+	r := o.waves[state.Wave]
+	r.Done, r.Finished = state.Done, state.Finished
+	o.waves[state.Wave] = r
+	value, err := cbor.Marshal(r)
+	status, err2 := o.Calls.WaveStatus(state.Finished)
+	if err := errors.Join(err, err2); err != nil {
+		o.Log.Error("wave-not-encoded", zap.Int64("wave", state.Wave), zap.Error(err))
+		return
+	}
+	number := strconv.FormatInt(state.Wave, 10)
+	change := kv.Change{
+		Conditions: []kv.Condition{{Key: layout.Owner, Revision: o.term.Number}},
+		Puts:       []kv.Put{{Key: layout.Wave(state.Wave), Value: value}, {Key: o.Calls.WaveStatusPrefix + number, Value: status}},
+	}
+	go o.commitUntilDone(change, func() bool {
+		// A newer state of the wave takes the place of this one.
+		return len(state.Done) >= len(o.latestWave(state.Wave).Done)
+	})
+}
+
+// latestWave reads the newest state of a wave from the loop.
+func (o *Owner) latestWave(number int64) waveRecord {
+	answer := make(chan waveRecord, 1)
+	o.post(func(time.Time) { answer <- o.waves[number] })
+	select {
+	case r := <-answer:
+		return r
+	case <-o.ctx.Done():
+		return waveRecord{}
+	}
+}
+
+// commitUntilDone repeats a change until it is stored, the term is over or it is outdated.
+func (o *Owner) commitUntilDone(change kv.Change, wanted func() bool) {
+	for o.ctx.Err() == nil && wanted() {
+		ctx, cancel := context.WithTimeout(o.ctx, saveTimeout)
+		_, err := o.Store.Commit(ctx, change)
+		cancel()
+		var conflict *kv.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			return
+		}
+		wait.For(o.ctx, saveRetry)
+	}
+}
+
+// writeCounts stores the numbers of jobs that have not begun, when they change.
+func (o *Owner) writeCounts() {
+	var last map[string]int
+	for wait.For(o.ctx, countInterval) {
+		answer := make(chan map[string]int, 1)
+		o.post(func(time.Time) {
+			answer <- o.core.Pending()
+			sum := o.core.Summary()
+			o.Meter.Gauge("jobs", float64(sum.Jobs))
+			o.Meter.Gauge("waiting_tasks", float64(sum.Waiting))
+			o.Meter.Gauge("running_tasks", float64(sum.Running))
+			o.Meter.Gauge("workers", float64(sum.Workers))
+			o.Meter.Gauge("unanswered_workers", float64(sum.Unanswered))
+		})
+		var counts map[string]int
+		select {
+		case counts = <-answer:
+		case <-o.ctx.Done():
+			return
+		}
+		if last != nil && maps.Equal(last, counts) {
+			continue
+		}
+		value, err := cbor.Marshal(counts)
+		if err != nil {
+			o.Log.Error("counts-not-encoded", zap.Error(err))
+			continue
+		}
+		ctx, cancel := context.WithTimeout(o.ctx, saveTimeout)
+		_, err = o.Store.Commit(ctx, kv.Change{
+			Conditions: []kv.Condition{{Key: layout.Owner, Revision: o.term.Number}},
+			Puts:       []kv.Put{{Key: layout.Counts, Value: value}},
+		})
+		cancel()
+		if err == nil {
+			last = counts
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/owner.go
@@ -0,0 +1,246 @@
+// Package dispatch runs the scheduler of the owner: it feeds the scheduler from the
+// store and the workers, and carries out what the scheduler decides.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/job"
+	"egretdrum.example/kv"
+	"egretdrum.example/layout"
+	"egretdrum.example/meter"
+	"egretdrum.example/progress"
+	"egretdrum.example/scheduler"
+	"egretdrum.example/subscription"
+	"egretdrum.example/tenure"
+	"egretdrum.example/worker"
+)
+
+// Owner schedules during one term.
+type Owner struct {
+	Store  kv.Store
+	Calls  Calls
+	Config *subscription.Subscription
+	Limits scheduler.Limits
+	// KeepResults is how long an ended job is known.
+	KeepResults time.Duration
+	Log         *zap.Logger
+	Meter       *meter.Meter
+
+	term   *tenure.Term
+	core   *scheduler.Scheduler
+	events chan func(now time.Time)
+	slots  map[string]chan struct{}
+	saver  *saver
+	ctx    context.Context
+	stop   context.CancelFunc
+	waves  map[int64]waveRecord
+}
+
+// Calls are the calls to workers and machines, and the formats of the platform.
+type Calls struct {
+	Start        func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string)
+	Stop         func(ctx context.Context, a scheduler.Stop) bool
+	Pace         func(ctx context.Context, a scheduler.Pace) bool
+	Look         func(ctx context.Context, a scheduler.Look) (*worker.Listing, bool, error)
+	ListMachines func(ctx context.Context) ([]worker.Machine, error)
+	Order        func(ctx context.Context, o scheduler.Order, term int64) (accepted, impossible bool, err error)
+	// DecodeWorker reads a registration under WorkerPrefix.
+	DecodeWorker func(kv.Item) (worker.Entry, error)
+	WorkerPrefix string
+	// WaveStatus encodes the state of a wave for operators, who read it under
+	// WaveStatusPrefix and the number of the wave.
+	WaveStatus       func(finished bool) ([]byte, error)
+	WaveStatusPrefix string
+}
+
+const (
+	// eventBuffer lets callbacks go on while the scheduler is at work.
+	eventBuffer = 256
+	// tick is the longest time between two passes of the scheduler.
+	tick = 50 * time.Millisecond
+	// loadTimeout covers several pages from a slow store.
+	loadTimeout = 3 * time.Second
+	// countInterval is how often the counts of the queues are written if they changed.
+	countInterval = time.Second
+	// cleanInterval is how often old results are removed.
+	cleanInterval = 10 * time.Second
+)
+
+// Run schedules until ctx ends or the right is lost.
+func (o *Owner) Run(ctx context.Context, term *tenure.Term) {
+	o.ctx, o.stop = context.WithCancel(ctx)
+	defer o.stop()
+	o.term = term
+	o.events = make(chan func(time.Time), eventBuffer)
+	o.slots = make(map[string]chan struct{})
+	o.waves = make(map[int64]waveRecord)
+	o.core = scheduler.New(o.Limits, term.Number, time.Now())
+	o.saver = newSaver(o.Store, term.Number, o.Log)
+	started := time.Now()
+	feeds, err := o.load()
+	if err != nil {
+		o.Log.Warn("state-not-loaded", zap.Int64("term", term.Number), zap.Error(err))
+		return
+	}
+	o.Log.Info("state-loaded", zap.Int64("term", term.Number), zap.Duration("took", time.Since(started)), zap.Int("jobs", o.core.Summary().Jobs), zap.Int("workers", o.core.Summary().Workers))
+	ends := []<-chan struct{}{
+		o.background(func() { o.saver.run(o.ctx, o.stop, o.saved) }),
+		o.background(func() { o.follow(o.Calls.WorkerPrefix, feeds.workers, o.workerEvent, o.reloadWorkers) }),
+		o.background(func() { o.follow(layout.Submissions, feeds.submissions, o.submissionEvent, o.reloadSubmissions) }),
+		o.background(o.pollMachines),
+		o.background(o.writeCounts),
+	}
+	o.loop()
+	o.stop()
+	for _, end := range ends {
+		<-end
+	}
+}
+
+// background runs f and returns the channel on which its end is reported.
+func (o *Owner) background(f func()) <-chan struct{} {
+	end := make(chan struct{})
+	go func() {
+		defer close(end)
+		f()
+	}()
+	return end
+}
+
+// post hands an event to the loop; it is dropped if the term is over.
+func (o *Owner) post(event func(now time.Time)) {
+	select {
+	case o.events <- event:
+	case <-o.ctx.Done():
+	}
+}
+
+// loop applies events and carries out what the scheduler decides.
+func (o *Owner) loop() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	clean := time.NewTicker(cleanInterval)
+	defer clean.Stop()
+	changed := o.Config.Changed()
+	o.takeConfig(time.Now())
+	for {
+		o.core.Tick(time.Now())
+		o.execute(o.core.Take())
+		select {
+		case <-o.ctx.Done():
+			return
+		case event := <-o.events:
+			event(time.Now())
+		case <-changed:
+			changed = o.Config.Changed()
+			o.takeConfig(time.Now())
+		case <-clean.C:
+			o.clean(time.Now())
+		case <-ticker.C:
+		}
+		o.drain()
+	}
+}
+
+// drain applies the events that are waiting, so that one pass serves all of them.
+func (o *Owner) drain() {
+	for range eventBuffer {
+		select {
+		case event := <-o.events:
+			event(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (o *Owner) takeConfig(now time.Time) {
+	c, _, _ := o.Config.Current()
+	if c != nil {
+		o.core.SetCatalog(c)
+	}
+	for _, w := range o.Config.Waves() {
+		o.takeWave(w, now)
+	}
+}
+
+// feeds are the revisions from which the store is followed.
+type feeds struct{ workers, submissions int64 }
+
+// load reads what the predecessor left.
+func (o *Owner) load() (feeds, error) {
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
+	now := time.Now()
+	workers, workerRevision, err := o.Store.Range(ctx, o.Calls.WorkerPrefix)
+	if err != nil {
+		return feeds{}, fmt.Errorf("workers: %w", err)
+	}
+	for _, item := range workers {
+		o.setWorker(item, now)
+	}
+	submissions, submissionRevision, err := o.Store.Range(ctx, layout.Submissions)
+	if err != nil {
+		return feeds{}, fmt.Errorf("submissions: %w", err)
+	}
+	// Results are read after submissions: the owner before this one cannot write any more.
+	results, _, err := o.Store.Range(ctx, layout.Results)
+	if err != nil {
+		return feeds{}, fmt.Errorf("results: %w", err)
+	}
+	if err := o.loadWaves(ctx); err != nil {
+		return feeds{}, fmt.Errorf("waves: %w", err)
+	}
+	records := make(map[string]*progress.Record, len(results))
+	for _, item := range results {
+		o.saver.known(item)
+		r, err := progress.Decode(item.Value)
+		if err != nil {
+			o.Log.Warn("result-not-decoded", zap.String("key", item.Key), zap.Error(err))
+			continue
+		}
+		records[item.Key] = r
+	}
+	for _, item := range submissions {
+		o.submission(item, records, now)
+	}
+	return feeds{workerRevision, submissionRevision}, nil
+}
+
+// submission applies an item under layout.Submissions.
+func (o *Owner) submission(item kv.Item, records map[string]*progress.Record, now time.Time) {
+	id, cancel := layout.ParseSubmission(item.Key)
+	if cancel {
+		o.core.Cancel(id, now)
+		return
+	}
+	j := new(job.Job)
+	if err := cbor.Unmarshal(item.Value, j); err != nil {
+		o.Log.Warn("job-not-decoded", zap.String("key", item.Key), zap.Error(err))
+		return
+	}
+	// Jobs that are newer than the term were unknown to the owners before.
+	inherited := item.Revision < o.term.Number
+	if o.core.AddJob(j, records[layout.Result(id)], inherited, now) {
+		o.Log.Info("job-scheduled", zap.String("request", id), zap.String("queue", j.Queue), zap.String("account", j.Account), zap.Int("steps", len(j.Steps)), zap.Bool("inherited", inherited), zap.Int64("revision", item.Revision))
+	}
+}
+
+func (o *Owner) setWorker(item kv.Item, now time.Time) {
+	e, err := o.Calls.DecodeWorker(item)
+	if err != nil {
+		o.Log.Info("worker-not-decoded", zap.String("key", item.Key), zap.Error(err))
+		return
+	}
+	o.core.SetWorker(e, now)
+}
+
+func (o *Owner) saved(id string, version int, ok bool) {
+	o.post(func(now time.Time) { o.core.Saved(id, version, ok, now) })
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -37,7 +37,7 @@
 	api      *operator.API
 	retries  retryBudgets
 	acks     *acks
-	metrics  *meter
+	metrics  *metrics
 	recent   *recent
 
 	node  *node.Node
--- /dev/null
+++ b/job/task.go
@@ -0,0 +1,40 @@
+package job
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Task names one task: a place in a step of an occurrence of a job.
+type Task struct {
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+// String returns the form JOB.OCCURRENCE.STEP.INDEX.
+func (t Task) String() string {
+	b := make([]byte, 0, len(t.Job)+12)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = append(b, '.')
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
+}
+
+// ParseTask reads the form that String writes.
+func ParseTask(s string) (Task, bool) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return Task{}, false
+	}
+	var n [3]int
+	for i, p := range parts[1:] {
+		v, err := strconv.Atoi(p)
+		if err != nil || v < 0 {
+			return Task{}, false
+		}
+		n[i] = v
+	}
+	return Task{parts[0], n[0], n[1], n[2]}, true
+}
--- /dev/null
+++ b/kv/store.go
@@ -0,0 +1,106 @@
+// Package kv describes the key-value service in which everything is kept that must last.
+package kv
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Store holds the calls of the service. The adapter of a platform fills it in; tests
+// fill in functions of their own.
+type Store struct {
+	// Get returns the newest item of a key, ErrNotFound if there is none.
+	Get func(ctx context.Context, key string) (Item, error)
+	// Range returns all items whose keys begin with prefix. Pages are read one after the
+	// other, so a change between two of them may be missing; a watch from the returned
+	// revision delivers it.
+	Range func(ctx context.Context, prefix string) (items []Item, revision int64, err error)
+	// Watch returns the events after a revision as soon as there is one, or none after
+	// wait. ErrCompacted means that the range has to be read again.
+	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (events []Event, revision int64, err error)
+	// Commit applies a change if its conditions hold and returns its revision. A
+	// *ConflictError holds the present items of the conditions.
+	Commit func(ctx context.Context, c Change) (revision int64, err error)
+	// Grant makes a lease; Renew keeps it; Revoke ends it and removes its keys.
+	Grant  func(ctx context.Context, ttl time.Duration) (lease int64, granted time.Duration, err error)
+	Renew  func(ctx context.Context, lease int64) (time.Duration, error)
+	Revoke func(ctx context.Context, lease int64) error
+}
+
+// Item is a key with its value. The zero revision means that the key does not exist.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Lease    int64
+}
+
+// Event is a written item, or a deleted key.
+type Event struct {
+	Item
+	Deleted bool
+}
+
+// Condition requires that a key has a revision; zero requires that it does not exist.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+// Put writes a value, under a lease unless that is zero.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease int64
+}
+
+// Change is applied as a whole or not at all.
+type Change struct {
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []string
+}
+
+// MaxEntries is the most conditions, puts and deletes of a change together.
+const MaxEntries = 32
+
+var (
+	// ErrNotFound means that a key or a lease does not exist.
+	ErrNotFound = errors.New("not found in the store")
+	// ErrCompacted means that the events after a revision are not available any more.
+	ErrCompacted = errors.New("the store has dropped the history since the requested revision")
+)
+
+// UnavailableError reports a call without a useful answer.
+type UnavailableError struct {
+	// Undone is set if the call certainly has no effect, now or later.
+	Undone bool
+	Cause  error
+}
+
+func (e *UnavailableError) Error() string { return "store unavailable: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// Undone reports whether err says that a call certainly has no effect.
+func Undone(err error) bool {
+	var u *UnavailableError
+	return errors.As(err, &u) && u.Undone
+}
+
+// ConflictError reports a change whose conditions do not hold.
+type ConflictError struct{ Items []Item }
+
+func (e *ConflictError) Error() string { return "the store has newer items" }
+
+// Find returns the present item of a key; its revision is zero if it does not exist.
+func (e *ConflictError) Find(key string) Item {
+	for _, item := range e.Items {
+		if item.Key == key {
+			return item
+		}
+	}
+	return Item{Key: key}
+}
--- /dev/null
+++ b/layout/keys.go
@@ -0,0 +1,43 @@
+// Package layout names the keys under which entry hosts keep their state in the store.
+package layout
+
+import (
+	"strconv"
+	"strings"
+)
+
+const (
+	// Owner is held under a lease by the host that schedules.
+	Owner = "egretdrum/owner"
+	// Counts holds the number of jobs of each queue that have not begun.
+	Counts = "egretdrum/count"
+	// Submissions is the prefix of accepted jobs and of their cancellations.
+	Submissions = "egretdrum/in/"
+	// Results is the prefix of the progress of jobs.
+	Results = "egretdrum/out/"
+	// Waves is the prefix of the progress of maintenance waves.
+	Waves = "egretdrum/wave/"
+
+	cancelSuffix = "/cancel"
+)
+
+// Job is the key of an accepted job.
+func Job(id string) string { return Submissions + id }
+
+// Cancel is the key that marks a job as cancelled.
+func Cancel(id string) string { return Submissions + id + cancelSuffix }
+
+// Result is the key of a job's progress.
+func Result(id string) string { return Results + id }
+
+// Wave is the key of a maintenance wave's progress.
+func Wave(number int64) string { return Waves + strconv.FormatInt(number, 10) }
+
+// ParseSubmission splits a key under Submissions.
+func ParseSubmission(key string) (id string, cancel bool) {
+	rest := strings.TrimPrefix(key, Submissions)
+	if id, ok := strings.CutSuffix(rest, cancelSuffix); ok {
+		return id, true
+	}
+	return rest, false
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,43 @@
+// Package meter collects the metrics of an entry host and serves them as text.
+package meter
+
+import (
+	"net/http"
+	"time"
+
+	promclient "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const reportInterval = time.Second
+
+// Meter holds the metrics of one host.
+type Meter struct {
+	// Scope makes counters, gauges and timers.
+	Scope    tally.Scope
+	reporter prometheus.Reporter
+}
+
+// New returns an empty meter. A registry of its own lets several hosts run in one
+// process, as in the demo.
+func New() *Meter {
+	registry := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "egretdrum", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &Meter{Scope: scope, reporter: reporter}
+}
+
+// Count adds one to a counter with a tag.
+func (m *Meter) Count(name, tag, value string) {
+	m.Scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(1)
+}
+
+// Gauge sets a value.
+func (m *Meter) Gauge(name string, v float64) { m.Scope.Gauge(name).Update(v) }
+
+// Handler serves the metrics.
+func (m *Meter) Handler() http.Handler { return m.reporter.HTTPHandler() }
--- /dev/null
+++ b/progress/record.go
@@ -0,0 +1,79 @@
+// Package progress is the durable record of how far a job has come.
+package progress
+
+import (
+	"github.com/fxamacker/cbor/v2"
+)
+
+// State is what callers are told about a job.
+type State string
+
+// The states of a job; Pending until its first task has started.
+const (
+	Pending   State = "pending"
+	Running   State = "running"
+	Succeeded State = "succeeded"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s == Succeeded || s == Failed || s == Cancelled }
+
+// Record holds the results that a new owner must know. Which tasks are running is not
+// part of it: the workers list them.
+type Record struct {
+	State State `cbor:"1,keyasint"`
+	// Queue and Account are those of the job.
+	Queue   string `cbor:"5,keyasint"`
+	Account string `cbor:"6,keyasint,omitempty"`
+	// Parts has an entry for each step of an occurrence in which a task has ended.
+	Parts []Part `cbor:"2,keyasint,omitempty"`
+	// Ended is the Unix time in milliseconds at which a final state was reached.
+	Ended int64 `cbor:"3,keyasint,omitempty"`
+	// Finished lists occurrences that are done as a whole; they have no parts.
+	Finished []int `cbor:"4,keyasint,omitempty"`
+}
+
+// Part is the progress of one step of one occurrence.
+type Part struct {
+	Occurrence int `cbor:"1,keyasint,omitempty"`
+	Step       int `cbor:"2,keyasint,omitempty"`
+	// Done has a bit for each task that is done.
+	Done []byte `cbor:"3,keyasint,omitempty"`
+	// Failures has an entry for each task with failed attempts.
+	Failures []Failure `cbor:"4,keyasint,omitempty"`
+}
+
+// Failure counts the failed attempts of a task. Workers list an end until they may
+// forget it, so Run tells a new owner which ends are counted already.
+type Failure struct {
+	Index int   `cbor:"1,keyasint"`
+	Count int   `cbor:"2,keyasint"`
+	Run   int64 `cbor:"3,keyasint"`
+}
+
+// SetDone marks a task as done.
+func (p *Part) SetDone(index int) {
+	for len(p.Done) <= index/8 {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[index/8] |= 1 << (index % 8)
+}
+
+// IsDone reports whether a task is marked as done.
+func (p *Part) IsDone(index int) bool {
+	return index/8 < len(p.Done) && p.Done[index/8]&(1<<(index%8)) != 0
+}
+
+// Encode returns the stored form.
+func (r *Record) Encode() ([]byte, error) { return cbor.Marshal(r) }
+
+// Decode reads the stored form.
+func Decode(b []byte) (*Record, error) {
+	r := new(Record)
+	if err := cbor.Unmarshal(b, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
--- /dev/null
+++ b/resource/amount.go
@@ -0,0 +1,43 @@
+// Package resource counts the processors, memory and accelerators of workers and tasks.
+package resource
+
+// Amount is what a task needs, a worker has or an account uses.
+type Amount struct {
+	// CPU is in thousandths of a core.
+	CPU int `cbor:"1,keyasint,omitempty"`
+	// Memory is in MiB.
+	Memory int `cbor:"2,keyasint,omitempty"`
+	// Accelerators is a number of devices.
+	Accelerators int `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns a + b.
+func (a Amount) Add(b Amount) Amount {
+	return Amount{a.CPU + b.CPU, a.Memory + b.Memory, a.Accelerators + b.Accelerators}
+}
+
+// Sub returns a - b.
+func (a Amount) Sub(b Amount) Amount {
+	return Amount{a.CPU - b.CPU, a.Memory - b.Memory, a.Accelerators - b.Accelerators}
+}
+
+// Times returns n times a.
+func (a Amount) Times(n int) Amount {
+	return Amount{a.CPU * n, a.Memory * n, a.Accelerators * n}
+}
+
+// Within reports whether a fits into room.
+func (a Amount) Within(room Amount) bool {
+	return a.CPU <= room.CPU && a.Memory <= room.Memory && a.Accelerators <= room.Accelerators
+}
+
+// WithinLimit is Within for limits, in which zero means that there is no limit.
+func (a Amount) WithinLimit(limit Amount) bool {
+	return withinLimit(a.CPU, limit.CPU) && withinLimit(a.Memory, limit.Memory) &&
+		withinLimit(a.Accelerators, limit.Accelerators)
+}
+
+func withinLimit(n, limit int) bool { return limit == 0 || n <= limit }
+
+// IsZero reports whether nothing is counted.
+func (a Amount) IsZero() bool { return a == Amount{} }
--- /dev/null
+++ b/scheduler/actions.go
@@ -0,0 +1,122 @@
+package scheduler
+
+import (
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/worker"
+)
+
+// Actions is what has to be done outside. Each action is reported back by the method
+// that its type names.
+type Actions struct {
+	Starts []Start
+	Stops  []Stop
+	Looks  []Look
+	Saves  []Save
+	Orders []Order
+	Notes  []Note
+	// WaveStates lists waves whose state changed.
+	WaveStates []WaveState
+	Paces      []Pace
+}
+
+// Start tells a worker to run a task; report it by Started.
+type Start struct {
+	Worker     worker.Entry
+	Task       job.Task
+	Run        int64
+	Spec       string
+	Deadline   time.Duration
+	Fence      int64
+	Checkpoint string
+}
+
+// Stop tells a worker to end a run; report it by StopAnswered.
+type Stop struct {
+	Worker worker.Entry
+	Task   job.Task
+	Run    int64
+	Fence  int64
+	Reason string
+}
+
+// Pace limits the share of time in which a background task works.
+type Pace struct {
+	Worker  worker.Entry
+	Task    job.Task
+	Run     int64
+	Fence   int64
+	Percent int
+}
+
+// Look asks a worker for its lists and renews its lease; report it by Looked.
+type Look struct {
+	Worker worker.Entry
+	Fence  int64
+	// Seen is the number of the last end that the worker may forget.
+	Seen int64
+	// Deadline is the end of the lease on the worker's clock; zero leaves it unchanged.
+	Deadline time.Duration
+	Wait     time.Duration
+	sequence int64
+}
+
+// Save stores the progress of a job; report it by Saved.
+type Save struct {
+	Job     string
+	Version int
+	Record  []byte
+}
+
+// Order moves a machine to another pool or starts its maintenance; report it by Ordered.
+type Order struct {
+	Machine string
+	Pool    string
+	// Wave is the maintenance wave; zero for a move.
+	Wave int64
+}
+
+// WaveState tells operators how far a maintenance wave is.
+type WaveState struct {
+	Wave     int64
+	Finished bool
+	Done     []string
+}
+
+// Note describes a decision for the log.
+type Note struct {
+	Event   string
+	Job     string
+	Task    job.Task
+	Worker  string
+	Run     int64
+	Reason  string
+	Workers int
+	Late    bool
+}
+
+// Take returns the actions since the last call.
+func (s *Scheduler) Take() Actions {
+	a := s.actions
+	s.actions = Actions{}
+	s.collectSaves(&a)
+	return a
+}
+
+// StartResult is a worker's answer to a start.
+type StartResult int
+
+// The answers to a start.
+const (
+	// StartAccepted means that the run is present.
+	StartAccepted StartResult = iota
+	// StartRejected means that the worker did nothing.
+	StartRejected
+	// StartUnhealthy means that the worker did nothing because it is not healthy.
+	StartUnhealthy
+	// StartOtherLife means that the worker has started again since.
+	StartOtherLife
+	// StartUnanswered means that the run may be present now or later.
+	StartUnanswered
+)
--- /dev/null
+++ b/scheduler/answers.go
@@ -0,0 +1,295 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+	"egretdrum.example/worker"
+)
+
+// Looked reports the answer to a look, nil if there was none. The other life of a worker
+// under the same ID is reported by its listing's Born, or by otherLife.
+func (s *Scheduler) Looked(l Look, answer *worker.Listing, otherLife bool, now time.Time) {
+	s.now = now
+	h := s.hosts[l.Worker.ID]
+	if h == nil || h.sequence != l.sequence {
+		return
+	}
+	h.looking = false
+	if answer == nil {
+		h.failures++
+		h.nextLook = now.Add(lookRetry)
+		if h.failures == 1 {
+			s.note(Note{Event: "worker-unanswered", Worker: h.entry.ID, Workers: len(h.runs)})
+		}
+		if otherLife {
+			s.newLife(h, 0)
+			h.nextLook = now.Add(lookRetry)
+		}
+		return
+	}
+	if h.failures > 0 {
+		s.note(Note{Event: "worker-answered", Worker: h.entry.ID, Workers: len(h.runs)})
+		h.failures = 0
+	}
+	if h.born != 0 && answer.Born != h.born {
+		s.newLife(h, answer.Born)
+		return
+	}
+	h.born = answer.Born
+	h.clock, h.clockRead = answer.Clock, now
+	h.acknowledged = max(h.acknowledged, l.Seen)
+	s.applyListing(h, answer)
+	if h.lookFence == h.fence {
+		h.doubt = false
+	}
+	h.known = true
+}
+
+// applyListing applies the lists of a worker.
+func (s *Scheduler) applyListing(h *host, answer *worker.Listing) {
+	for _, e := range answer.Ended {
+		if e.Number > h.seen {
+			h.seen = e.Number
+			s.end(h, e)
+		}
+	}
+	listed := make(map[job.Task]bool, len(answer.Running))
+	for i := range answer.Running {
+		r := &answer.Running[i]
+		listed[r.Task] = true
+		s.running(h, r)
+	}
+	if len(answer.Ended) >= maxListedEnds {
+		return
+	}
+	for name, r := range h.runs {
+		if listed[name] {
+			continue
+		}
+		confirmed := r.state != starting && !r.present.IsZero() && r.present.Before(h.lookSent)
+		fenced := r.fence < h.lookFence
+		stopped := r.state == stopping && !r.stopped.IsZero() && r.stopped.Before(h.lookSent)
+		if confirmed || fenced || stopped {
+			s.drop(r, "not listed")
+		}
+	}
+}
+
+// running applies a run that a worker lists.
+func (s *Scheduler) running(h *host, listed *worker.Run) {
+	if r := h.runs[listed.Task]; r != nil && r.number == listed.Run {
+		if r.state == starting {
+			r.state = present
+		}
+		if r.present.IsZero() {
+			r.present = s.now
+		}
+		r.percent, r.load = listed.Percent, listed.Load
+		if listed.Checkpoint != "" {
+			r.save = listed.Checkpoint
+		}
+		return
+	}
+	p := s.part(listed.Task)
+	if p == nil || p.entry.state.Final() || p.tasks[listed.Task.Index].done || p.tasks[listed.Task.Index].run != nil {
+		s.actions.Stops = append(s.actions.Stops, Stop{Worker: h.entry, Task: listed.Task, Run: listed.Run, Fence: h.fence, Reason: "not wanted"})
+		return
+	}
+	s.adopt(h, p, listed)
+}
+
+// adopt takes over a run that a predecessor started.
+func (s *Scheduler) adopt(h *host, p *part, listed *worker.Run) {
+	index := listed.Task.Index
+	p.queue = slices.DeleteFunc(p.queue, func(n int) bool { return n == index })
+	s.lastRun = max(s.lastRun, listed.Run)
+	r := &run{
+		part: p, index: index, number: listed.Run, host: h, state: present, fence: h.fence, sent: s.now, present: s.now,
+		percent: listed.Percent, load: listed.Load, paced: 100, save: listed.Checkpoint, need: p.step.Reserved(),
+	}
+	s.hold(r)
+	if h.leaseEnd.Before(s.now) {
+		h.leaseEnd = s.now.Add(s.leaseBound(s.limits.Lease))
+	}
+	s.begun(p.entry)
+	s.note(Note{Event: "run-adopted", Job: p.entry.job.ID, Task: listed.Task, Worker: h.entry.ID, Run: listed.Run})
+}
+
+func (s *Scheduler) begun(e *entry) {
+	if e.state == progress.Pending {
+		e.state = progress.Running
+		s.touch(e)
+	}
+}
+
+// end applies an end that a worker lists.
+func (s *Scheduler) end(h *host, e worker.End) {
+	p := s.part(e.Task)
+	u := unsavedEnd{number: e.Number}
+	defer func() { h.unsaved = append(h.unsaved, u) }()
+	if p == nil {
+		if known := s.jobs[e.Task.Job]; known != nil && known.version > known.saved {
+			u.entry, u.version = known, known.version
+		}
+		return
+	}
+	entry := p.entry
+	version := entry.version
+	s.applyEnd(h, p, e)
+	if entry.version != version {
+		u.entry, u.version = entry, entry.version
+	}
+}
+
+func (s *Scheduler) applyEnd(h *host, p *part, e worker.End) {
+	t := &p.tasks[e.Task.Index]
+	r := h.runs[e.Task]
+	current := r != nil && r.number == e.Run
+	s.note(Note{Event: "run-ended", Job: e.Task.Job, Task: e.Task, Worker: h.entry.ID, Run: e.Run, Reason: string(e.How)})
+	if current {
+		if e.Checkpoint != "" {
+			r.save = e.Checkpoint
+		}
+		s.release(r)
+	}
+	// Without a start by this owner, the end is the result of a predecessor's run.
+	inherited := t.run == nil && t.last == 0
+	if !current && !inherited && t.last != e.Run {
+		return
+	}
+	if inherited && e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+		p.checkpoint = e.Checkpoint
+	}
+	switch {
+	case p.entry.state.Final():
+		return
+	case e.How == worker.Done:
+		h.faults = 0
+		if p.step.LongRunning {
+			break
+		}
+		s.begun(p.entry)
+		if p.step.Gang {
+			s.completeGang(p)
+			return
+		}
+		s.complete(p, e.Task.Index)
+		if other := t.run; other != nil {
+			s.stop(other, "done elsewhere")
+		}
+		return
+	case e.How == worker.Failed:
+		h.faults++
+		s.begun(p.entry)
+		s.fail(p, e.Task.Index, e.Run, h.entry.ID)
+	}
+	if current {
+		s.breakGang(r)
+	}
+	s.requeue(p, e.Task.Index)
+}
+
+// completeGang marks all tasks of a gang as done: one such end stands for all of them.
+func (s *Scheduler) completeGang(p *part) {
+	for i := range p.tasks {
+		s.complete(p, i)
+	}
+}
+
+// breakGang stops the other members of a gang that has lost one.
+func (s *Scheduler) breakGang(r *run) {
+	if !r.part.step.Gang || r.part.undone == 0 {
+		return
+	}
+	for i := range r.part.tasks {
+		if other := r.part.tasks[i].run; other != nil && other.number == r.number {
+			s.stop(other, "gang broken")
+		}
+	}
+}
+
+// Started reports the answer to a start.
+func (s *Scheduler) Started(a Start, result StartResult, reason string, now time.Time) {
+	s.now = now
+	h := s.hosts[a.Worker.ID]
+	if h == nil {
+		return
+	}
+	r := h.runs[a.Task]
+	if r == nil || r.number != a.Run {
+		return
+	}
+	switch result {
+	case StartAccepted:
+		if r.state == starting {
+			r.state = present
+		}
+		if r.present.IsZero() {
+			r.present = now
+		}
+	case StartUnanswered:
+		s.note(Note{Event: "start-unanswered", Job: a.Task.Job, Task: a.Task, Worker: h.entry.ID, Run: a.Run})
+		if r.present.IsZero() {
+			s.inDoubt(h)
+		}
+	case StartOtherLife:
+		s.drop(r, "other life of the worker")
+		if h.born != 0 && h.known {
+			s.newLife(h, 0)
+		}
+	default:
+		if result == StartUnhealthy {
+			h.pausedUntil = now.Add(unhealthyPause)
+		} else {
+			// The worker holds something that this owner does not know of.
+			h.pausedUntil = now.Add(lookRetry)
+			h.nextLook = now
+		}
+		s.drop(r, "rejected: "+reason)
+	}
+}
+
+// stop ends a run. The run holds its share until the worker lists its end.
+func (s *Scheduler) stop(r *run, reason string) {
+	if r.state == stopping {
+		return
+	}
+	if r.state == starting && r.present.IsZero() {
+		// The answer to the start is outstanding; the stop also keeps a late start away.
+		s.note(Note{Event: "stop-before-start", Job: r.part.entry.job.ID, Task: r.part.name(r.index), Worker: r.host.entry.ID, Run: r.number})
+	}
+	r.state = stopping
+	s.sendStop(r, reason)
+}
+
+func (s *Scheduler) sendStop(r *run, reason string) {
+	s.actions.Stops = append(s.actions.Stops, Stop{Worker: r.host.entry, Task: r.part.name(r.index), Run: r.number, Fence: r.host.fence, Reason: reason})
+}
+
+// StopAnswered reports whether a stop was answered; one that was not is sent again.
+func (s *Scheduler) StopAnswered(a Stop, ok bool, now time.Time) {
+	s.now = now
+	h := s.hosts[a.Worker.ID]
+	if h == nil {
+		return
+	}
+	r := h.runs[a.Task]
+	if r == nil || r.number != a.Run || r.state != stopping {
+		return
+	}
+	if !ok {
+		s.inDoubt(h)
+		s.sendStop(r, a.Reason)
+		return
+	}
+	if r.stopped.IsZero() {
+		r.stopped = now
+	}
+}
+
+var _ resource.Amount
--- /dev/null
+++ b/scheduler/hosts.go
@@ -0,0 +1,292 @@
+package scheduler
+
+import (
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/resource"
+	"egretdrum.example/worker"
+)
+
+// host is a worker with what this owner believes of it.
+type host struct {
+	entry      worker.Entry
+	listed     bool
+	unlistedAt time.Time
+	// known is set once the worker has answered a look of this owner in its present life.
+	known bool
+	born  int64
+	// fence rises when an order has gone unanswered or a new life was seen, so that an
+	// older order which is still on its way does nothing.
+	fence int64
+	// doubt is set while a run may be present without having been listed.
+	doubt bool
+
+	clock     time.Duration
+	clockRead time.Time
+	// leaseEnd is the time at which all that runs there must have ended without a look.
+	leaseEnd time.Time
+
+	runs map[job.Task]*run
+	used resource.Amount
+
+	// seen is the last end that was processed, noted the last one whose result is
+	// durable, acknowledged the last one that the worker has been told to forget.
+	seen, noted, acknowledged int64
+	unsaved                   []unsavedEnd
+
+	looking     bool
+	sequence    int64
+	lookSent    time.Time
+	lookFence   int64
+	nextLook    time.Time
+	failures    int
+	pausedUntil time.Time
+	// serving and background count runs of the kinds that disturb each other.
+	serving, background, lasting int
+	// faults counts failed runs since the last good one.
+	faults int
+}
+
+type unsavedEnd struct {
+	number  int64
+	entry   *entry
+	version int
+}
+
+// run is one run of a task on a worker.
+type run struct {
+	part    *part
+	index   int
+	number  int64
+	host    *host
+	state   runState
+	fence   int64
+	sent    time.Time
+	present time.Time
+	stopped time.Time
+	percent int
+	load    int
+	paced   int
+	save    string
+	need    resource.Amount
+}
+
+type runState int
+
+const (
+	starting runState = iota
+	present
+	stopping
+)
+
+const (
+	// lookRetry is the pause after a look that was not answered.
+	lookRetry = 250 * time.Millisecond
+	// unhealthyPause keeps work away from a worker that reported that it is not healthy.
+	unhealthyPause = time.Second
+	// idleLook is how often an unfinished lease of an otherwise quiet worker is renewed
+	// while results cannot be made durable.
+	idleLook = time.Second
+	// maxListedEnds is the most ends that a worker lists at once.
+	maxListedEnds = 500
+)
+
+// SetWorker reports a registration.
+func (s *Scheduler) SetWorker(e worker.Entry, now time.Time) {
+	s.now = now
+	h := s.hosts[e.ID]
+	if h == nil {
+		h = &host{fence: s.fence, runs: make(map[job.Task]*run)}
+		s.hosts[e.ID] = h
+		if !s.settled {
+			s.expected[e.ID] = true
+			h.leaseEnd = s.settleAt
+		}
+	}
+	if e.Leaving && !h.entry.Leaving {
+		s.note(Note{Event: "worker-leaving", Worker: e.ID})
+	}
+	if h.born != 0 && e.Born > h.born {
+		s.newLife(h, e.Born)
+	}
+	h.entry, h.listed = e, true
+	if e.Leaving {
+		s.evacuate(h)
+	}
+}
+
+// RemoveWorker reports that a registration is gone. The worker may be alive, so its
+// tasks stay where they are until its lease has ended.
+func (s *Scheduler) RemoveWorker(id string, now time.Time) {
+	s.now = now
+	if h := s.hosts[id]; h != nil && h.listed {
+		h.listed, h.unlistedAt = false, now
+	}
+}
+
+// evacuate restarts tasks without an end elsewhere before the worker leaves.
+func (s *Scheduler) evacuate(h *host) {
+	for _, r := range h.runs {
+		if r.part.step.LongRunning && r.state == present {
+			s.stop(r, "worker leaving")
+		}
+	}
+}
+
+// newLife handles a worker that has started again: it holds nothing and has seen nothing.
+func (s *Scheduler) newLife(h *host, born int64) {
+	s.note(Note{Event: "worker-restarted", Worker: h.entry.ID, Workers: len(h.runs)})
+	h.born = born
+	h.fence++
+	h.known, h.doubt = false, false
+	h.clockRead = time.Time{}
+	h.seen, h.noted, h.acknowledged, h.unsaved = 0, 0, 0, nil
+	h.looking, h.nextLook = false, s.now
+	h.sequence++
+	for _, r := range h.runs {
+		s.drop(r, "worker restarted")
+	}
+}
+
+// drop forgets a run that cannot be present any more and queues its task again.
+func (s *Scheduler) drop(r *run, reason string) {
+	s.release(r)
+	s.note(Note{Event: "run-gone", Job: r.part.entry.job.ID, Task: r.part.name(r.index), Worker: r.host.entry.ID, Run: r.number, Reason: reason})
+	s.breakGang(r)
+	s.requeue(r.part, r.index)
+}
+
+// release frees what a run holds.
+func (s *Scheduler) release(r *run) {
+	h := r.host
+	delete(h.runs, r.part.name(r.index))
+	h.used = h.used.Sub(r.need)
+	h.count(r, -1)
+	s.addUse(r.part.entry.job.Account, resource.Amount{}.Sub(r.part.step.Need))
+	if t := &r.part.tasks[r.index]; t.run == r {
+		t.run = nil
+		if r.save != "" {
+			t.checkpoint = r.save
+			r.part.checkpoint = r.save
+		}
+	}
+}
+
+// hold books what a run takes.
+func (s *Scheduler) hold(r *run) {
+	h := r.host
+	h.runs[r.part.name(r.index)] = r
+	h.used = h.used.Add(r.need)
+	h.count(r, 1)
+	s.addUse(r.part.entry.job.Account, r.part.step.Need)
+	t := &r.part.tasks[r.index]
+	t.run, t.last = r, r.number
+}
+
+func (h *host) count(r *run, n int) {
+	if r.part.step.LatencyTarget > 0 {
+		h.serving += n
+	}
+	if r.part.step.Background {
+		h.background += n
+	}
+	if r.part.step.LongRunning {
+		h.lasting += n
+	}
+}
+
+// expire ends what a worker held once its lease must have ended, and forgets workers
+// that are gone.
+func (s *Scheduler) expire(h *host) {
+	if len(h.runs) > 0 && s.now.After(h.leaseEnd) {
+		for _, r := range h.runs {
+			s.drop(r, "lease ended")
+		}
+		// A start that is still on its way is rejected by its deadline on the worker's clock.
+		h.fence++
+		h.doubt, h.known = false, false
+	}
+	if !h.listed && len(h.runs) == 0 && s.now.Sub(h.unlistedAt) > s.limits.Absence && s.now.After(h.leaseEnd) {
+		delete(s.hosts, h.entry.ID)
+	}
+}
+
+// planLook decides whether a worker is looked at now.
+func (s *Scheduler) planLook(h *host) {
+	h.advance()
+	if h.looking || s.now.Before(h.nextLook) {
+		return
+	}
+	unknown := !h.known || h.doubt
+	if !h.listed && len(h.runs) == 0 && !h.doubt && s.settled {
+		return
+	}
+	news := h.noted > h.acknowledged
+	if !unknown && !news && len(h.runs) == 0 {
+		return
+	}
+	if !unknown && !news && len(h.unsaved) > 0 && s.now.Sub(h.lookSent) < idleLook {
+		return
+	}
+	l := Look{Worker: h.entry, Seen: h.noted}
+	if h.doubt {
+		h.fence++
+	}
+	l.Fence = h.fence
+	if !h.clockRead.IsZero() && len(h.runs) > 0 {
+		l.Deadline = s.grant(h)
+	}
+	if !unknown && len(h.runs) > 0 && len(h.unsaved) == 0 {
+		l.Wait = s.limits.LookWait
+	}
+	s.look(h, l)
+}
+
+func (s *Scheduler) look(h *host, l Look) {
+	h.sequence++
+	l.sequence = h.sequence
+	h.looking, h.lookSent, h.lookFence = true, s.now, l.Fence
+	s.actions.Looks = append(s.actions.Looks, l)
+}
+
+// grant extends the lease of a worker and returns its end on the worker's clock.
+func (s *Scheduler) grant(h *host) time.Duration {
+	since := s.now.Sub(h.clockRead)
+	if end := s.now.Add(s.leaseBound(s.limits.Lease + time.Duration(float64(since)*s.limits.MaxDrift))); end.After(h.leaseEnd) {
+		h.leaseEnd = end
+	}
+	return h.clock + since + s.limits.Lease
+}
+
+// advance moves the mark of durable ends.
+func (h *host) advance() {
+	for len(h.unsaved) > 0 {
+		u := h.unsaved[0]
+		if u.entry != nil && u.entry.saved < u.version {
+			return
+		}
+		h.noted = u.number
+		h.unsaved = h.unsaved[1:]
+	}
+}
+
+// inDoubt makes the next look follow at once, with a higher fence: what it does not list
+// was never started and never will be.
+func (s *Scheduler) inDoubt(h *host) {
+	h.doubt = true
+	h.looking, h.nextLook = false, s.now
+}
+
+func (s *Scheduler) note(n Note) { s.actions.Notes = append(s.actions.Notes, n) }
+
+// Workers returns the IDs of the workers whose registrations are known.
+func (s *Scheduler) Workers() []string {
+	var ids []string
+	for id, h := range s.hosts {
+		if h.listed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/scheduler/jobs.go
@@ -0,0 +1,387 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+)
+
+// entry is a job with its state.
+type entry struct {
+	job       *job.Job
+	state     progress.State
+	cancelled bool
+	// inherited jobs may have runs of a predecessor.
+	inherited bool
+	arrived   time.Time
+	ended     time.Time
+	// occurrences holds those that have begun and are not done.
+	occurrences map[int]*occurrence
+	begun       int
+	finished    []int
+	// version counts changes of the record; saved is the last durable one.
+	version, saving, saved int
+	restored               *progress.Record
+	remaining              int
+}
+
+type occurrence struct {
+	number int
+	parts  []*part
+	open   int // steps that are not done
+}
+
+// part is one step of one occurrence.
+type part struct {
+	entry      *entry
+	occurrence *occurrence
+	number     int
+	step       *job.Step
+	tasks      []task
+	queue      []int // tasks that wait for a worker
+	undone     int
+	blocked    int // earlier steps that are not done
+	listed     bool
+	checkpoint string // of a gang
+	urgency    float64
+}
+
+type task struct {
+	run        *run
+	last       int64
+	done       bool
+	failures   int
+	failedRun  int64
+	checkpoint string
+	// tried holds the workers on which the task failed.
+	tried []string
+}
+
+func (p *part) name(index int) job.Task {
+	return job.Task{Job: p.entry.job.ID, Occurrence: p.occurrence.number, Step: p.number, Index: index}
+}
+
+// AddJob takes over an accepted job with its stored progress, if there is any. Inherited
+// jobs are those that a predecessor may have seen. It reports false for a known job.
+func (s *Scheduler) AddJob(j *job.Job, r *progress.Record, inherited bool, now time.Time) bool {
+	s.now = now
+	if s.jobs[j.ID] != nil {
+		return false
+	}
+	e := &entry{job: j, state: progress.Pending, inherited: inherited, arrived: now, occurrences: make(map[int]*occurrence)}
+	s.jobs[j.ID] = e
+	if r != nil {
+		e.state, e.restored = r.State, r
+		e.finished = slices.Clone(r.Finished)
+		if r.Ended > 0 {
+			e.ended = time.UnixMilli(r.Ended)
+		}
+	}
+	if e.state.Final() {
+		return true
+	}
+	if j.Repeat > 0 {
+		s.timed = append(s.timed, e)
+		s.startDue()
+		return true
+	}
+	s.begin(e, 0)
+	return true
+}
+
+// Cancel ends a job before it is done. Its tasks are stopped.
+func (s *Scheduler) Cancel(id string, now time.Time) {
+	s.now = now
+	e := s.jobs[id]
+	if e == nil || e.state.Final() {
+		return
+	}
+	e.cancelled = true
+	s.finish(e, progress.Cancelled)
+}
+
+// Known reports whether a job is held.
+func (s *Scheduler) Known(id string) bool { return s.jobs[id] != nil }
+
+// Expired returns jobs whose final state is durable and older than age, and forgets them.
+func (s *Scheduler) Expired(age time.Duration, now time.Time) []string {
+	var ids []string
+	for id, e := range s.jobs {
+		if e.state.Final() && e.saved == e.version && now.Sub(e.ended) > age {
+			ids = append(ids, id)
+			delete(s.jobs, id)
+		}
+	}
+	return ids
+}
+
+// startDue begins the occurrences whose time has come.
+func (s *Scheduler) startDue() {
+	s.timed = slices.DeleteFunc(s.timed, func(e *entry) bool {
+		for e.begun < e.job.Repeat && !s.now.Before(e.job.Due(e.begun)) && !e.state.Final() {
+			if !slices.Contains(e.finished, e.begun) {
+				s.begin(e, e.begun)
+			} else {
+				e.begun++
+			}
+		}
+		return e.state.Final() || e.begun >= e.job.Repeat
+	})
+}
+
+// begin creates the parts of an occurrence and queues those that depend on nothing.
+func (s *Scheduler) begin(e *entry, number int) {
+	o := &occurrence{number: number}
+	e.occurrences[number] = o
+	e.begun = number + 1
+	for i := range e.job.Steps {
+		step := &e.job.Steps[i]
+		p := &part{entry: e, occurrence: o, number: i, step: step, tasks: make([]task, step.Count), undone: step.Count}
+		o.parts = append(o.parts, p)
+		s.restore(p)
+		e.remaining += p.undone
+		if p.undone > 0 {
+			o.open++
+		}
+	}
+	for _, p := range o.parts {
+		for _, earlier := range uniq(p.step.After) {
+			if o.parts[earlier].undone > 0 {
+				p.blocked++
+			}
+		}
+		if p.blocked == 0 {
+			s.enqueueAll(p)
+		}
+	}
+	if o.open == 0 {
+		s.finishOccurrence(e, o)
+	}
+}
+
+func uniq(steps []int) []int {
+	steps = slices.Clone(steps)
+	slices.Sort(steps)
+	return slices.Compact(steps)
+}
+
+func (s *Scheduler) restore(p *part) {
+	if p.entry.restored == nil {
+		return
+	}
+	for i := range p.entry.restored.Parts {
+		r := &p.entry.restored.Parts[i]
+		if r.Occurrence != p.occurrence.number || r.Step != p.number {
+			continue
+		}
+		for _, f := range r.Failures {
+			if f.Index < len(p.tasks) {
+				p.tasks[f.Index].failures, p.tasks[f.Index].failedRun = f.Count, f.Run
+			}
+		}
+		for n := range p.tasks {
+			if r.IsDone(n) {
+				p.tasks[n].done = true
+				p.undone--
+			}
+		}
+	}
+}
+
+func (s *Scheduler) enqueueAll(p *part) {
+	for i := range p.tasks {
+		if t := &p.tasks[i]; !t.done && t.run == nil {
+			p.queue = append(p.queue, i)
+		}
+	}
+	s.list(p)
+}
+
+// list makes the part visible to placement.
+func (s *Scheduler) list(p *part) {
+	if p.listed || len(p.queue) == 0 {
+		return
+	}
+	q, _ := s.pool(p.entry.job.Queue)
+	pool := ""
+	if q != nil {
+		pool = q.Pool
+	}
+	p.listed = true
+	s.waiting[pool] = append(s.waiting[pool], p)
+}
+
+func (s *Scheduler) requeue(p *part, index int) {
+	t := &p.tasks[index]
+	if p.entry.state.Final() || t.done || t.run != nil || slices.Contains(p.queue, index) {
+		return
+	}
+	p.queue = append(p.queue, index)
+	s.list(p)
+}
+
+// part finds the part of a task, nil if the task is not known or has not begun.
+func (s *Scheduler) part(t job.Task) *part {
+	e := s.jobs[t.Job]
+	if e == nil {
+		return nil
+	}
+	o := e.occurrences[t.Occurrence]
+	if o == nil || t.Step >= len(o.parts) || t.Index >= len(o.parts[t.Step].tasks) {
+		return nil
+	}
+	return o.parts[t.Step]
+}
+
+// complete records that a task is done.
+func (s *Scheduler) complete(p *part, index int) {
+	t := &p.tasks[index]
+	if t.done {
+		return
+	}
+	t.done = true
+	t.checkpoint = ""
+	p.undone--
+	p.entry.remaining--
+	p.queue = slices.DeleteFunc(p.queue, func(n int) bool { return n == index })
+	s.touch(p.entry)
+	if p.undone > 0 {
+		return
+	}
+	p.occurrence.open--
+	for _, later := range p.occurrence.parts[p.number+1:] {
+		if slices.Contains(later.step.After, p.number) {
+			if later.blocked--; later.blocked == 0 {
+				s.enqueueAll(later)
+			}
+		}
+	}
+	if p.occurrence.open == 0 {
+		s.finishOccurrence(p.entry, p.occurrence)
+	}
+}
+
+func (s *Scheduler) finishOccurrence(e *entry, o *occurrence) {
+	delete(e.occurrences, o.number)
+	s.touch(e)
+	if e.job.Repeat > 0 {
+		e.finished = append(e.finished, o.number)
+	}
+	if len(e.occurrences) == 0 && e.begun >= e.job.Occurrences() {
+		s.finish(e, progress.Succeeded)
+	}
+}
+
+// finish gives a job its final state and stops what is left of it.
+func (s *Scheduler) finish(e *entry, state progress.State) {
+	e.state = state
+	e.ended = s.now
+	s.touch(e)
+	for _, o := range e.occurrences {
+		for _, p := range o.parts {
+			p.queue = nil
+			for i := range p.tasks {
+				if r := p.tasks[i].run; r != nil {
+					s.stop(r, string(state))
+				}
+			}
+		}
+	}
+	s.actions.Notes = append(s.actions.Notes, Note{Event: "job-ended", Job: e.job.ID, Reason: string(state)})
+}
+
+// fail counts a failed attempt of a task.
+func (s *Scheduler) fail(p *part, index int, number int64, workerID string) {
+	t := &p.tasks[index]
+	if p.step.LongRunning || number <= t.failedRun {
+		return
+	}
+	t.failures++
+	t.failedRun = number
+	t.tried = append(t.tried, workerID)
+	s.touch(p.entry)
+	q, _ := s.pool(p.entry.job.Queue)
+	if q != nil && q.MaxAttempts > 0 && t.failures >= q.MaxAttempts {
+		s.finish(p.entry, progress.Failed)
+	}
+}
+
+func (e *entry) record() *progress.Record {
+	r := &progress.Record{State: e.state, Queue: e.job.Queue, Account: e.job.Account, Finished: e.finished}
+	if e.state.Final() {
+		r.Ended = e.ended.UnixMilli()
+		r.Finished = nil
+		return r
+	}
+	numbers := make([]int, 0, len(e.occurrences))
+	for n := range e.occurrences {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	for _, n := range numbers {
+		for _, p := range e.occurrences[n].parts {
+			rp := progress.Part{Occurrence: n, Step: p.number}
+			for i := range p.tasks {
+				if p.tasks[i].done {
+					rp.SetDone(i)
+				}
+				if t := &p.tasks[i]; t.failures > 0 {
+					rp.Failures = append(rp.Failures, progress.Failure{Index: i, Count: t.failures, Run: t.failedRun})
+				}
+			}
+			if rp.Done != nil || rp.Failures != nil {
+				r.Parts = append(r.Parts, rp)
+			}
+		}
+	}
+	return r
+}
+
+// collectSaves adds a save for each job whose record changed and is not being saved.
+func (s *Scheduler) collectSaves(a *Actions) {
+	for id, e := range s.dirty {
+		if e.version == e.saved {
+			delete(s.dirty, id)
+			continue
+		}
+		if e.saving > e.saved {
+			continue
+		}
+		b, err := e.record().Encode()
+		if err != nil {
+			a.Notes = append(a.Notes, Note{Event: "record-not-encoded", Job: id, Reason: err.Error()})
+			continue
+		}
+		e.saving = e.version
+		a.Saves = append(a.Saves, Save{Job: id, Version: e.version, Record: b})
+	}
+}
+
+// Saved reports that a version of a job's record is durable; ok is false if it is not
+// and has to be saved again.
+func (s *Scheduler) Saved(id string, version int, ok bool, now time.Time) {
+	s.now = now
+	e := s.jobs[id]
+	if e == nil {
+		return
+	}
+	if ok && version > e.saved {
+		e.saved = version
+	}
+	e.saving = e.saved
+}
+
+func (s *Scheduler) addUse(account string, need resource.Amount) {
+	if account != "" {
+		s.accounts[account] = s.accounts[account].Add(need)
+	}
+}
+
+// touch marks the record of a job as changed.
+func (s *Scheduler) touch(e *entry) {
+	e.version++
+	s.dirty[e.job.ID] = e
+}
--- /dev/null
+++ b/scheduler/placement.go
@@ -0,0 +1,281 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/resource"
+)
+
+// place starts waiting tasks on workers that have room.
+func (s *Scheduler) place() {
+	if s.catalog == nil {
+		return
+	}
+	s.relist()
+	for pool, parts := range s.waiting {
+		if len(parts) == 0 {
+			continue
+		}
+		hosts := s.candidates(pool)
+		s.order(parts)
+		for _, p := range parts {
+			if s.held(p) {
+				continue
+			}
+			if p.step.Gang {
+				s.placeGang(p, hosts)
+				continue
+			}
+			s.placePart(p, hosts)
+		}
+		s.waiting[pool] = slices.DeleteFunc(parts, func(p *part) bool {
+			if len(p.queue) > 0 {
+				return false
+			}
+			p.listed = false
+			return true
+		})
+	}
+}
+
+// relist moves parts whose queue belongs to another pool since a configuration change.
+func (s *Scheduler) relist() {
+	for pool, parts := range s.waiting {
+		var moved []*part
+		s.waiting[pool] = slices.DeleteFunc(parts, func(p *part) bool {
+			q := s.catalog.Queues[p.entry.job.Queue]
+			if q == nil || q.Pool == pool {
+				return false
+			}
+			moved = append(moved, p)
+			return true
+		})
+		for _, p := range moved {
+			p.listed = false
+			s.list(p)
+		}
+	}
+}
+
+// held reports whether a part must wait: it may have unknown runs of a predecessor, or
+// its queue is not configured any more.
+func (s *Scheduler) held(p *part) bool {
+	return p.blocked > 0 || (p.entry.inherited && !s.settled) || s.catalog.Queues[p.entry.job.Queue] == nil
+}
+
+func (s *Scheduler) candidates(pool string) []*host {
+	var hosts []*host
+	for _, h := range s.hosts {
+		if h.entry.Pool == pool && s.usable(h) && !s.cordoned(h) {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
+	return hosts
+}
+
+// order sorts parts by who goes first: long-running tasks, then the priority of the
+// queue, then the job that has the least tasks left, so that the most jobs end in time.
+func (s *Scheduler) order(parts []*part) {
+	for _, p := range parts {
+		p.urgency = float64(p.entry.remaining)
+	}
+	slices.SortStableFunc(parts, func(a, b *part) int {
+		return cmp.Or(
+			-boolCompare(a.step.LongRunning, b.step.LongRunning),
+			cmp.Compare(s.priority(a), s.priority(b)),
+			cmp.Compare(a.urgency, b.urgency),
+			a.entry.arrived.Compare(b.entry.arrived),
+			cmp.Compare(a.entry.job.ID, b.entry.job.ID),
+		)
+	})
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+func (s *Scheduler) priority(p *part) int {
+	if q := s.catalog.Queues[p.entry.job.Queue]; q != nil {
+		return q.Priority
+	}
+	return 0
+}
+
+// placePart starts as many tasks of the part as fit. All tasks of a part are equal, so
+// the first one that does not fit ends the attempt.
+func (s *Scheduler) placePart(p *part, hosts []*host) {
+	for len(p.queue) > 0 {
+		index := p.queue[0]
+		if !s.accountAllows(p, 1) {
+			return
+		}
+		h := s.choose(p, index, hosts)
+		if h == nil {
+			return
+		}
+		p.queue = p.queue[1:]
+		s.lastRun++
+		s.start(p, index, h, s.lastRun)
+	}
+}
+
+// placeGang starts all tasks of a part or none.
+func (s *Scheduler) placeGang(p *part, hosts []*host) {
+	if len(p.queue) < p.undone || !s.accountAllows(p, len(p.queue)) {
+		return
+	}
+	plan := make([]*host, 0, len(p.queue))
+	extra := make(map[*host]int)
+	for _, index := range p.queue {
+		h := s.chooseWith(p, index, hosts, extra)
+		if h == nil {
+			return
+		}
+		extra[h]++
+		plan = append(plan, h)
+	}
+	s.lastRun++
+	queue := p.queue
+	p.queue = nil
+	for i, index := range queue {
+		s.start(p, index, plan[i], s.lastRun)
+	}
+}
+
+// accountAllows reports whether n more tasks stay within the limit of the account. One
+// task may always run, or a task above the limit would wait forever.
+func (s *Scheduler) accountAllows(p *part, n int) bool {
+	name := p.entry.job.Account
+	a := s.catalog.Accounts[name]
+	if name == "" || a == nil {
+		return true
+	}
+	used := s.accounts[name]
+	return used.IsZero() || used.Add(p.step.Need.Times(n)).WithinLimit(a.Limit)
+}
+
+func (s *Scheduler) choose(p *part, index int, hosts []*host) *host {
+	return s.chooseWith(p, index, hosts, nil)
+}
+
+// chooseWith picks the worker for a task; extra counts tasks that are planned already.
+func (s *Scheduler) chooseWith(p *part, index int, hosts []*host, extra map[*host]int) *host {
+	var best *host
+	var bestScore float64
+	need := p.step.Reserved()
+	for _, h := range hosts {
+		if !s.fits(p, h, need, extra[h]) {
+			continue
+		}
+		if score := s.score(p, index, h, extra[h]); best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) fits(p *part, h *host, need resource.Amount, extra int) bool {
+	if !h.used.Add(need.Times(extra + 1)).Within(h.entry.Capacity) {
+		return false
+	}
+	if !h.entry.HasLabel(p.step.Label) {
+		return false
+	}
+	if p.step.Background && h.serving > 0 {
+		return false
+	}
+	return p.step.MaxPerWorker == 0 || s.siblings(p, h)+extra < p.step.MaxPerWorker
+}
+
+// siblings counts the tasks of a part on a worker.
+func (s *Scheduler) siblings(p *part, h *host) int {
+	n := 0
+	for i := range p.tasks {
+		if r := p.tasks[i].run; r != nil && r.host == h {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// The preferences are ordered: data first, then a worker on which the task did not
+	// fail yet, then the load.
+	preferRack    = 1000
+	avoidTried    = 500
+	avoidFaulty   = 300
+	preferPacking = 100
+	avoidServing  = 200
+)
+
+// score rates a worker for a task; higher is better. Long-running tasks are packed on
+// few workers, so that others can be emptied at any time; other tasks go to the worker
+// with the most room.
+func (s *Scheduler) score(p *part, index int, h *host, extra int) float64 {
+	free := 1 - float64(h.used.CPU+extra*p.step.Need.CPU)/float64(max(1, h.entry.Capacity.CPU))
+	score := free
+	if p.step.Rack != "" && h.entry.Rack() == p.step.Rack {
+		score += preferRack
+	}
+	if slices.Contains(p.tasks[index].tried, h.entry.ID) {
+		score -= avoidTried
+	}
+	if h.faults >= faultyAfter {
+		score -= avoidFaulty
+	}
+	if p.step.LongRunning {
+		score += preferPacking * float64(min(h.lasting, packedTasks))
+		if s.dueForMaintenance(h) {
+			score -= avoidServing
+		}
+	}
+	if p.step.LatencyTarget > 0 && h.background > 0 {
+		score -= avoidServing
+	}
+	return score
+}
+
+const (
+	// faultyAfter is the number of failed runs in a row after which a worker is suspect.
+	faultyAfter = 3
+	// packedTasks bounds the long-running tasks that attract more of them to a worker.
+	packedTasks = 6
+)
+
+// start books a run and orders it.
+func (s *Scheduler) start(p *part, index int, h *host, number int64) {
+	t := &p.tasks[index]
+	r := &run{part: p, index: index, number: number, host: h, fence: h.fence, sent: s.now, paced: 100, need: p.step.Reserved()}
+	s.hold(r)
+	s.begun(p.entry)
+	checkpoint := t.checkpoint
+	if p.step.Gang {
+		checkpoint = p.checkpoint
+	}
+	s.actions.Starts = append(s.actions.Starts, Start{
+		Worker: h.entry, Task: p.name(index), Run: number, Spec: p.entry.job.Spec,
+		Deadline: s.grant(h), Fence: h.fence, Checkpoint: checkpoint,
+	})
+}
+
+// poolCapacity sums what the usable workers of a pool offer.
+func (s *Scheduler) poolCapacity(pool string) resource.Amount {
+	var sum resource.Amount
+	for _, h := range s.hosts {
+		if h.entry.Pool == pool && h.listed && !h.entry.Leaving {
+			sum = sum.Add(h.entry.Capacity)
+		}
+	}
+	return sum
+}
+
+var _ *catalog.Queue
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,198 @@
+// Package scheduler decides which task runs on which worker. It is a core without input
+// and output: methods take events and the time, Take returns what has to be done.
+//
+// The workers are the record of what runs. A new owner looks at every worker with its own
+// fencing token before it starts a task that its predecessor may have started; results of
+// tasks are durable before a worker is allowed to forget them.
+package scheduler
+
+import (
+	"time"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+)
+
+// Scheduler is the state of one owner. It is not safe for concurrent use.
+type Scheduler struct {
+	limits  Limits
+	fence   int64
+	now     time.Time
+	catalog *catalog.Catalog
+
+	jobs     map[string]*entry
+	hosts    map[string]*host
+	accounts map[string]resource.Amount
+	waiting  map[string][]*part // by pool
+	timed    []*entry
+	dirty    map[string]*entry
+	machines map[string]*machine
+	waves    map[int64]*wave
+
+	// lastRun numbers the runs. The first one of an owner is above all of its predecessors.
+	lastRun int64
+	// settled is set once no run of a predecessor can be unknown. Until then, tasks of
+	// jobs that a predecessor may have seen are not started.
+	settled       bool
+	settleAt      time.Time
+	expected      map[string]bool
+	machinesKnown bool
+
+	actions Actions
+}
+
+// Limits are the times and sizes that the platform sets.
+type Limits struct {
+	// Lease is how long a worker goes on without a look. A longer one saves looks and
+	// work, a shorter one frees the tasks of unreachable workers sooner.
+	Lease time.Duration
+	// LookWait is how long a look waits for the end of a task.
+	LookWait time.Duration
+	// MaxDrift is the share by which the clock of a worker may be slow.
+	MaxDrift float64
+	// Absence is how long a registration may be missing before its worker is gone.
+	Absence time.Duration
+	// Maintenance and Move are how long a machine is away for each.
+	Maintenance, Move time.Duration
+	// RemoteFactor is how much longer tasks take away from their data.
+	RemoteFactor float64
+}
+
+// DefaultLimits are the limits for which nothing else was set.
+func DefaultLimits() Limits {
+	return Limits{
+		Lease: 5 * time.Second, LookWait: 1200 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
+		Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond, RemoteFactor: 1.5,
+	}
+}
+
+const (
+	// runsPerOwner and fencesPerOwner are the distance between the numbers of two owners.
+	// An owner of one hour with 5,000 starts a second stays below.
+	runsPerOwner   = 1 << 25
+	fencesPerOwner = 1 << 20
+	// leaseMargin covers the time that an order is on its way.
+	leaseMargin = 100 * time.Millisecond
+)
+
+// New returns the scheduler of the owner with the given ownership number. Numbers of
+// later owners are higher.
+func New(limits Limits, ownership int64, now time.Time) *Scheduler {
+	s := &Scheduler{
+		limits: limits, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
+		jobs: make(map[string]*entry), hosts: make(map[string]*host), accounts: make(map[string]resource.Amount),
+		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave),
+		expected: make(map[string]bool), dirty: make(map[string]*entry),
+	}
+	s.settleAt = now.Add(s.leaseBound(limits.Lease))
+	return s
+}
+
+// leaseBound is the longest real time that a lease of d on a worker's clock can last.
+func (s *Scheduler) leaseBound(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*s.limits.MaxDrift) + leaseMargin
+}
+
+// SetCatalog replaces the configuration.
+func (s *Scheduler) SetCatalog(c *catalog.Catalog) { s.catalog = c }
+
+// Tick lets time pass: it starts what is due and plans looks, stops and moves.
+func (s *Scheduler) Tick(now time.Time) {
+	s.now = now
+	s.settle()
+	s.startDue()
+	for _, h := range s.hosts {
+		s.expire(h)
+	}
+	s.planMachines()
+	s.place()
+	for _, h := range s.hosts {
+		s.planLook(h)
+	}
+}
+
+// settle ends the recovery once every worker that may hold runs of a predecessor has
+// answered, or once their leases have ended.
+func (s *Scheduler) settle() {
+	if s.settled {
+		return
+	}
+	if s.now.Before(s.settleAt) {
+		if !s.machinesKnown || len(s.hosts) == 0 {
+			return
+		}
+		for id := range s.expected {
+			if h := s.hosts[id]; h == nil || !h.known {
+				return
+			}
+		}
+	}
+	s.settled = true
+	s.actions.Notes = append(s.actions.Notes, Note{Event: "recovery-finished", Workers: len(s.expected), Late: !s.now.Before(s.settleAt)})
+}
+
+// Settled reports whether the recovery is over.
+func (s *Scheduler) Settled() bool { return s.settled }
+
+// Pending returns the number of jobs of each queue for which no task has started.
+func (s *Scheduler) Pending() map[string]int {
+	counts := make(map[string]int)
+	for _, e := range s.jobs {
+		if e.state == progress.Pending && !e.cancelled {
+			counts[e.job.Queue]++
+		}
+	}
+	return counts
+}
+
+// Summary counts what the scheduler holds, for metrics.
+type Summary struct {
+	Jobs, Waiting, Running, Workers, Unanswered int
+}
+
+// Summary returns the present counts.
+func (s *Scheduler) Summary() Summary {
+	sum := Summary{Jobs: len(s.jobs), Workers: len(s.hosts)}
+	for _, parts := range s.waiting {
+		for _, p := range parts {
+			sum.Waiting += len(p.queue)
+		}
+	}
+	for _, h := range s.hosts {
+		sum.Running += len(h.runs)
+		if h.failures > 0 {
+			sum.Unanswered++
+		}
+	}
+	return sum
+}
+
+// Task returns the present run of a task and its worker, for explanations and tests.
+func (s *Scheduler) Task(t job.Task) (workerID string, run int64) {
+	if p := s.part(t); p != nil && p.tasks[t.Index].run != nil {
+		r := p.tasks[t.Index].run
+		return r.host.entry.ID, r.number
+	}
+	return "", 0
+}
+
+// wait until a worker that was just rejected by its registration may be used again.
+func (s *Scheduler) usable(h *host) bool {
+	if !h.known || h.failures > 0 || h.doubt || h.entry.Leaving || s.now.Before(h.pausedUntil) {
+		return false
+	}
+	return h.listed || s.now.Sub(h.unlistedAt) < s.limits.Absence
+}
+
+func (s *Scheduler) pool(queue string) (*catalog.Queue, *catalog.Pool) {
+	if s.catalog == nil {
+		return nil, nil
+	}
+	q := s.catalog.Queues[queue]
+	if q == nil {
+		return nil, nil
+	}
+	return q, s.catalog.Pools[q.Pool]
+}
--- /dev/null
+++ b/scheduler/waves.go
@@ -0,0 +1,332 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretdrum.example/worker"
+)
+
+// machine is a host in a pool, with the order that is under way for it.
+type machine struct {
+	worker.Machine
+	// ordering is set while the answer to an order is outstanding.
+	ordering bool
+	// away is set from an accepted order until the machine is up with another worker.
+	away      bool
+	awayWave  int64
+	awaySince time.Time
+	oldWorker string
+	retryAt   time.Time
+	// cordoned machines take no new tasks because an order for them is planned.
+	cordoned   bool
+	cordonedAt time.Time
+	cordonWave int64
+	moveTo     string
+	missing    bool
+}
+
+// wave is a set of machines that are due for maintenance.
+type wave struct {
+	number   int64
+	machines []string
+	deadline time.Time
+	limit    int
+	done     map[string]bool
+	finished bool
+	reported bool
+}
+
+const (
+	// drainPatience is how long a machine may wait for its tasks before they are stopped.
+	drainPatience = 3 * time.Second
+	// orderRetry is the pause after an order that was not accepted.
+	orderRetry = 500 * time.Millisecond
+	// maintenanceSlack is the time that a machine needs besides its maintenance: to be
+	// noticed as back, and for the next one to be emptied.
+	maintenanceSlack = 1500 * time.Millisecond
+)
+
+// SetMachines replaces the list of machines.
+func (s *Scheduler) SetMachines(list []worker.Machine, now time.Time) {
+	s.now = now
+	for _, m := range s.machines {
+		m.missing = true
+	}
+	for _, info := range list {
+		m := s.machines[info.ID]
+		if m == nil {
+			m = &machine{}
+			s.machines[info.ID] = m
+		}
+		m.Machine, m.missing = info, false
+		if !s.machinesKnown && info.State == worker.Up && info.Worker != "" && !s.settled {
+			s.expected[info.Worker] = true
+		}
+		if m.away && info.State == worker.Up && info.Worker != "" && info.Worker != m.oldWorker {
+			m.away = false
+		}
+	}
+	for id, m := range s.machines {
+		if m.missing {
+			delete(s.machines, id)
+		}
+	}
+	s.machinesKnown = true
+}
+
+// WantsMachines reports whether the list of machines is needed soon.
+func (s *Scheduler) WantsMachines() bool {
+	if !s.machinesKnown {
+		return true
+	}
+	for _, w := range s.waves {
+		if !w.finished {
+			return true
+		}
+	}
+	for _, m := range s.machines {
+		if m.away {
+			return true
+		}
+	}
+	return false
+}
+
+// SetWave reports a maintenance wave with what is known to be done of it.
+func (s *Scheduler) SetWave(number int64, machines []string, deadline time.Time, limit int, done []string, finished bool) {
+	if s.waves[number] != nil {
+		return
+	}
+	w := &wave{number: number, machines: machines, deadline: deadline, limit: max(1, limit), done: make(map[string]bool), finished: finished}
+	for _, id := range done {
+		w.done[id] = true
+	}
+	s.waves[number] = w
+}
+
+func (s *Scheduler) machineOf(h *host) *machine {
+	for _, m := range s.machines {
+		if m.Worker == h.entry.ID {
+			return m
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) cordoned(h *host) bool {
+	m := s.machineOf(h)
+	return m != nil && (m.cordoned || m.ordering || m.away)
+}
+
+// dueForMaintenance reports whether a wave is still going to take the machine.
+func (s *Scheduler) dueForMaintenance(h *host) bool {
+	m := s.machineOf(h)
+	if m == nil {
+		return false
+	}
+	for _, w := range s.waves {
+		if !w.finished && !w.done[m.ID] && slices.Contains(w.machines, m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) planMachines() {
+	if !s.machinesKnown || !s.settled {
+		return
+	}
+	for _, w := range s.waves {
+		if !w.finished {
+			s.planWave(w)
+		}
+	}
+	s.planMoves()
+	for _, m := range s.machines {
+		if m.cordoned {
+			s.empty(m)
+		}
+	}
+}
+
+// planWave cordons as many machines as the wave allows, idle ones first.
+func (s *Scheduler) planWave(w *wave) {
+	if !w.reported {
+		w.reported = true
+		s.reportWave(w)
+	}
+	busy := 0
+	var open []*machine
+	left := 0
+	for _, id := range w.machines {
+		m := s.machines[id]
+		if m == nil {
+			continue
+		}
+		switch {
+		case m.away && m.awayWave == w.number, m.ordering && m.cordonWave == w.number:
+			busy++
+		case w.done[id]:
+		case m.cordoned && m.cordonWave == w.number:
+			busy++
+			left++
+		default:
+			left++
+			if m.State == worker.Up && !m.cordoned && !m.ordering && !m.away && !s.now.Before(m.retryAt) {
+				open = append(open, m)
+			}
+		}
+	}
+	if left == 0 && !s.anyUndone(w) {
+		w.finished = true
+		s.reportWave(w)
+		return
+	}
+	slices.SortFunc(open, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(s.burden(a), s.burden(b)), cmp.Compare(a.ID, b.ID))
+	})
+	for _, m := range open {
+		if busy >= w.limit {
+			return
+		}
+		m.cordoned, m.cordonedAt, m.cordonWave = true, s.now, w.number
+		busy++
+		s.note(Note{Event: "machine-cordoned", Worker: m.Worker, Run: w.number, Reason: "maintenance " + m.ID})
+	}
+}
+
+func (s *Scheduler) anyUndone(w *wave) bool {
+	for _, id := range w.machines {
+		if s.machines[id] != nil && !w.done[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// burden is what has to leave a machine before it can be taken.
+func (s *Scheduler) burden(m *machine) int {
+	h := s.hosts[m.Worker]
+	if h == nil {
+		return 0
+	}
+	const lastingWeight = 100 // a long-running task is restarted, another one just ends
+	return lastingWeight*h.lasting + len(h.runs)
+}
+
+func (s *Scheduler) reportWave(w *wave) {
+	state := WaveState{Wave: w.number, Finished: w.finished}
+	for id := range w.done {
+		state.Done = append(state.Done, id)
+	}
+	slices.Sort(state.Done)
+	s.actions.WaveStates = append(s.actions.WaveStates, state)
+}
+
+// pressed reports whether a wave misses its deadline unless each machine is taken at once.
+func (s *Scheduler) pressed(w *wave) bool {
+	undone := 0
+	for _, id := range w.machines {
+		if s.machines[id] != nil && !w.done[id] {
+			undone++
+		}
+	}
+	rounds := (undone + w.limit - 1) / w.limit
+	need := time.Duration(rounds) * (s.limits.Maintenance + maintenanceSlack)
+	return s.now.Add(need).After(w.deadline)
+}
+
+// empty brings a cordoned machine to the point at which its order can be given.
+func (s *Scheduler) empty(m *machine) {
+	if m.ordering || s.now.Before(m.retryAt) {
+		return
+	}
+	w := s.waves[m.cordonWave]
+	if m.State != worker.Up || (m.cordonWave != 0 && w == nil) {
+		m.cordoned = false
+		return
+	}
+	h := s.hosts[m.Worker]
+	if h != nil && len(h.runs) > 0 {
+		s.moveLasting(h)
+		if w != nil && (s.pressed(w) || s.now.Sub(m.cordonedAt) > drainPatience) {
+			for _, r := range h.runs {
+				if !r.part.step.LongRunning && r.state == present {
+					s.stop(r, "maintenance")
+				}
+			}
+		}
+		return
+	}
+	if h != nil && (h.doubt || h.noted > h.acknowledged || len(h.unsaved) > 0) && !s.pressedOrGone(w, h) {
+		// Ends that are not durable yet would be lost with the worker.
+		return
+	}
+	m.ordering = true
+	m.oldWorker = m.Worker
+	s.actions.Orders = append(s.actions.Orders, Order{Machine: m.ID, Pool: m.moveTo, Wave: m.cordonWave})
+}
+
+func (s *Scheduler) pressedOrGone(w *wave, h *host) bool {
+	return w != nil && len(h.unsaved) == 0 && !h.doubt && s.pressed(w)
+}
+
+// moveLasting stops long-running tasks of a worker that is to be emptied, as far as the
+// steps may miss them. They are queued again when their end is listed.
+func (s *Scheduler) moveLasting(h *host) {
+	for _, r := range h.runs {
+		if !r.part.step.LongRunning || r.state != present {
+			continue
+		}
+		if r.part.step.MayMiss > 0 && s.absent(r) >= r.part.step.MayMiss {
+			continue
+		}
+		s.stop(r, "machine is emptied")
+	}
+}
+
+// absent counts the other tasks of a step that are not at work.
+func (s *Scheduler) absent(r *run) int {
+	n := 0
+	for i := range r.part.tasks {
+		other := r.part.tasks[i].run
+		if other == r {
+			continue
+		}
+		if other == nil || other.state != present || other.percent < 100 || other.host.failures > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Ordered reports the answer to an order; accepted means that it is done or was done before.
+func (s *Scheduler) Ordered(o Order, accepted, impossible bool, now time.Time) {
+	s.now = now
+	m := s.machines[o.Machine]
+	if m == nil {
+		return
+	}
+	m.ordering = false
+	if !accepted {
+		m.retryAt = now.Add(orderRetry)
+		if impossible {
+			m.cordoned, m.moveTo = false, ""
+		}
+		return
+	}
+	m.cordoned, m.moveTo = false, ""
+	m.away, m.awayWave, m.awaySince = true, o.Wave, now
+	if h := s.hosts[m.oldWorker]; h != nil {
+		h.entry.Leaving = true
+		for _, r := range h.runs {
+			s.drop(r, "machine ordered away")
+		}
+	}
+	if w := s.waves[o.Wave]; w != nil {
+		w.done[m.ID] = true
+		s.reportWave(w)
+	}
+}
--- /dev/null
+++ b/tenure/tenure.go
@@ -0,0 +1,216 @@
+// Package tenure decides which entry host schedules: the one that holds a key in the
+// store under a lease.
+package tenure
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/boottime"
+	"egretdrum.example/kv"
+	"egretdrum.example/layout"
+	"egretdrum.example/wait"
+)
+
+const (
+	// TTL is how long a silent owner keeps its right. It bounds the pause after a crash,
+	// and has to outlast a few answers of a slow store.
+	TTL = 2500 * time.Millisecond
+	// renewInterval allows three lost renewals.
+	renewInterval = 600 * time.Millisecond
+	// callTimeout covers a store that answers 80 times slower than usual.
+	callTimeout = 900 * time.Millisecond
+	// margin ends the right early enough for orders that are being sent.
+	margin = 200 * time.Millisecond
+	// followWait is how long a host waits for the key of the owner to change.
+	followWait = 5 * time.Second
+	retryPause = 150 * time.Millisecond
+)
+
+// Tenure competes for the right to schedule and runs the work of the owner.
+type Tenure struct {
+	Store kv.Store
+	// Host is the name of this entry host.
+	Host string
+	// Delay keeps hosts with little processor time from taking the duty when others can.
+	Delay time.Duration
+	// Work is run while this host is the owner; its context ends with the right.
+	Work func(ctx context.Context, term *Term)
+	Log  *zap.Logger
+	Now  func() time.Duration
+}
+
+// Term is one period in which this host is the owner.
+type Term struct {
+	// Number is higher than that of all terms before, of any host.
+	Number int64
+
+	now   func() time.Duration
+	mu    sync.Mutex
+	until time.Duration
+}
+
+// Valid reports whether the right still holds; it is checked before each order.
+func (t *Term) Valid() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.now() < t.until-margin
+}
+
+func (t *Term) extend(until time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until = max(t.until, until)
+}
+
+// NewTerm returns a term whose right ends at a time of the given clock.
+func NewTerm(number int64, now func() time.Duration, until time.Duration) *Term {
+	return &Term{Number: number, now: now, until: until}
+}
+
+// holder is the value of the owner's key.
+type holder struct {
+	Host string `cbor:"1,keyasint"`
+	// Nonce tells attempts of the same host apart.
+	Nonce int64 `cbor:"2,keyasint"`
+}
+
+// Run competes until ctx ends. A host that stops gives its right back at once.
+func (t *Tenure) Run(ctx context.Context) {
+	if t.Now == nil {
+		t.Now = boottime.Now
+	}
+	for ctx.Err() == nil {
+		item, err := t.read(ctx)
+		switch {
+		case errors.Is(err, kv.ErrNotFound):
+			t.compete(ctx)
+		case err != nil:
+			wait.For(ctx, retryPause)
+		default:
+			t.follow(ctx, item)
+		}
+	}
+}
+
+func (t *Tenure) read(ctx context.Context) (kv.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return t.Store.Get(ctx, layout.Owner)
+}
+
+// follow waits until the owner's key changes.
+func (t *Tenure) follow(ctx context.Context, item kv.Item) {
+	var h holder
+	if err := cbor.Unmarshal(item.Value, &h); err != nil {
+		t.Log.Warn("owner-not-decoded", zap.Error(err), zap.Int64("revision", item.Revision))
+	}
+	t.Log.Info("owner-followed", zap.String("owner", h.Host), zap.Int64("term", item.Revision))
+	after := item.Revision
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+		events, revision, err := t.Store.Watch(call, layout.Owner, after, followWait)
+		cancel()
+		if err != nil {
+			wait.For(ctx, retryPause)
+			return
+		}
+		if len(events) > 0 {
+			return
+		}
+		after = revision
+	}
+}
+
+// compete tries to become the owner once.
+func (t *Tenure) compete(ctx context.Context) {
+	if !wait.For(ctx, t.Delay) {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := t.Now()
+	lease, ttl, err := t.Store.Grant(call, TTL)
+	if err != nil {
+		t.Log.Warn("lease-not-granted", zap.Error(err))
+		wait.For(ctx, retryPause)
+		return
+	}
+	value, err := cbor.Marshal(holder{t.Host, int64(sent)})
+	if err != nil {
+		t.Log.Error("owner-not-encoded", zap.Error(err))
+		return
+	}
+	number, err := t.Store.Commit(call, kv.Change{
+		Conditions: []kv.Condition{{Key: layout.Owner}},
+		Puts:       []kv.Put{{Key: layout.Owner, Value: value, Lease: lease}},
+	})
+	if err != nil {
+		// An unknown outcome ends with the lease, which is not renewed.
+		t.Log.Info("ownership-not-taken", zap.Error(err))
+		t.revoke(lease)
+		wait.For(ctx, retryPause)
+		return
+	}
+	term := &Term{Number: number, now: t.Now, until: sent + ttl}
+	t.serve(ctx, lease, term)
+}
+
+// serve runs the owner's work and renews the lease.
+func (t *Tenure) serve(ctx context.Context, lease int64, term *Term) {
+	t.Log.Info("ownership-taken", zap.Int64("term", term.Number))
+	work, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.Work(work, term)
+	}()
+	t.renew(work, lease, term, done)
+	stop()
+	<-done
+	t.Log.Info("ownership-ended", zap.Int64("term", term.Number), zap.Bool("valid", term.Valid()))
+	t.revoke(lease)
+}
+
+// renew returns when the right or the work has ended.
+func (t *Tenure) renew(ctx context.Context, lease int64, term *Term, done <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-done:
+			return
+		case <-time.After(renewInterval):
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		sent := t.Now()
+		ttl, err := t.Store.Renew(call, lease)
+		cancel()
+		switch {
+		case err == nil:
+			term.extend(sent + ttl)
+		case errors.Is(err, kv.ErrNotFound):
+			t.Log.Warn("lease-lost", zap.Int64("term", term.Number))
+			return
+		case ctx.Err() == nil:
+			t.Log.Warn("lease-not-renewed", zap.Int64("term", term.Number), zap.Error(err))
+		}
+		if !term.Valid() {
+			t.Log.Warn("lease-expired", zap.Int64("term", term.Number))
+			return
+		}
+	}
+}
+
+func (t *Tenure) revoke(lease int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := t.Store.Revoke(ctx, lease); err != nil && !errors.Is(err, kv.ErrNotFound) {
+		t.Log.Info("lease-not-revoked", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/worker/entry.go
@@ -0,0 +1,117 @@
+// Package worker describes the hosts that run tasks, as they describe themselves.
+package worker
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/resource"
+)
+
+// Entry is the registration of a worker.
+type Entry struct {
+	ID      string
+	Pool    string
+	Zone    string
+	Address netip.AddrPort
+	// Leaving workers end soon and take no new tasks.
+	Leaving bool
+	// Remaining is the least time that a leaving worker has left.
+	Remaining time.Duration
+	Capacity  resource.Amount
+	Labels    []string
+	// Born tells lives of a worker under the same ID apart.
+	Born int64
+}
+
+// rackPrefix begins the label that names a rack.
+const rackPrefix = "r"
+
+// Rack returns the label that names the rack of the worker, or the empty string. The
+// labels are the kind of the worker and its rack; a rack label has a hyphen.
+func (e *Entry) Rack() string {
+	for _, l := range e.Labels {
+		if strings.HasPrefix(l, rackPrefix) && strings.Contains(l, "-") {
+			return l
+		}
+	}
+	return ""
+}
+
+// HasLabel reports whether the worker carries the label; every worker has the empty one.
+func (e *Entry) HasLabel(label string) bool {
+	return label == "" || slices.Contains(e.Labels, label)
+}
+
+// Listing is a worker's own account of its tasks.
+type Listing struct {
+	Born int64
+	// Clock is the reading of the worker's steady clock.
+	Clock   time.Duration
+	Running []Run
+	Ended   []End
+}
+
+// Run is a task that is present on a worker.
+type Run struct {
+	Task       job.Task
+	Run        int64
+	Checkpoint string
+	// Percent is 100 once the task is at work.
+	Percent int
+	// Load is the tail latency in milliseconds of a task that serves users, and the used
+	// thousandths of a core of any other.
+	Load int
+}
+
+// End is a task that has ended on a worker.
+type End struct {
+	// Number rises by one with each end in a life of the worker.
+	Number     int64
+	Task       job.Task
+	Run        int64
+	How        How
+	Checkpoint string
+}
+
+// How says why a run ended.
+type How string
+
+// The ways in which a run ends.
+const (
+	Done    How = "done"
+	Failed  How = "failed"
+	Stopped How = "stopped"
+	// Lapsed runs were ended because the lease of the worker ran out.
+	Lapsed How = "lapsed"
+	// Broken runs were ended because another member of the gang ended.
+	Broken How = "broken"
+	// Alone runs waited too long for the other members of the gang.
+	Alone How = "alone"
+)
+
+// Machine is a host that is in one pool at a time and carries one worker after another.
+type Machine struct {
+	ID       string
+	Pool     string
+	State    MachineState
+	Zone     string
+	Labels   []string
+	Capacity resource.Amount
+	// Worker is the ID of the present worker, if there is one.
+	Worker string
+}
+
+// MachineState says what a machine is doing.
+type MachineState string
+
+// The states of a machine.
+const (
+	Up          MachineState = "up"
+	Moving      MachineState = "moving"
+	Maintenance MachineState = "maintenance"
+	Down        MachineState = "down"
+)
