Shorten the lease of workers to 3.2 s and the owner's to 2 s

Cause: after a crash of a worker its tasks waited 5.2 s for the end of its lease, and a restarted owner waited for its own earlier key. A host now ends the lease of its own earlier process. Ruled out: the list of machines does not show crashed workers.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -13,9 +13,9 @@
 const (
 	// orderTimeout is far above the few milliseconds of an answer; after it, the next look
 	// finds out what became of the order.
-	orderTimeout = 500 * time.Millisecond
+	orderTimeout = 400 * time.Millisecond
 	// lookPatience is how late the answer to a look may be.
-	lookPatience = 700 * time.Millisecond
+	lookPatience = 400 * time.Millisecond
 	stopRetry    = 200 * time.Millisecond
 	// ordersPerWorker keeps the number of connections to a worker low.
 	ordersPerWorker = 2
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,7 +66,7 @@
 // DefaultLimits are the limits for which nothing else was set.
 func DefaultLimits() Limits {
 	return Limits{
-		Lease: 5 * time.Second, LookWait: 1200 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
+		Lease: 3200 * time.Millisecond, LookWait: 800 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
 		Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond, RemoteFactor: 1.5,
 	}
 }
@@ -132,10 +132,27 @@
 			}
 		}
 	}
+	for id := range s.expected {
+		if h := s.hosts[id]; h == nil || !h.known {
+			s.note(Note{Event: "worker-not-recovered", Worker: id, Reason: s.silence(id)})
+		}
+	}
 	s.settled = true
 	s.actions.Notes = append(s.actions.Notes, Note{Event: "recovery-finished", Workers: len(s.expected), Late: !s.now.Before(s.settleAt)})
 }
 
+// silence says why a worker has not answered during the recovery.
+func (s *Scheduler) silence(id string) string {
+	h := s.hosts[id]
+	switch {
+	case h == nil:
+		return "not registered"
+	case h.failures > 0:
+		return "does not answer"
+	}
+	return "not looked at yet"
+}
+
 // Settled reports whether the recovery is over.
 func (s *Scheduler) Settled() bool { return s.settled }
 
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -60,6 +60,9 @@
 			m = &machine{}
 			s.machines[info.ID] = m
 		}
+		if m.State != info.State || m.Worker != info.Worker || m.Pool != info.Pool {
+			s.note(Note{Event: "machine-state", Worker: info.Worker, Reason: info.ID + " in " + info.Pool + " is " + string(info.State)})
+		}
 		m.Machine, m.missing = info, false
 		if !s.machinesKnown && info.State == worker.Up && info.Worker != "" && !s.settled {
 			s.expected[info.Worker] = true
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -20,9 +20,9 @@
 const (
 	// TTL is how long a silent owner keeps its right. It bounds the pause after a crash,
 	// and has to outlast a few answers of a slow store.
-	TTL = 2500 * time.Millisecond
-	// renewInterval allows three lost renewals.
-	renewInterval = 600 * time.Millisecond
+	TTL = 2 * time.Second
+	// renewInterval allows two lost renewals.
+	renewInterval = 500 * time.Millisecond
 	// callTimeout covers a store that answers 80 times slower than usual.
 	callTimeout = 900 * time.Millisecond
 	// margin ends the right early enough for orders that are being sent.
@@ -110,6 +110,12 @@
 	if err := cbor.Unmarshal(item.Value, &h); err != nil {
 		t.Log.Warn("owner-not-decoded", zap.Error(err), zap.Int64("revision", item.Revision))
 	}
+	if h.Host == t.Host {
+		// The key is that of an earlier process of this host, which has ended.
+		t.Log.Info("own-lease-ended", zap.Int64("term", item.Revision))
+		t.revoke(item.Lease)
+		return
+	}
 	t.Log.Info("owner-followed", zap.String("owner", h.Host), zap.Int64("term", item.Revision))
 	after := item.Revision
 	for ctx.Err() == nil {
