--- a/progress/record.go
+++ b/progress/record.go
@@ -45,12 +45,12 @@
 	Failures []Failure `cbor:"4,keyasint,omitempty"`
 }
 
-// Failure counts the failed attempts of a task. Workers list an end until they may
-// forget it, so Run tells a new owner which ends are counted already.
+// Failure lists the failed runs of a task. Workers list an end until they may forget it,
+// and a new owner sees the ends of several workers in any order, so the numbers of the
+// runs tell which ends are counted already.
 type Failure struct {
-	Index int   `cbor:"1,keyasint"`
-	Count int   `cbor:"2,keyasint"`
-	Run   int64 `cbor:"3,keyasint"`
+	Index int     `cbor:"1,keyasint"`
+	Runs  []int64 `cbor:"2,keyasint"`
 }
 
 // SetDone marks a task as done.
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -55,8 +55,7 @@
 	run        *run
 	last       int64
 	done       bool
-	failures   int
-	failedRun  int64
+	failed     []int64 // numbers of the failed runs
 	checkpoint string
 	// tried holds the workers on which the task failed.
 	tried []string
@@ -181,7 +180,7 @@
 		}
 		for _, f := range r.Failures {
 			if f.Index < len(p.tasks) {
-				p.tasks[f.Index].failures, p.tasks[f.Index].failedRun = f.Count, f.Run
+				p.tasks[f.Index].failed = slices.Clone(f.Runs)
 			}
 		}
 		for n := range p.tasks {
@@ -299,15 +298,14 @@
 // fail counts a failed attempt of a task.
 func (s *Scheduler) fail(p *part, index int, number int64, workerID string) {
 	t := &p.tasks[index]
-	if p.step.LongRunning || number <= t.failedRun {
+	if p.step.LongRunning || slices.Contains(t.failed, number) {
 		return
 	}
-	t.failures++
-	t.failedRun = number
+	t.failed = append(t.failed, number)
 	t.tried = append(t.tried, workerID)
 	s.touch(p.entry)
 	q, _ := s.pool(p.entry.job.Queue)
-	if q != nil && q.MaxAttempts > 0 && t.failures >= q.MaxAttempts {
+	if q != nil && q.MaxAttempts > 0 && len(t.failed) >= q.MaxAttempts {
 		s.finish(p.entry, progress.Failed)
 	}
 }
@@ -331,8 +329,8 @@
 				if p.tasks[i].done {
 					rp.SetDone(i)
 				}
-				if t := &p.tasks[i]; t.failures > 0 {
-					rp.Failures = append(rp.Failures, progress.Failure{Index: i, Count: t.failures, Run: t.failedRun})
+				if failed := p.tasks[i].failed; len(failed) > 0 {
+					rp.Failures = append(rp.Failures, progress.Failure{Index: i, Runs: failed})
 				}
 			}
 			if rp.Done != nil || rp.Failures != nil {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -152,6 +152,39 @@
 	assertState(t, g, "a", progress.Succeeded)
 }
 
+// Guards against an attempt too many: a new owner sees the failed ends of several workers
+// in any order, the later run first.
+func TestFailuresOfSeveralWorkersCountInAnyOrder(t *testing.T) {
+	g := newStage(3)
+	g.fails = func(job.Task, string) bool { return true }
+	g.run(time.Second)
+	g.fault = func(kind string) fate {
+		if kind == "save" {
+			return lostBefore
+		}
+		return answered
+	}
+	g.submit("a", job.Step{Count: 1, Need: small})
+	name := job.Task{Job: "a"}
+	for g.failures[name] < 2 {
+		g.step()
+	}
+	// The last failure is on the worker that is looked at first.
+	for _, w := range g.workers {
+		if len(w.ended) > 0 && w.ended[0].Run%runsPerOwner == 2 {
+			w.entry.ID, g.workers["w0"].entry.ID = g.workers["w0"].entry.ID, w.entry.ID
+			g.workers["w0"], g.workers[g.workers["w0"].entry.ID] = w, g.workers["w0"]
+			break
+		}
+	}
+	g.fault = nil
+	g.replaceOwner()
+	g.run(3 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "a", progress.Failed)
+	qt.Assert(t, g.failures[name], qt.Equals, 3)
+}
+
 // Guards against runs that outlive the cancellation of their job.
 func TestCancelStopsRuns(t *testing.T) {
 	g := newStage(1)
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -26,6 +26,8 @@
 	ended   []worker.End
 	next    int64
 	lease   time.Time
+	// void has ends that were listed before the lease ran out; noting them counts nothing.
+	void map[int64]bool
 }
 
 type fakeRun struct {
@@ -49,12 +51,17 @@
 	cancels map[string]time.Time
 	catalog *catalog.Catalog
 	// late holds orders that are carried out after their answer was given up.
-	late   []lateOrder
-	looks  []Look // answered on the next step, as a look may wait
-	done   map[job.Task]bool
-	noted  map[job.Task]bool
-	broken []string
-	starts int
+	late  []lateOrder
+	looks []Look // answered on the next step, as a look may wait
+	done  map[job.Task]bool
+	noted map[job.Task]bool
+	// failures counts failed runs. ends has the runs of each task that ended as done or
+	// failed; snapshots has them as they were at each start.
+	failures  map[job.Task]int
+	ends      map[job.Task][]*fakeEnd
+	snapshots map[job.Task][][]*fakeEnd
+	broken    []string
+	starts    int
 	// fault decides the fate of a call; nil answers everything.
 	fault func(kind string) fate
 	// fails decides whether a run ends as failed.
@@ -62,6 +69,13 @@
 	duration time.Duration
 }
 
+// fakeEnd is the end of a run, which counts once it was noted.
+type fakeEnd struct {
+	number int64
+	how    worker.How
+	noted  bool
+}
+
 type lateOrder struct {
 	at    time.Time
 	apply func()
@@ -85,6 +99,7 @@
 	g := &stage{
 		now: time.UnixMilli(1_700_000_000_000), owner: 1, workers: make(map[string]*fakeWorker), jobs: make(map[string]*job.Job),
 		added: make(map[string]int64), stored: make(map[string]*progress.Record), cancels: make(map[string]time.Time),
+		failures: make(map[job.Task]int), ends: make(map[job.Task][]*fakeEnd), snapshots: make(map[job.Task][][]*fakeEnd),
 		done: make(map[job.Task]bool), noted: make(map[job.Task]bool), duration: 500 * time.Millisecond,
 	}
 	g.catalog = catalog.New(1,
@@ -104,7 +119,7 @@
 			ID: id, Pool: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1,
 			Capacity: resource.Amount{CPU: 4000, Memory: 8000}, Labels: []string{"a", "r1-1"},
 		},
-		runs: make(map[job.Task]*fakeRun), highest: make(map[job.Task]int64),
+		runs: make(map[job.Task]*fakeRun), highest: make(map[job.Task]int64), void: make(map[int64]bool),
 	}
 	g.workers[id] = w
 	return w
@@ -173,16 +188,23 @@
 	if w.down {
 		return
 	}
-	lapsed := len(w.runs) > 0 && g.now.After(w.lease)
+	lapsed := g.now.After(w.lease)
+	if lapsed {
+		for _, e := range w.ended {
+			w.void[e.Number] = true
+		}
+	}
 	names := slices.SortedFunc(maps.Keys(w.runs), func(a, b job.Task) int { return cmp.Compare(a.String(), b.String()) })
 	for _, name := range names {
 		r := w.runs[name]
 		switch {
 		case lapsed:
 			g.end(w, name, worker.Lapsed)
+			w.void[w.next] = true
 		case !r.stopAt.IsZero() && !g.now.Before(r.stopAt):
 			g.end(w, name, worker.Stopped)
 		case r.stopAt.IsZero() && !g.now.Before(r.doneAt) && g.fails != nil && g.fails(name, w.entry.ID):
+			g.failures[name]++
 			g.end(w, name, worker.Failed)
 		case r.stopAt.IsZero() && !g.now.Before(r.doneAt) && !g.step0(name).LongRunning:
 			g.done[name] = true
@@ -196,6 +218,9 @@
 func (g *stage) end(w *fakeWorker, name job.Task, how worker.How) {
 	w.next++
 	w.ended = append(w.ended, worker.End{Number: w.next, Task: name, Run: w.runs[name].number, How: how})
+	if how == worker.Done || how == worker.Failed {
+		g.ends[name] = append(g.ends[name], &fakeEnd{number: w.runs[name].number, how: how})
+	}
 	w.highest[name] = max(w.highest[name], w.runs[name].number)
 	delete(w.runs, name)
 }
@@ -311,6 +336,7 @@
 			g.breaks("%s runs twice: on %s and %s", a.Task, other.entry.ID, w.entry.ID)
 		}
 	}
+	g.snapshots[a.Task] = append(g.snapshots[a.Task], slices.Clone(g.ends[a.Task]))
 	var used resource.Amount
 	for _, r := range w.runs {
 		used = used.Add(r.need)
@@ -360,8 +386,8 @@
 			w.lease = deadline
 		}
 		for _, e := range w.ended {
-			if e.Number <= a.Seen && e.How == worker.Done {
-				g.noted[e.Task] = true
+			if e.Number <= a.Seen && !w.void[e.Number] {
+				g.note(e)
 			}
 		}
 		w.ended = slices.DeleteFunc(w.ended, func(e worker.End) bool { return e.Number <= a.Seen })
@@ -373,6 +399,32 @@
 	g.core.Looked(a, listing, false, g.now)
 }
 
+// note handles an end that a worker may forget, and judges the starts after it.
+func (g *stage) note(e worker.End) {
+	if e.How == worker.Done {
+		g.noted[e.Task] = true
+	}
+	for _, end := range g.ends[e.Task] {
+		if end.number == e.Run {
+			end.noted = true
+		}
+	}
+	for _, before := range g.snapshots[e.Task] {
+		failed := 0
+		for _, end := range before {
+			switch {
+			case end.noted && end.how == worker.Done:
+				g.breaks("%s was started after it was done", e.Task)
+			case end.noted:
+				failed++
+			}
+		}
+		if failed >= g.catalog.Queues["rounds"].MaxAttempts {
+			g.breaks("%s was started after all of its attempts had failed", e.Task)
+		}
+	}
+}
+
 func (w *fakeWorker) listing(now time.Time) *worker.Listing {
 	l := &worker.Listing{Born: w.entry.Born, Clock: now.Sub(time.UnixMilli(0)), Ended: slices.Clone(w.ended)}
 	for name, r := range w.runs {
