--- a/dispatch/feeds.go
+++ b/dispatch/feeds.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// watchWait keeps the number of calls low; events end a watch at once.
-	watchWait = 5 * time.Second
-	// watchPatience is how late an answer may be.
-	watchPatience = 1200 * time.Millisecond
+	// watchWait bounds the time for which a watch that has gone silent hides new jobs; a
+	// store that drops its history leaves watches open without events.
+	watchWait = 600 * time.Millisecond
+	// watchPatience is how late an answer may be; a slow store takes a third of a second.
+	watchPatience = 600 * time.Millisecond
 	feedRetry     = 100 * time.Millisecond
 )
 
--- a/subscription/subscription.go
+++ b/subscription/subscription.go
@@ -58,10 +58,10 @@
 
 const (
 	// watchWait bounds the age of a confirmation while nothing changes.
-	watchWait = 1500 * time.Millisecond
+	watchWait = time.Second
 	// answerPatience is how late an answer may be; the store answers in milliseconds, a
 	// slow one in a third of a second.
-	answerPatience = 1200 * time.Millisecond
+	answerPatience = 800 * time.Millisecond
 	retryPause     = 100 * time.Millisecond
 )
 
