--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -38,13 +38,14 @@
 	lost := false
 	for o.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(o.ctx, machineTimeout)
+		asked := time.Now()
 		list, err := o.Calls.ListMachines(ctx)
 		cancel()
 		pause := machineInterval
 		if err == nil {
 			wants := make(chan bool, 1)
 			o.post(func(now time.Time) {
-				o.core.SetMachines(list, now)
+				o.core.SetMachines(list, asked, now)
 				wants <- o.core.WantsMachines()
 			})
 			select {
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -15,6 +15,10 @@
 	entry      worker.Entry
 	listed     bool
 	unlistedAt time.Time
+	// since is when this owner first saw the registration.
+	since time.Time
+	// replaced is set once its machine carries another worker; it runs nothing any more.
+	replaced bool
 	// known is set once the worker has answered a look of this owner in its present life.
 	known bool
 	born  int64
@@ -102,7 +106,7 @@
 	s.now = now
 	h := s.hosts[e.ID]
 	if h == nil {
-		h = &host{fence: s.fence, runs: make(map[job.Task]*run)}
+		h = &host{since: now, fence: s.fence, runs: make(map[job.Task]*run)}
 		h.entry = e
 		s.hosts[e.ID] = h
 		at, _ := slices.BinarySearchFunc(s.ordered, e.ID, func(h *host, id string) int { return cmp.Compare(h.entry.ID, id) })
@@ -165,6 +169,17 @@
 	s.requeue(r.part, r.index)
 }
 
+// replace handles a worker whose machine carries another one.
+func (s *Scheduler) replace(h *host) {
+	s.note(Note{Event: "worker-replaced", Worker: h.entry.ID, Workers: len(h.runs)})
+	h.replaced, h.known = true, false
+	h.sequence++
+	delete(s.expected, h.entry.ID)
+	for _, r := range h.runs {
+		s.drop(r, "machine carries another worker")
+	}
+}
+
 // release frees what a run holds.
 func (s *Scheduler) release(r *run) {
 	h := r.host
@@ -224,7 +239,7 @@
 // planLook decides whether a worker is looked at now.
 func (s *Scheduler) planLook(h *host) {
 	h.advance()
-	if h.looking || s.now.Before(h.nextLook) {
+	if h.replaced || h.looking || s.now.Before(h.nextLook) {
 		return
 	}
 	unknown := !h.known || h.doubt
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -12,6 +12,7 @@
 	"egretdrum.example/progress"
 	"egretdrum.example/property"
 	"egretdrum.example/resource"
+	"egretdrum.example/worker"
 )
 
 var small = resource.Amount{CPU: 1000, Memory: 500}
@@ -185,6 +186,40 @@
 	qt.Assert(t, g.failures[name], qt.Equals, 3)
 }
 
+// Guards against a recovery that waits for the registration of a worker whose machine was
+// moved: it stays in the store for some seconds and never answers.
+func TestRecoveryDoesNotWaitForReplacedWorkers(t *testing.T) {
+	g := newStage(2)
+	g.workers["w0"].entry.Machine, g.workers["w1"].entry.Machine = "m0", "m1"
+	g.workers["w0"].down = true
+	g.replaceOwner()
+	g.run(200 * time.Millisecond)
+	qt.Assert(t, g.core.Settled(), qt.IsFalse)
+	asked := g.now
+	g.core.SetMachines([]worker.Machine{
+		{ID: "m0", Pool: "desk", State: worker.Up, Worker: "w2"}, {ID: "m1", Pool: "desk", State: worker.Up, Worker: "w1"},
+	}, asked, g.now)
+	g.run(100 * time.Millisecond)
+	qt.Assert(t, g.core.Settled(), qt.IsTrue)
+}
+
+// Guards against taking a new worker for a replaced one, when the list of machines is
+// older than its registration: its tasks would run twice.
+func TestOlderMachineListDoesNotReplaceWorkers(t *testing.T) {
+	g := newStage(1)
+	g.duration = time.Hour
+	g.workers["w0"].entry.Machine = "m0"
+	asked := g.now.Add(-time.Second)
+	g.replaceOwner()
+	g.run(time.Second)
+	g.submit("a", job.Step{Count: 1, Need: small})
+	g.run(time.Second)
+	g.core.SetMachines([]worker.Machine{{ID: "m0", Pool: "desk", State: worker.Up, Worker: "w-old"}}, asked, g.now)
+	g.run(time.Second)
+	assertNothingBroken(t, g)
+	qt.Assert(t, g.starts, qt.Equals, 1)
+}
+
 // Guards against runs that outlive the cancellation of their job.
 func TestCancelStopsRuns(t *testing.T) {
 	g := newStage(1)
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -134,7 +134,7 @@
 	for _, id := range slices.Sorted(maps.Keys(g.workers)) {
 		g.core.SetWorker(g.workers[id].entry, g.now)
 	}
-	g.core.SetMachines(nil, g.now)
+	g.core.SetMachines(nil, g.now, g.now)
 	for _, id := range slices.Sorted(maps.Keys(g.jobs)) {
 		g.core.AddJob(g.jobs[id], g.stored[id], g.added[id] < g.owner, g.now)
 	}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -48,8 +48,8 @@
 	maintenanceSlack = 1500 * time.Millisecond
 )
 
-// SetMachines replaces the list of machines.
-func (s *Scheduler) SetMachines(list []worker.Machine, now time.Time) {
+// SetMachines replaces the list of machines, which was asked for at a given time.
+func (s *Scheduler) SetMachines(list []worker.Machine, asked, now time.Time) {
 	s.now = now
 	for _, m := range s.machines {
 		m.missing = true
@@ -77,6 +77,13 @@
 		}
 	}
 	s.machinesKnown = true
+	for _, h := range s.ordered {
+		m := s.machines[h.entry.Machine]
+		// A list that was asked for earlier may be older than the registration.
+		if m != nil && !h.replaced && h.since.Before(asked) && m.State == worker.Up && m.Worker != "" && m.Worker != h.entry.ID {
+			s.replace(h)
+		}
+	}
 }
 
 // WantsMachines reports whether the list of machines is needed soon.
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -25,6 +25,8 @@
 	Labels    []string
 	// Born tells lives of a worker under the same ID apart.
 	Born int64
+	// Machine is the machine that carries the worker.
+	Machine string
 }
 
 // rackPrefix begins the label that names a rack.
