Order waiting work by share, by whether it can be in time, and by work left

Cause: under overload the largest waiting jobs and accounts far beyond their share were served while others missed their time.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -193,6 +193,9 @@
 		return
 	case e.How == worker.Done:
 		h.faults = 0
+		if current {
+			s.learn(p, s.now.Sub(r.sent))
+		}
 		if p.step.LongRunning {
 			break
 		}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -16,8 +16,10 @@
 	cancelled bool
 	// inherited jobs may have runs of a predecessor.
 	inherited bool
-	arrived   time.Time
-	ended     time.Time
+	// excess is set if the account had used up its share.
+	excess  bool
+	arrived time.Time
+	ended   time.Time
 	// occurrences holds those that have begun and are not done.
 	occurrences map[int]*occurrence
 	begun       int
@@ -46,7 +48,7 @@
 	blocked    int // earlier steps that are not done
 	listed     bool
 	checkpoint string // of a gang
-	urgency    float64
+	rank       rank
 	// detached parts belong to runs that are not wanted; their tasks are not started.
 	detached bool
 }
@@ -65,6 +67,9 @@
 	return job.Task{Job: p.entry.job.ID, Occurrence: p.occurrence.number, Step: p.number, Index: index}
 }
 
+// maxKnownAge bounds the age of a job by the time of day, which may jump by seconds.
+const maxKnownAge = 2 * time.Minute
+
 // AddJob takes over an accepted job with its stored progress, if there is any. Inherited
 // jobs are those that a predecessor may have seen. It reports false for a known job.
 func (s *Scheduler) AddJob(j *job.Job, r *progress.Record, inherited bool, now time.Time) bool {
@@ -74,6 +79,15 @@
 	}
 	e := &entry{job: j, state: progress.Pending, inherited: inherited, arrived: now, occurrences: make(map[int]*occurrence)}
 	s.jobs[j.ID] = e
+	if inherited {
+		// The time of day may differ between hosts, so it is used only for jobs of an
+		// earlier owner.
+		if age := now.Round(0).Sub(j.Accepted); age > 0 && age < maxKnownAge {
+			e.arrived = now.Add(-age)
+		}
+	} else {
+		e.excess = s.excess(j.Account)
+	}
 	if r != nil {
 		e.state, e.restored = r.State, r
 		e.finished = slices.Clone(r.Finished)
--- /dev/null
+++ b/scheduler/order.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"egretdrum.example/catalog"
+)
+
+// experience is what was seen of the tasks of a queue.
+type experience struct {
+	// mean is the moving average of the logarithm of the run time in seconds; callers'
+	// estimates may be off by a factor of ten.
+	mean float64
+	runs int
+}
+
+const (
+	// experienceWeight lets about twenty runs decide.
+	experienceWeight = 0.05
+	// rankAge is how long the rank of a part is used; ranks change with time and with
+	// the progress of the job.
+	rankAge = 40 * time.Millisecond
+	// lateFactor times the objective is the time after which a result is of no use.
+	lateFactor = 3
+	// shareBurst is how many seconds of its share an account may use at once.
+	shareBurst = 2.0
+)
+
+// rank says when a part is served; lower ranks go first.
+type rank struct {
+	at time.Time
+	// excess is set for jobs beyond the share of their account.
+	excess bool
+	// hope is 0 while the job can end in time, 1 while it can end late, 2 afterwards.
+	hope int
+	// work is the work that is left of the job, in core-seconds.
+	work float64
+}
+
+// learn notes the run time of a task that is done.
+func (s *Scheduler) learn(p *part, d time.Duration) {
+	x := s.experiences[p.entry.job.Queue]
+	if x == nil {
+		x = &experience{}
+		s.experiences[p.entry.job.Queue] = x
+	}
+	seconds := math.Log(max(0.01, d.Seconds()))
+	x.runs++
+	weight := max(experienceWeight, 1/float64(x.runs))
+	x.mean += weight * (seconds - x.mean)
+}
+
+// expectedTime is the likely run time of a task of a step: the geometric mean of the
+// estimate and of what was seen in its queue.
+func (s *Scheduler) expectedTime(queue string, estimate time.Duration) time.Duration {
+	x := s.experiences[queue]
+	switch {
+	case x == nil && estimate <= 0:
+		return time.Second
+	case x == nil:
+		return estimate
+	case estimate <= 0:
+		return time.Duration(math.Exp(x.mean) * float64(time.Second))
+	}
+	return time.Duration(math.Exp((x.mean+math.Log(estimate.Seconds()))/2) * float64(time.Second))
+}
+
+// outlook returns the time of the longest chain of a job, of the part of it that is left,
+// and the work that is left.
+func (s *Scheduler) outlook(e *entry) (chain, left time.Duration, work float64) {
+	var longest, longestLeft [maxChain]time.Duration
+	for _, o := range e.occurrences {
+		for _, p := range o.parts {
+			d := s.expectedTime(e.job.Queue, p.step.Estimate)
+			var before, beforeLeft time.Duration
+			for _, earlier := range p.step.After {
+				if earlier < maxChain {
+					before, beforeLeft = max(before, longest[earlier]), max(beforeLeft, longestLeft[earlier])
+				}
+			}
+			after, afterLeft := before+d, beforeLeft
+			if p.undone > 0 {
+				afterLeft += d
+				work += float64(p.undone) * float64(p.step.Need.CPU) / 1000 * d.Seconds()
+			}
+			if p.number < maxChain {
+				longest[p.number], longestLeft[p.number] = after, afterLeft
+			}
+			chain, left = max(chain, after), max(left, afterLeft)
+		}
+	}
+	return chain, left, work
+}
+
+// maxChain bounds the steps that are looked at for the outlook of a job.
+const maxChain = 16
+
+// order sorts parts by who goes first: long-running tasks, then the priority of the
+// queue, then accounts within their share, then jobs that can still end in time, and
+// among these the one with the least work left, so that the most jobs end in time.
+func (s *Scheduler) order(parts []*part) {
+	for _, p := range parts {
+		if s.now.Sub(p.rank.at) > rankAge {
+			p.rank = s.rankOf(p.entry)
+		}
+	}
+	slices.SortStableFunc(parts, func(a, b *part) int {
+		return cmp.Or(
+			-boolCompare(a.step.LongRunning, b.step.LongRunning),
+			cmp.Compare(s.priority(a), s.priority(b)),
+			boolCompare(a.rank.excess, b.rank.excess),
+			cmp.Compare(a.rank.hope, b.rank.hope),
+			cmp.Compare(a.rank.work, b.rank.work),
+			a.entry.arrived.Compare(b.entry.arrived),
+			cmp.Compare(a.entry.job.ID, b.entry.job.ID),
+		)
+	})
+}
+
+func (s *Scheduler) rankOf(e *entry) rank {
+	chain, left, work := s.outlook(e)
+	r := rank{at: s.now, excess: e.excess, work: work}
+	q := s.catalog.Queues[e.job.Queue]
+	if q == nil {
+		return r
+	}
+	objective := objective(q, chain)
+	switch end := s.now.Sub(e.arrived) + left; {
+	case end > lateFactor*objective:
+		r.hope = 2
+	case end > objective:
+		r.hope = 1
+	}
+	return r
+}
+
+// objective is the time in which a job with the given chain is to be done.
+func objective(q *catalog.Queue, chain time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(chain)) + q.Allowance
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+func (s *Scheduler) priority(p *part) int {
+	if q := s.catalog.Queues[p.entry.job.Queue]; q != nil {
+		return q.Priority
+	}
+	return 0
+}
+
+// allowance is the part of an account's share that is not used yet.
+type allowance struct {
+	jobs float64
+	at   time.Time
+}
+
+// excess takes a job from the share of its account and reports whether the share is used
+// up. The share is a number of jobs a second that the account can count on.
+func (s *Scheduler) excess(account string) bool {
+	if account == "" || s.catalog == nil || s.catalog.Accounts[account] == nil {
+		return false
+	}
+	rate := float64(s.catalog.Accounts[account].Share)
+	if rate <= 0 {
+		return false
+	}
+	a := s.allowances[account]
+	if a == nil {
+		a = &allowance{jobs: shareBurst * rate, at: s.now}
+		s.allowances[account] = a
+	}
+	a.jobs = min(shareBurst*rate, a.jobs+rate*s.now.Sub(a.at).Seconds())
+	a.at = s.now
+	if a.jobs < 1 {
+		return true
+	}
+	a.jobs--
+	return false
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 
 	"egretdrum.example/resource"
@@ -74,40 +73,6 @@
 	return hosts
 }
 
-// order sorts parts by who goes first: long-running tasks, then the priority of the
-// queue, then the job that has the least tasks left, so that the most jobs end in time.
-func (s *Scheduler) order(parts []*part) {
-	for _, p := range parts {
-		p.urgency = float64(p.entry.remaining)
-	}
-	slices.SortStableFunc(parts, func(a, b *part) int {
-		return cmp.Or(
-			-boolCompare(a.step.LongRunning, b.step.LongRunning),
-			cmp.Compare(s.priority(a), s.priority(b)),
-			cmp.Compare(a.urgency, b.urgency),
-			a.entry.arrived.Compare(b.entry.arrived),
-			cmp.Compare(a.entry.job.ID, b.entry.job.ID),
-		)
-	})
-}
-
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
-func (s *Scheduler) priority(p *part) int {
-	if q := s.catalog.Queues[p.entry.job.Queue]; q != nil {
-		return q.Priority
-	}
-	return 0
-}
-
 // placePart starts as many tasks of the part as fit. All tasks of a part are equal, so
 // the first one that does not fit ends the attempt.
 func (s *Scheduler) placePart(p *part, hosts []*host) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -32,7 +32,11 @@
 	timed    []*entry
 	dirty    map[string]*entry
 	machines map[string]*machine
-	waves    map[int64]*wave
+	// experiences is what was seen of the tasks of each queue, allowances what is left of
+	// the share of each account.
+	experiences map[string]*experience
+	allowances  map[string]*allowance
+	waves       map[int64]*wave
 
 	// lastRun numbers the runs. The first one of an owner is above all of its predecessors.
 	lastRun int64
@@ -87,7 +91,7 @@
 		limits: limits, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
 		jobs: make(map[string]*entry), hosts: make(map[string]*host), accounts: make(map[string]resource.Amount),
 		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave),
-		expected: make(map[string]bool), dirty: make(map[string]*entry),
+		expected: make(map[string]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
 	}
 	s.settleAt = now.Add(s.leaseBound(limits.Lease))
 	return s
