--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -57,6 +57,7 @@
 			s.end(h, e)
 		}
 	}
+	h.lapsed = false
 	listed := make(map[job.Task]bool, len(answer.Running))
 	h.foreign = false
 	for i := range answer.Running {
@@ -179,12 +180,12 @@
 		}
 		s.release(r)
 	}
-	// Without a start by this owner, the end is the result of a predecessor's run.
-	inherited := t.run == nil && t.last == 0
-	if !current && !inherited && t.last != e.Run {
+	// Ends that were listed when the lease ran out do not count any more: the task has
+	// been started elsewhere or is going to be.
+	if !current && h.lapsed && (e.How != worker.Done || t.run != nil) {
 		return
 	}
-	if inherited && e.Checkpoint != "" {
+	if t.run == nil && e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 		p.checkpoint = e.Checkpoint
 	}
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -17,6 +17,8 @@
 	unlistedAt time.Time
 	// since is when this owner first saw the registration.
 	since time.Time
+	// lapsed is set when the lease of a silent worker has ended, until it answers.
+	lapsed bool
 	// replaced is set once its machine carries another worker; it runs nothing any more.
 	replaced bool
 	// known is set once the worker has answered a look of this owner in its present life.
@@ -222,6 +224,9 @@
 // expire ends what a worker held once its lease must have ended, and forgets workers
 // that are gone.
 func (s *Scheduler) expire(h *host) {
+	if h.failures > 0 && s.now.After(h.leaseEnd) {
+		h.lapsed = true
+	}
 	if len(h.runs) > 0 && s.now.After(h.leaseEnd) {
 		for _, r := range h.runs {
 			s.drop(r, "lease ended")
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -220,6 +220,26 @@
 	qt.Assert(t, g.starts, qt.Equals, 1)
 }
 
+// Guards against an attempt too many: the failed end of a run that this owner has given
+// up, because its start went unanswered, counts as an attempt.
+func TestFailedEndOfGivenUpRunCounts(t *testing.T) {
+	g := newStage(2)
+	g.run(time.Second)
+	g.duration = time.Hour
+	g.submit("a", job.Step{Count: 1, Need: small})
+	name := job.Task{Job: "a"}
+	g.run(time.Second)
+	id, number := g.core.Task(name)
+	h := g.core.hosts[id]
+	g.core.drop(h.runs[name], "test")
+	g.core.Tick(g.now)
+	_, second := g.core.Task(name)
+	qt.Assert(t, second > number, qt.IsTrue)
+	g.core.end(h, worker.End{Number: h.seen + 1, Task: name, Run: number, How: worker.Failed})
+	qt.Assert(t, g.core.part(name).tasks[0].failed, qt.DeepEquals, []int64{number})
+	qt.Assert(t, h.unsaved[len(h.unsaved)-1].entry, qt.Not(qt.IsNil))
+}
+
 // Guards against runs that outlive the cancellation of their job.
 func TestCancelStopsRuns(t *testing.T) {
 	g := newStage(1)
