--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -99,6 +99,9 @@
 	// idleLook is how often an unfinished lease of an otherwise quiet worker is renewed
 	// while results cannot be made durable.
 	idleLook = time.Second
+	// startupWait is how long a look waits while a long-running task starts up: the next
+	// one of its step may be moved as soon as it is at work.
+	startupWait = 300 * time.Millisecond
 	// maxListedEnds is the most ends that a worker lists at once.
 	maxListedEnds = 500
 )
@@ -267,10 +270,26 @@
 	}
 	if !unknown && len(h.runs) > 0 && len(h.unsaved) == 0 {
 		l.Wait = s.limits.LookWait
+		if h.startsUp() {
+			l.Wait = startupWait
+		}
 	}
 	s.look(h, l)
 }
 
+// startsUp reports whether a long-running task is present and not at work yet.
+func (h *host) startsUp() bool {
+	if h.lasting == 0 {
+		return false
+	}
+	for _, r := range h.runs {
+		if r.part.step.LongRunning && r.state == present && r.percent < 100 {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) look(h *host, l Look) {
 	h.sequence++
 	l.sequence = h.sequence
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -201,6 +201,8 @@
 	avoidFaulty   = 300
 	preferPacking = 100
 	avoidServing  = 200
+	// avoidDue outweighs everything: a task on a machine that is due moves again soon.
+	avoidDue = 5000
 )
 
 // score rates a worker for a task; higher is better. Long-running tasks are packed on
@@ -221,7 +223,7 @@
 	if p.step.LongRunning {
 		score += preferPacking * float64(min(h.lasting, packedTasks))
 		if s.dueForMaintenance(h) {
-			score -= avoidServing
+			score -= avoidDue
 		}
 	}
 	if p.step.LatencyTarget > 0 && h.background > 0 {
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -43,6 +44,14 @@
 	drainPatience = 3 * time.Second
 	// orderRetry is the pause after an order that was not accepted.
 	orderRetry = 500 * time.Millisecond
+	// cycleTime is how long a machine takes from its selection until the next one can take
+	// its place, besides its maintenance: it is emptied, and noticed as back.
+	cycleTime = 2500 * time.Millisecond
+	// cycleReserve selects more machines than the deadline needs, for those that are late.
+	cycleReserve = 1.5
+	// poolShare is the part of a pool's machines that may be away or emptied at once, so
+	// that its tasks have somewhere to go.
+	poolShare = 0.34
 	// maintenanceSlack is the time that a machine needs besides its maintenance: to be
 	// noticed as back, and for the next one to be emptied.
 	maintenanceSlack = 1500 * time.Millisecond
@@ -189,24 +198,82 @@
 			}
 		}
 	}
+	for _, m := range open {
+		// Tasks that are moved one after the other take the longest, so they go first.
+		if h := s.hosts[m.Worker]; h != nil && h.lasting > 0 {
+			s.moveLasting(h)
+		}
+	}
 	if left == 0 && !s.anyUndone(w) {
 		w.finished = true
 		s.reportWave(w)
 		return
 	}
+	pools := s.poolStates()
 	slices.SortFunc(open, func(a, b *machine) int {
 		return cmp.Or(cmp.Compare(s.burden(a), s.burden(b)), cmp.Compare(a.ID, b.ID))
 	})
+	limit := s.parallel(w, left)
+	pressed := s.pressed(w)
 	for _, m := range open {
-		if busy >= w.limit {
+		if busy >= limit {
 			return
 		}
+		state := pools[m.Pool]
+		if !state.mayLose(pressed) {
+			continue
+		}
+		state.away++
 		m.cordoned, m.cordonedAt, m.cordonWave = true, s.now, w.number
 		busy++
 		s.note(Note{Event: "machine-cordoned", Worker: m.Worker, Run: w.number, Reason: "maintenance " + m.ID})
 	}
 }
 
+// parallel is how many machines of a wave are taken at the same time: as many as the
+// deadline needs, so that the pools keep the others.
+func (s *Scheduler) parallel(w *wave, left int) int {
+	remaining := w.deadline.Sub(s.now)
+	if remaining <= 0 {
+		return w.limit
+	}
+	cycle := s.limits.Maintenance + cycleTime
+	n := math.Ceil(float64(left) * cycle.Seconds() * cycleReserve / remaining.Seconds())
+	return min(w.limit, max(1, int(n)))
+}
+
+// poolState counts the machines of a pool.
+type poolState struct {
+	machines, away int
+	// short is set while the pool lacks room for waiting work.
+	short bool
+}
+
+// mayLose reports whether one more machine may be taken from the pool.
+func (p *poolState) mayLose(pressed bool) bool {
+	if p.short && !pressed {
+		return false
+	}
+	return p.away < max(1, int(poolShare*float64(p.machines)))
+}
+
+func (s *Scheduler) poolStates() map[string]*poolState {
+	pools := make(map[string]*poolState)
+	demands := s.demands()
+	for _, m := range s.machines {
+		p := pools[m.Pool]
+		if p == nil {
+			p = &poolState{short: demands[m.Pool] != nil && demands[m.Pool].missing() > 0}
+			pools[m.Pool] = p
+		}
+		p.machines++
+		if m.cordoned || m.ordering || m.away || m.State != worker.Up {
+			p.away++
+		}
+	}
+	return pools
+}
+
 func (s *Scheduler) anyUndone(w *wave) bool {
 	for _, id := range w.machines {
 		if s.machines[id] != nil && !w.done[id] {
@@ -293,10 +360,23 @@
 		if r.part.step.MayMiss > 0 && s.absent(r) >= r.part.step.MayMiss {
 			continue
 		}
+		if !s.hasRefuge(r) {
+			continue
+		}
 		s.stop(r, "machine is emptied")
 	}
 }
 
+// hasRefuge reports whether a long-running task could start on a worker that stays.
+func (s *Scheduler) hasRefuge(r *run) bool {
+	for _, h := range s.ordered {
+		if h != r.host && h.entry.Pool == r.host.entry.Pool && s.usable(h) && !s.cordoned(h) && !s.dueForMaintenance(h) && s.fits(r.part, h, r.need, 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // absent counts the other tasks of a step that are not at work.
 func (s *Scheduler) absent(r *run) int {
 	n := 0
