--- a/command/platform.go
+++ b/command/platform.go
@@ -37,6 +37,9 @@
 	drainShare = 0.55
 	// slowHostDelay is multiplied by the lack of processor time against a whole core.
 	slowHostDelay = 60 * time.Millisecond
+	// oldHostDelay is that of a host that runs for oldHost or longer.
+	oldHostDelay  = 120 * time.Millisecond
+	oldHost       = time.Minute
 	headerTimeout = 10 * time.Second
 	// callerIdleTimeout is above the pauses of callers that poll.
 	callerIdleTimeout = 60 * time.Second
@@ -90,11 +93,21 @@
 	}
 	h.tenure = &tenure.Tenure{
 		Store: store, Host: s.Host, Work: owner.Run, Log: h.log, Now: boottime.Now,
-		Delay: time.Duration(max(0, 1-s.CPU) * float64(slowHostDelay)),
+		Delay: ownershipDelay(s.CPU, time.Now()),
 	}
 	return h
 }
 
+// ownershipDelay prefers hosts with much processor time, and among them those that were
+// started last: in a rolling restart, their turn is over.
+func ownershipDelay(cpu float64, started time.Time) func() time.Duration {
+	slow := time.Duration(max(0, 1-cpu) * float64(slowHostDelay))
+	return func() time.Duration {
+		age := min(time.Since(started), oldHost)
+		return slow + time.Duration(float64(oldHostDelay)*age.Seconds()/oldHost.Seconds())
+	}
+}
+
 func schedulerLimits(s *platform.Settings) scheduler.Limits {
 	limits := scheduler.DefaultLimits()
 	limits.Lease = min(limits.Lease, s.MaxLease)
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -199,7 +199,7 @@
 	}
 	records := make(map[string]*progress.Record, len(results))
 	for _, item := range results {
-		o.saver.known(item)
+		o.saver.known(item.Key, item.Revision)
 		r, err := progress.Decode(item.Value)
 		if err != nil {
 			o.Log.Warn("result-not-decoded", zap.String("key", item.Key), zap.Error(err))
--- a/dispatch/saver.go
+++ b/dispatch/saver.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,7 +23,8 @@
 	term      int64
 	log       *zap.Logger
 	queue     chan scheduler.Save
-	revisions map[string]int64 // by key, used by run only after the load
+	mu        sync.Mutex
+	revisions map[string]int64 // by key
 }
 
 const (
@@ -31,6 +33,11 @@
 	saveRetry   = 80 * time.Millisecond
 	// savesPerChange leaves room for the owner's condition; each save has two entries.
 	savesPerChange = (kv.MaxEntries - 1) / 2
+	// savePatience is how long a batch is alone on its way; it is several times the answer
+	// of a healthy store.
+	savePatience = 25 * time.Millisecond
+	// savesInFlight bounds the batches on their way, and so the calls to a slow store.
+	savesInFlight = 12
 	// saveQueue is above the number of jobs that change in one pass.
 	saveQueue = 8192
 )
@@ -39,22 +46,46 @@
 	return &saver{store: store, term: term, log: log, queue: make(chan scheduler.Save, saveQueue), revisions: make(map[string]int64)}
 }
 
-// known notes the revision of a record that was read.
-func (v *saver) known(item kv.Item) { v.revisions[item.Key] = item.Revision }
+// known notes the revision of a record that was read or written.
+func (v *saver) known(key string, revision int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.revisions[key] = revision
+}
 
-// run writes until ctx ends; it calls lost if another host is the owner.
+// run writes until ctx ends; it calls lost if another host is the owner. A job is in one
+// batch at a time, so batches may be on their way together: a store that answers in
+// milliseconds gets one after the other, a slow one gets several.
 func (v *saver) run(ctx context.Context, lost func(), saved func(id string, version int, ok bool)) {
+	var writing sync.WaitGroup
+	defer writing.Wait()
+	free := make(chan struct{}, savesInFlight)
 	for {
 		batch := v.collect(ctx)
 		if batch == nil {
 			return
 		}
-		if !v.write(ctx, batch) {
-			lost()
+		select {
+		case free <- struct{}{}:
+		case <-ctx.Done():
 			return
 		}
-		for _, s := range batch {
-			saved(s.Job, s.Version, true)
+		done := make(chan struct{})
+		writing.Go(func() {
+			defer close(done)
+			defer func() { <-free }()
+			if !v.write(ctx, batch) {
+				lost()
+				return
+			}
+			for _, s := range batch {
+				saved(s.Job, s.Version, true)
+			}
+		})
+		select {
+		case <-done:
+		case <-time.After(savePatience):
+		case <-ctx.Done():
 		}
 	}
 }
@@ -90,7 +121,7 @@
 				v.log.Info("results-stored-again", zap.Int("attempts", failures+1))
 			}
 			for _, s := range batch {
-				v.revisions[layout.Result(s.Job)] = revision
+				v.known(layout.Result(s.Job), revision)
 			}
 			return true
 		case errors.As(err, &conflict):
@@ -119,6 +150,8 @@
 }
 
 func (v *saver) change(batch []scheduler.Save) kv.Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	c := kv.Change{Conditions: []kv.Condition{{Key: layout.Owner, Revision: v.term}}}
 	for _, s := range batch {
 		key := layout.Result(s.Job)
@@ -134,7 +167,7 @@
 	stored := true
 	for _, s := range batch {
 		item := conflict.Find(layout.Result(s.Job))
-		v.revisions[layout.Result(s.Job)] = item.Revision
+		v.known(layout.Result(s.Job), item.Revision)
 		stored = stored && bytes.Equal(item.Value, s.Record)
 	}
 	return stored
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -189,18 +189,24 @@
 // Guards against a recovery that waits for the registration of a worker whose machine was
 // moved: it stays in the store for some seconds and never answers.
 func TestRecoveryDoesNotWaitForReplacedWorkers(t *testing.T) {
-	g := newStage(2)
-	g.workers["w0"].entry.Machine, g.workers["w1"].entry.Machine = "m0", "m1"
-	g.workers["w0"].down = true
-	g.replaceOwner()
-	g.run(200 * time.Millisecond)
-	qt.Assert(t, g.core.Settled(), qt.IsFalse)
-	asked := g.now
-	g.core.SetMachines([]worker.Machine{
-		{ID: "m0", Pool: "desk", State: worker.Up, Worker: "w2"}, {ID: "m1", Pool: "desk", State: worker.Up, Worker: "w1"},
-	}, asked, g.now)
-	g.run(100 * time.Millisecond)
-	qt.Assert(t, g.core.Settled(), qt.IsTrue)
+	for name, moved := range map[string]worker.Machine{
+		"arrived":        {ID: "m0", Pool: "desk", State: worker.Up, Worker: "w2"},
+		"on its way":     {ID: "m0", Pool: "desk", State: worker.Moving},
+		"in maintenance": {ID: "m0", Pool: "desk", State: worker.Maintenance},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newStage(2)
+			g.workers["w0"].entry.Machine, g.workers["w1"].entry.Machine = "m0", "m1"
+			g.workers["w0"].down = true
+			g.replaceOwner()
+			g.run(200 * time.Millisecond)
+			qt.Assert(t, g.core.Settled(), qt.IsFalse)
+			asked := g.now
+			g.core.SetMachines([]worker.Machine{moved, {ID: "m1", Pool: "desk", State: worker.Up, Worker: "w1"}}, asked, g.now)
+			g.run(100 * time.Millisecond)
+			qt.Assert(t, g.core.Settled(), qt.IsTrue)
+		})
+	}
 }
 
 // Guards against taking a new worker for a replaced one, when the list of machines is
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -89,12 +89,21 @@
 	for _, h := range s.ordered {
 		m := s.machines[h.entry.Machine]
 		// A list that was asked for earlier may be older than the registration.
-		if m != nil && !h.replaced && h.since.Before(asked) && m.State == worker.Up && m.Worker != "" && m.Worker != h.entry.ID {
+		if m != nil && !h.replaced && h.since.Before(asked) && m.carriesOther(h.entry.ID) {
 			s.replace(h)
 		}
 	}
 }
 
+// carriesOther reports whether a worker that was on the machine has ended: the machine
+// is on its way, or carries another worker.
+func (m *machine) carriesOther(id string) bool {
+	if m.Worker == id || m.State == worker.Down {
+		return false
+	}
+	return m.Worker != "" || m.State != worker.Up
+}
+
 // WantsMachines reports whether the list of machines is needed soon.
 func (s *Scheduler) WantsMachines() bool {
 	if !s.machinesKnown {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -37,8 +37,8 @@
 	Store kv.Store
 	// Host is the name of this entry host.
 	Host string
-	// Delay keeps hosts with little processor time from taking the duty when others can.
-	Delay time.Duration
+	// Delay returns how long to leave the duty to hosts that are better suited.
+	Delay func() time.Duration
 	// Work is run while this host is the owner; its context ends with the right.
 	Work func(ctx context.Context, term *Term)
 	Log  *zap.Logger
@@ -135,7 +135,7 @@
 
 // compete tries to become the owner once.
 func (t *Tenure) compete(ctx context.Context) {
-	if !wait.For(ctx, t.Delay) {
+	if !wait.For(ctx, t.Delay()) {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
