Restart tasks of slow and stalled workers, gather store calls, write waves in order

Causes: tasks on a worker at a sixth of its speed, or that stand still, held back their jobs; the percent that workers list shows both within half a second. Each event and each result was a store call of its own.

--- a/dispatch/feeds.go
+++ b/dispatch/feeds.go
@@ -19,7 +19,9 @@
 	watchWait = 600 * time.Millisecond
 	// watchPatience is how late an answer may be; a slow store takes a third of a second.
 	watchPatience = 600 * time.Millisecond
-	feedRetry     = 100 * time.Millisecond
+	// gatherEvents lets more events of a burst into one answer; each answer is a call.
+	gatherEvents = 12 * time.Millisecond
+	feedRetry    = 100 * time.Millisecond
 )
 
 // follow applies the events of a prefix, and reads all of it again when the history is gone.
@@ -41,6 +43,9 @@
 			for _, e := range events {
 				event(e)
 			}
+			if len(events) > 0 {
+				wait.For(o.ctx, gatherEvents)
+			}
 			continue
 		case !lost:
 			lost = true
--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -93,54 +93,71 @@
 	o.core.SetWave(w.Number, w.Machines, now.Add(time.Duration(r.Due-now.UnixMilli())*time.Millisecond), w.Limit, r.Done, r.Finished)
 }
 
-// saveWave stores the progress of a wave and tells the operators.
+// saveWave notes the progress of a wave and has it stored.
 func (o *Owner) saveWave(state scheduler.WaveState) {
 	r := o.waves[state.Wave]
 	r.Done, r.Finished = state.Done, state.Finished
 	o.waves[state.Wave] = r
-	value, err := cbor.Marshal(r)
-	status, err2 := o.Calls.WaveStatus(state.Finished)
-	if err := errors.Join(err, err2); err != nil {
-		o.Log.Error("wave-not-encoded", zap.Int64("wave", state.Wave), zap.Error(err))
-		return
-	}
-	number := strconv.FormatInt(state.Wave, 10)
-	change := kv.Change{
-		Conditions: []kv.Condition{{Key: layout.Owner, Revision: o.term.Number}},
-		Puts:       []kv.Put{{Key: layout.Wave(state.Wave), Value: value}, {Key: o.Calls.WaveStatusPrefix + number, Value: status}},
+	select {
+	case o.changedWaves <- state.Wave:
+	default:
+		// The writer reads the newest state of all waves that are queued.
+		o.Log.Warn("wave-not-queued", zap.Int64("wave", state.Wave))
 	}
-	go o.commitUntilDone(change, func() bool {
-		// A newer state of the wave takes the place of this one.
-		return len(state.Done) >= len(o.latestWave(state.Wave).Done)
-	})
 }
 
-// latestWave reads the newest state of a wave from the loop.
-func (o *Owner) latestWave(number int64) waveRecord {
-	answer := make(chan waveRecord, 1)
-	o.post(func(time.Time) { answer <- o.waves[number] })
-	select {
-	case r := <-answer:
-		return r
-	case <-o.ctx.Done():
-		return waveRecord{}
+// writeWaves stores the progress of waves and tells the operators. One write follows the
+// other, so that an earlier state never replaces a later one.
+func (o *Owner) writeWaves() {
+	for {
+		select {
+		case number := <-o.changedWaves:
+			o.writeWave(number)
+		case <-o.ctx.Done():
+			return
+		}
 	}
 }
 
-// commitUntilDone repeats a change until it is stored, the term is over or it is outdated.
-func (o *Owner) commitUntilDone(change kv.Change, wanted func() bool) {
-	for o.ctx.Err() == nil && wanted() {
+func (o *Owner) writeWave(number int64) {
+	for o.ctx.Err() == nil {
+		r := o.latestWave(number)
+		value, err := cbor.Marshal(r)
+		status, err2 := o.Calls.WaveStatus(r.Finished)
+		if err := errors.Join(err, err2); err != nil {
+			o.Log.Error("wave-not-encoded", zap.Int64("wave", number), zap.Error(err))
+			return
+		}
 		ctx, cancel := context.WithTimeout(o.ctx, saveTimeout)
-		_, err := o.Store.Commit(ctx, change)
+		_, err = o.Store.Commit(ctx, kv.Change{
+			Conditions: []kv.Condition{{Key: layout.Owner, Revision: o.term.Number}},
+			Puts: []kv.Put{
+				{Key: layout.Wave(number), Value: value},
+				{Key: o.Calls.WaveStatusPrefix + strconv.FormatInt(number, 10), Value: status},
+			},
+		})
 		cancel()
 		var conflict *kv.ConflictError
 		if err == nil || errors.As(err, &conflict) {
+			o.Log.Info("wave-stored", zap.Int64("wave", number), zap.Int("done", len(r.Done)), zap.Bool("finished", r.Finished), zap.Error(err))
 			return
 		}
 		wait.For(o.ctx, saveRetry)
 	}
 }
 
+// latestWave reads the newest state of a wave from the loop.
+func (o *Owner) latestWave(number int64) waveRecord {
+	answer := make(chan waveRecord, 1)
+	o.post(func(time.Time) { answer <- o.waves[number] })
+	select {
+	case r := <-answer:
+		return r
+	case <-o.ctx.Done():
+		return waveRecord{}
+	}
+}
+
 // writeCounts stores the numbers of jobs that have not begun, when they change.
 func (o *Owner) writeCounts() {
 	var last map[string]int
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -40,6 +40,8 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	waves  map[int64]waveRecord
+	// changedWaves has the numbers of waves whose progress is to be stored.
+	changedWaves chan int64
 }
 
 // Calls are the calls to workers and machines, and the formats of the platform.
@@ -80,6 +82,7 @@
 	o.events = make(chan func(time.Time), eventBuffer)
 	o.slots = make(map[string]chan struct{})
 	o.waves = make(map[int64]waveRecord)
+	o.changedWaves = make(chan int64, eventBuffer)
 	o.core = scheduler.New(o.Limits, term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log)
 	started := time.Now()
@@ -95,6 +98,7 @@
 		o.background(func() { o.follow(layout.Submissions, feeds.submissions, o.submissionEvent, o.reloadSubmissions) }),
 		o.background(o.pollMachines),
 		o.background(o.writeCounts),
+		o.background(o.writeWaves),
 	}
 	o.loop()
 	o.stop()
--- a/dispatch/saver.go
+++ b/dispatch/saver.go
@@ -33,6 +33,8 @@
 	saveRetry   = 80 * time.Millisecond
 	// savesPerChange leaves room for the owner's condition; each save has two entries.
 	savesPerChange = (kv.MaxEntries - 1) / 2
+	// gatherSaves lets results that come close together into one change.
+	gatherSaves = 6 * time.Millisecond
 	// savePatience is how long a batch is alone on its way; it is several times the answer
 	// of a healthy store.
 	savePatience = 25 * time.Millisecond
@@ -98,6 +100,7 @@
 	case <-ctx.Done():
 		return nil
 	}
+	wait.For(ctx, gatherSaves)
 	for len(batch) < savesPerChange {
 		select {
 		case s := <-v.queue:
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -90,6 +90,7 @@
 		if r.present.IsZero() {
 			r.present = s.now
 		}
+		s.measure(r, listed)
 		r.percent, r.load = listed.Percent, listed.Load
 		if listed.Checkpoint != "" {
 			r.save = listed.Checkpoint
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -52,6 +52,10 @@
 	pausedUntil time.Time
 	// serving and background count runs of the kinds that disturb each other.
 	serving, background, lasting int
+	// speed is the average speed of its runs against equal ones; suspectUntil is set
+	// while it is too low.
+	speed        float64
+	suspectUntil time.Time
 	// faults counts failed runs since the last good one.
 	faults int
 	// foreign is set while the worker lists a run of which nothing is known, so that its
@@ -80,6 +84,7 @@
 	load    int
 	paced   int
 	save    string
+	speed   speed
 	need    resource.Amount
 }
 
@@ -111,7 +116,7 @@
 	s.now = now
 	h := s.hosts[e.ID]
 	if h == nil {
-		h = &host{since: now, fence: s.fence, runs: make(map[job.Task]*run)}
+		h = &host{since: now, speed: 1, fence: s.fence, runs: make(map[job.Task]*run)}
 		h.entry = e
 		s.hosts[e.ID] = h
 		at, _ := slices.BinarySearchFunc(s.ordered, e.ID, func(h *host, id string) int { return cmp.Compare(h.entry.ID, id) })
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -59,6 +59,11 @@
 	done       bool
 	failed     []int64 // numbers of the failed runs
 	checkpoint string
+	// moves counts restarts for slow workers.
+	moves int
+	// rate is the last measured speed, in percent per second, and rateHost its worker.
+	rate     float64
+	rateHost *host
 	// tried holds the workers on which the task failed.
 	tried []string
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -75,6 +75,9 @@
 	for _, o := range e.occurrences {
 		for _, p := range o.parts {
 			d := s.expectedTime(e.job.Queue, p.step.Estimate)
+			if rate, known := p.usualRate(nil); known {
+				d = time.Duration(100 / rate * float64(time.Second))
+			}
 			var before, beforeLeft time.Duration
 			for _, earlier := range p.step.After {
 				if earlier < maxChain {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -217,7 +217,7 @@
 	if slices.Contains(p.tasks[index].tried, h.entry.ID) {
 		score -= avoidTried
 	}
-	if h.faults >= faultyAfter {
+	if h.faults >= faultyAfter || s.suspect(h) {
 		score -= avoidFaulty
 	}
 	if p.step.LongRunning {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -246,6 +246,37 @@
 	qt.Assert(t, h.unsaved[len(h.unsaved)-1].entry, qt.Not(qt.IsNil))
 }
 
+// Guards against jobs that wait for one slow worker: its tasks make progress at a sixth of
+// the speed of their siblings and are started elsewhere. It answers the pattern of slow
+// workers under load.
+func TestTasksLeaveSlowWorker(t *testing.T) {
+	g := newStage(3)
+	g.duration = 1500 * time.Millisecond
+	g.workers["w1"].slowness = 6
+	g.run(time.Second)
+	g.submit("a", job.Step{Count: 6, Need: small})
+	g.run(6 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "a", progress.Succeeded)
+}
+
+// Guards against restarts of tasks that are merely longer than others of their queue.
+func TestLongTasksOfSoundWorkersStay(t *testing.T) {
+	g := newStage(3)
+	g.run(time.Second)
+	for n := range 8 {
+		g.submit(fmt.Sprintf("short%d", n), job.Step{Count: 2, Need: small})
+		g.run(time.Second)
+	}
+	g.duration = 8 * time.Second
+	g.submit("long", job.Step{Count: 4, Need: small})
+	before := g.starts
+	g.run(9 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "long", progress.Succeeded)
+	qt.Assert(t, g.starts-before, qt.Equals, 4)
+}
+
 // Guards against runs that outlive the cancellation of their job.
 func TestCancelStopsRuns(t *testing.T) {
 	g := newStage(1)
--- /dev/null
+++ b/scheduler/speed.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"egretdrum.example/worker"
+)
+
+const (
+	// speedWindow is the time over which the progress of a run is measured. Progress is
+	// listed in whole percent, and short runs take half a second.
+	speedWindow = 200 * time.Millisecond
+	// stalledAfter is how long a run may make no progress. Slow workers still show some.
+	stalledAfter = 450 * time.Millisecond
+	// slowRatio of the usual speed marks a slow run; equal tasks differ by a third.
+	slowRatio = 0.4
+	// slowHostRatio marks a worker whose runs are slow on the average.
+	slowHostRatio = 0.5
+	speedWeight   = 0.4
+	// suspectFor is how long a worker is avoided after its last slow run.
+	suspectFor = 3 * time.Second
+	// stopCost is the usual time of a stop, which comes before the next start.
+	stopCost = 600 * time.Millisecond
+	// maxMoves bounds how often a task is restarted for a slow worker.
+	maxMoves = 3
+)
+
+// speed is the measured progress of a run.
+type speed struct {
+	percent int
+	at      time.Time
+	// changed is when the progress last changed.
+	changed time.Time
+	// rate is in percent per second; zero if it is not known.
+	rate float64
+}
+
+// measure takes a listed progress.
+func (s *Scheduler) measure(r *run, listed *worker.Run) {
+	if r.part.step.LongRunning {
+		return
+	}
+	v := &r.speed
+	if v.at.IsZero() || listed.Percent < v.percent {
+		*v = speed{percent: listed.Percent, at: s.now, changed: s.now}
+		return
+	}
+	if listed.Percent > r.percent {
+		v.changed = s.now
+	}
+	d := s.now.Sub(v.at)
+	if d < speedWindow {
+		return
+	}
+	v.rate = float64(listed.Percent-v.percent) / d.Seconds()
+	v.percent, v.at = listed.Percent, s.now
+	s.judgeSpeed(r)
+}
+
+// judgeSpeed compares a run with equal ones on other workers, and stops it if it will be
+// done sooner when it starts again elsewhere.
+func (s *Scheduler) judgeSpeed(r *run) {
+	p, h := r.part, r.host
+	p.tasks[r.index].rate, p.tasks[r.index].rateHost = r.speed.rate, h
+	stalled := s.now.Sub(r.speed.changed) > stalledAfter
+	usual, known := p.usualRate(h)
+	slow := false
+	if known {
+		ratio := min(1.5, r.speed.rate/usual)
+		h.speed += speedWeight * (ratio - h.speed)
+		slow = ratio < slowRatio && h.speed < slowHostRatio
+	}
+	if h.speed < slowHostRatio || stalled {
+		h.suspectUntil = s.now.Add(suspectFor)
+	}
+	if r.state != present || p.step.Gang || (!stalled && !slow) {
+		return
+	}
+	again := s.expectedTime(p.entry.job.Queue, p.step.Estimate)
+	if known {
+		again = time.Duration(100 / usual * float64(time.Second))
+	}
+	if !stalled && r.left() < again+stopCost {
+		return
+	}
+	t := &p.tasks[r.index]
+	if t.moves >= maxMoves || !s.hasBetter(r) {
+		return
+	}
+	t.moves++
+	t.tried = append(t.tried, h.entry.ID)
+	s.stop(r, "slow worker")
+}
+
+// left is the time that a run needs at its present speed.
+func (r *run) left() time.Duration {
+	if r.speed.rate <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(100-r.percent) / r.speed.rate * float64(time.Second))
+}
+
+// usualRate is the median speed of the tasks of a part on other workers than h. Run times
+// within a queue differ too much to stand in for it.
+func (p *part) usualRate(h *host) (rate float64, known bool) {
+	const fewest = 2
+	var rates []float64
+	for i := range p.tasks {
+		if t := &p.tasks[i]; t.rate > 0 && t.rateHost != h {
+			rates = append(rates, t.rate)
+		}
+	}
+	if len(rates) < fewest {
+		return 0, false
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2], true
+}
+
+// hasBetter reports whether a task could start on a worker that is not suspect.
+func (s *Scheduler) hasBetter(r *run) bool {
+	for _, h := range s.ordered {
+		if h != r.host && h.entry.Pool == r.host.entry.Pool && s.usable(h) && !s.cordoned(h) && !s.suspect(h) && s.fits(r.part, h, r.need, 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspect reports whether a worker was slow lately.
+func (s *Scheduler) suspect(h *host) bool { return s.now.Before(h.suspectUntil) }
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -17,23 +17,27 @@
 
 // fakeWorker keeps the rules that workers keep: fences, run numbers, leases, lists.
 type fakeWorker struct {
-	entry   worker.Entry
-	down    bool // calls get no answer, and nothing runs
-	cut     bool // calls get no answer, and tasks go on
-	fence   int64
-	runs    map[job.Task]*fakeRun
-	highest map[job.Task]int64
-	ended   []worker.End
-	next    int64
-	lease   time.Time
+	entry worker.Entry
+	down  bool // calls get no answer, and nothing runs
+	cut   bool // calls get no answer, and tasks go on
+	// slowness is how many times as long as elsewhere tasks take.
+	slowness int
+	fence    int64
+	runs     map[job.Task]*fakeRun
+	highest  map[job.Task]int64
+	ended    []worker.End
+	next     int64
+	lease    time.Time
 	// void has ends that were listed before the lease ran out; noting them counts nothing.
 	void map[int64]bool
 }
 
 type fakeRun struct {
-	number int64
-	doneAt time.Time
-	need   resource.Amount
+	number  int64
+	sent    time.Time
+	doneAt  time.Time
+	need    resource.Amount
+	lasting bool
 	// stopAt is set once the run was told to stop.
 	stopAt time.Time
 }
@@ -317,7 +321,7 @@
 		return StartRejected
 	}
 	g.judgeStart(w, a)
-	w.runs[a.Task] = &fakeRun{number: a.Run, doneAt: g.now.Add(g.duration), need: g.step0(a.Task).Reserved()}
+	w.runs[a.Task] = &fakeRun{number: a.Run, sent: g.now, doneAt: g.now.Add(g.duration * time.Duration(max(1, w.slowness))), lasting: g.step0(a.Task).LongRunning, need: g.step0(a.Task).Reserved()}
 	return StartAccepted
 }
 
@@ -425,10 +429,18 @@
 	}
 }
 
+// percent is the progress of a run; a long-running one is at work at once.
+func (r *fakeRun) percent(now time.Time) int {
+	if r.lasting {
+		return 100
+	}
+	return int(100 * now.Sub(r.sent) / r.doneAt.Sub(r.sent))
+}
+
 func (w *fakeWorker) listing(now time.Time) *worker.Listing {
 	l := &worker.Listing{Born: w.entry.Born, Clock: now.Sub(time.UnixMilli(0)), Ended: slices.Clone(w.ended)}
 	for name, r := range w.runs {
-		l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: 100})
+		l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: r.percent(now)})
 	}
 	return l
 }
