--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -19,7 +19,7 @@
 
 const (
 	// homeMachines is the least number of machines that a pool keeps when it lends.
-	homeMachines = 9
+	homeMachines = 6
 	// fullShare is the use of a pool from which on it borrows.
 	fullShare = 0.9
 )
