--- /dev/null
+++ b/desk/desk_test.go
@@ -0,0 +1,303 @@
+package desk_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/desk"
+	"egretdrum.example/job"
+	"egretdrum.example/kv"
+	"egretdrum.example/kvfake"
+	"egretdrum.example/layout"
+	"egretdrum.example/meter"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+	"egretdrum.example/subscription"
+)
+
+const (
+	configKey = "config"
+	jobID     = "0123456789abcdef"
+)
+
+// stage is a desk on a store of its own. The configuration in the store is the list of
+// keys of the only account.
+type stage struct {
+	store  *kvfake.Fake
+	config *subscription.Subscription
+	desk   *desk.Desk
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func decode(item kv.Item) (subscription.Directive, error) {
+	if item.Key != configKey {
+		return subscription.Directive{}, nil
+	}
+	var keys []string
+	if err := cbor.Unmarshal(item.Value, &keys); err != nil {
+		return subscription.Directive{}, err
+	}
+	return subscription.Directive{Catalog: catalog.New(item.Revision,
+		[]*catalog.Queue{{Name: "rounds", Host: "chess.example", Prefix: "/rounds/", Pool: "desk"}},
+		[]*catalog.Pool{{Name: "desk"}}, []*catalog.Account{{Name: "arbiters", Keys: keys}}, 0)}, nil
+}
+
+func newStage(t *testing.T) *stage {
+	g := &stage{store: kvfake.New(), done: make(chan struct{})}
+	g.setKeys(t, "k1", "k2")
+	start := time.Now()
+	g.config = subscription.New(g.store.Store(), configKey, configKey, decode, zap.NewNop())
+	g.config.Now = func() time.Duration { return time.Since(start) }
+	g.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: 5 * time.Second, Log: zap.NewNop(), Meter: meter.New()}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	go func() { defer close(g.done); g.config.Run(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+	return g
+}
+
+func (g *stage) stop() {
+	g.cancel()
+	<-g.done
+	// The bubble of the test ends with its goroutines; a failing Close shows as a deadlock.
+	_ = g.desk.Meter.Close()
+}
+
+func (g *stage) setKeys(t *testing.T, keys ...string) {
+	b, err := cbor.Marshal(keys)
+	qt.Assert(t, err, qt.IsNil)
+	g.store.Put(configKey, b)
+}
+
+func call(key string) *desk.Call {
+	return &desk.Call{Host: "chess.example", Path: "/rounds/" + jobID, Key: key, Timeout: 3 * time.Second, Received: time.Now()}
+}
+
+func newJob() *job.Job {
+	return &job.Job{ID: jobID, Spec: "boards", Steps: []job.Step{{Count: 1, Need: resource.Amount{CPU: 100}}}}
+}
+
+func (g *stage) submit(key string) desk.Answer {
+	return g.desk.Submit(context.Background(), call(key), newJob())
+}
+
+// state asks for the state of the job.
+func (g *stage) state(t *testing.T) desk.Answer {
+	target, refused := g.desk.Resolve(call("k1"))
+	qt.Assert(t, target, qt.Not(qt.IsNil), qt.Commentf("%v", refused))
+	return g.desk.State(context.Background(), call("k1"), target)
+}
+
+func assertOutcome(t *testing.T, a desk.Answer, want desk.Outcome) {
+	t.Helper()
+	qt.Assert(t, a.Outcome, qt.Equals, want, qt.Commentf("%+v", a))
+}
+
+// Guards against an acknowledgement of a job that is not stored.
+func TestAcceptedIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		qt.Assert(t, g.store.Item(layout.Job(jobID)).Revision > 0, qt.IsTrue)
+		assertOutcome(t, g.state(t), desk.Shown)
+	})
+}
+
+// Guards against ids that two hosts both refuse, or both take as jobs of their own, when
+// they get them at the same time.
+func TestSameIDAtTwoHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		other := *g
+		other.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: 5 * time.Second, Log: zap.NewNop(), Meter: g.desk.Meter}
+		answers := make([]desk.Answer, 2)
+		var wait sync.WaitGroup
+		wait.Go(func() { answers[0] = g.submit("k1") })
+		wait.Go(func() { answers[1] = other.submit("k1") })
+		wait.Wait()
+		for _, a := range answers {
+			assertOutcome(t, a, desk.Accepted)
+		}
+		qt.Assert(t, g.store.Item(layout.Job(jobID)).Revision > 0, qt.IsTrue)
+	})
+}
+
+// Guards against a refusal of a job that is stored, when the answer of the store is lost,
+// and against a repeat that makes a second job.
+func TestLostAnswerOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		lost := 0
+		g.store.Fault = func(name string) kvfake.Fault {
+			if name == "commit" && lost == 0 {
+				lost++
+				return kvfake.AnswerLost
+			}
+			return kvfake.Answered
+		}
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		first := g.store.Item(layout.Job(jobID)).Revision
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		qt.Assert(t, g.store.Item(layout.Job(jobID)).Revision, qt.Equals, first)
+	})
+}
+
+// Guards against the claim that a job never runs while a write of it may still take effect.
+func TestSilentStoreIsNotARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		g.store.Fault = func(name string) kvfake.Fault {
+			if name == "commit" {
+				return kvfake.Lost
+			}
+			return kvfake.Answered
+		}
+		assertOutcome(t, g.submit("k1"), desk.Unknown)
+	})
+}
+
+// Guards against waiting for the time-out of the caller when the store turns this host
+// away: the refusal is final, true and immediate, and says when to come back.
+func TestRefusedByStoreAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		g.store.Fault = func(name string) kvfake.Fault {
+			if name == "commit" {
+				return kvfake.Refused
+			}
+			return kvfake.Answered
+		}
+		started := time.Now()
+		a := g.submit("k1")
+		assertOutcome(t, a, desk.Refused)
+		qt.Assert(t, a.RetryAfter, qt.Equals, desk.RetryAfter)
+		qt.Assert(t, time.Since(started), qt.Equals, time.Duration(0))
+	})
+}
+
+// Guards against a withdrawn key that is accepted by a host which has not heard of the
+// withdrawal: the store refuses the change under the older configuration.
+func TestWithdrawnKeyOnHostThatHeardNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		g.store.Fault = func(name string) kvfake.Fault {
+			if name == "watch" || name == "range" {
+				return kvfake.Lost
+			}
+			return kvfake.Answered
+		}
+		g.setKeys(t, "k2")
+		assertOutcome(t, g.submit("k1"), desk.BadKey)
+		qt.Assert(t, g.store.Item(layout.Job(jobID)).Revision, qt.Equals, int64(0))
+	})
+}
+
+// Guards against keyed calls on a host that has been cut off from the store for so long
+// that a withdrawal must be in force.
+func TestCutOffHostTakesNoKeyedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		g.store.Fault = func(string) kvfake.Fault { return kvfake.Lost }
+		time.Sleep(5 * time.Second)
+		target, a := g.desk.Resolve(call("k1"))
+		qt.Assert(t, target, qt.IsNil)
+		assertOutcome(t, a, desk.Refused)
+		qt.Assert(t, g.desk.Ready(), qt.IsFalse)
+	})
+}
+
+// Guards against a key or queue that is denied by an old configuration although a newer
+// one has it.
+func TestOldConfigurationDeniesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		_, a := g.desk.Resolve(call("k3"))
+		assertOutcome(t, a, desk.BadKey)
+		g.store.Fault = func(string) kvfake.Fault { return kvfake.Lost }
+		time.Sleep(3 * time.Second)
+		_, a = g.desk.Resolve(call("k3"))
+		assertOutcome(t, a, desk.Refused)
+	})
+}
+
+// Guards against a cancelled job that is shown as waiting, and against the cancellation of
+// a job that does not exist.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		target, _ := g.desk.Resolve(call("k1"))
+		assertOutcome(t, g.desk.Cancel(context.Background(), call("k1"), target), desk.NoJob)
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		for range 2 {
+			assertOutcome(t, g.desk.Cancel(context.Background(), call("k1"), target), desk.Accepted)
+		}
+		a := g.state(t)
+		assertOutcome(t, a, desk.Shown)
+		qt.Assert(t, a.State, qt.Equals, progress.Cancelled)
+	})
+}
+
+// Guards against a job that another account can see.
+func TestStateOfAnotherAccountsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		b, err := (&progress.Record{State: progress.Running, Queue: "rounds", Account: "others"}).Encode()
+		qt.Assert(t, err, qt.IsNil)
+		g.store.Put(layout.Result(jobID), b)
+		assertOutcome(t, g.state(t), desk.NoJob)
+	})
+}
+
+// Guards against bodies that contradict themselves.
+func TestInvalidJobs(t *testing.T) {
+	for name, change := range map[string]func(*job.Job){
+		"id":             func(j *job.Job) { j.ID = "round-7" },
+		"no steps":       func(j *job.Job) { j.Steps = nil },
+		"count":          func(j *job.Job) { j.Steps[0].Count = 0 },
+		"negative need":  func(j *job.Job) { j.Steps[0].Need.Memory = -1 },
+		"own dependency": func(j *job.Job) { j.Steps[0].After = []int{0} },
+		"later step":     func(j *job.Job) { j.Steps[0].After = []int{1} },
+		"long spec":      func(j *job.Job) { j.Spec = string(make([]byte, job.MaxSpecBytes+1)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := newJob()
+			change(j)
+			var invalid *job.InvalidError
+			qt.Assert(t, errors.As(j.Check(), &invalid), qt.IsTrue)
+		})
+	}
+}
+
+// Counts the calls of the way of a job through a desk, which the store charges.
+func TestCallsOfAJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		before := g.store.Calls("get") + g.store.Calls("range")
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		qt.Assert(t, g.store.Calls("commit"), qt.Equals, 1)
+		g.state(t)
+		qt.Assert(t, g.store.Calls("get")+g.store.Calls("range")-before, qt.Equals, 2, qt.Commentf("%s", fmt.Sprint(before)))
+	})
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -2,6 +2,7 @@
 package meter
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -17,6 +18,7 @@
 	// Scope makes counters, gauges and timers.
 	Scope    tally.Scope
 	reporter prometheus.Reporter
+	closer   io.Closer
 }
 
 // New returns an empty meter. A registry of its own lets several hosts run in one
@@ -24,13 +26,16 @@
 func New() *Meter {
 	registry := promclient.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "egretdrum", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportInterval)
-	return &Meter{Scope: scope, reporter: reporter}
+	return &Meter{Scope: scope, reporter: reporter, closer: closer}
 }
 
+// Close ends the reports.
+func (m *Meter) Close() error { return m.closer.Close() }
+
 // Count adds one to a counter with a tag.
 func (m *Meter) Count(name, tag, value string) {
 	m.Scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(1)
--- /dev/null
+++ b/tenure/tenure_test.go
@@ -0,0 +1,137 @@
+package tenure_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"egretdrum.example/kvfake"
+	"egretdrum.example/layout"
+	"egretdrum.example/tenure"
+)
+
+// hosts run competing tenures on one store and count how many of them own at once.
+type hosts struct {
+	store *kvfake.Fake
+	start time.Time
+	// valid counts hosts whose term is valid, most is the highest count seen.
+	terms [3]atomic.Pointer[tenure.Term]
+}
+
+func newHosts() *hosts { return &hosts{store: kvfake.New(), start: time.Now()} }
+
+func (h *hosts) now() time.Duration { return time.Since(h.start) }
+
+// run starts host n; the returned function stops it and waits for its end.
+func (h *hosts) run(ctx context.Context, n int, name string) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	t := &tenure.Tenure{
+		Store: h.store.Store(), Host: name, Log: zap.NewNop(), Now: h.now, Delay: func() time.Duration { return time.Duration(n) * 10 * time.Millisecond },
+		Work: func(ctx context.Context, term *tenure.Term) {
+			h.terms[n].Store(term)
+			<-ctx.Done()
+			h.terms[n].Store(nil)
+		},
+	}
+	go func() { defer close(done); t.Run(ctx) }()
+	return func() { cancel(); <-done }
+}
+
+func (h *hosts) owners() (names []int) {
+	for n := range h.terms {
+		if t := h.terms[n].Load(); t != nil && t.Valid() {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+func assertOwners(t *testing.T, h *hosts, want ...int) {
+	t.Helper()
+	qt.Assert(t, h.owners(), qt.DeepEquals, want)
+}
+
+// Guards against two owners, and against a host that keeps the right when it stops.
+func TestOneOwnerAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		stops := []func(){h.run(t.Context(), 0, "a"), h.run(t.Context(), 1, "b"), h.run(t.Context(), 2, "c")}
+		time.Sleep(time.Second)
+		assertOwners(t, h, 0)
+		first := h.terms[0].Load().Number
+		stops[0]()
+		time.Sleep(100 * time.Millisecond)
+		assertOwners(t, h, 1)
+		qt.Assert(t, h.terms[1].Load().Number > first, qt.IsTrue)
+		stops[1]()
+		stops[2]()
+	})
+}
+
+// Guards against an owner that goes on after its lease has ended while the store does not
+// answer it.
+func TestOwnerWithoutStoreStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		stop := h.run(t.Context(), 0, "a")
+		time.Sleep(time.Second)
+		assertOwners(t, h, 0)
+		h.store.Fault = func(string) kvfake.Fault { return kvfake.Lost }
+		time.Sleep(tenure.TTL)
+		assertOwners(t, h)
+		h.store.Fault = nil
+		time.Sleep(2 * tenure.TTL)
+		assertOwners(t, h, 0)
+		stop()
+	})
+}
+
+// Guards against a restarted host that waits for the lease of its own earlier process.
+func TestRestartedHostEndsItsOwnLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		stop := h.run(t.Context(), 0, "a")
+		time.Sleep(time.Second)
+		// The process dies without a chance to give anything back.
+		h.store.Fault = func(call string) kvfake.Fault {
+			if call == "revoke" {
+				return kvfake.Lost
+			}
+			return kvfake.Answered
+		}
+		stop()
+		h.store.Fault = nil
+		qt.Assert(t, h.store.Item(layout.Owner).Revision > 0, qt.IsTrue)
+		stop = h.run(t.Context(), 1, "a")
+		time.Sleep(300 * time.Millisecond)
+		assertOwners(t, h, 1)
+		stop()
+	})
+}
+
+// Guards against an owner's key that is left behind when the answer to its creation is
+// lost: the lease is ended, so that others need not wait.
+func TestLostAnswerOfElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		commits := 0
+		h.store.Fault = func(call string) kvfake.Fault {
+			if call == "commit" {
+				if commits++; commits == 1 {
+					return kvfake.AnswerLost
+				}
+			}
+			return kvfake.Answered
+		}
+		stop := h.run(t.Context(), 0, "a")
+		time.Sleep(time.Second)
+		assertOwners(t, h, 0)
+		stop()
+	})
+}
