Explain a job from the logs of all hosts, and document operation

The log says where tasks were placed and what decided, and why tasks wait. The test of the page now covers the log events of jobs too.

--- a/cmd/egretdrum/operations_test.go
+++ b/cmd/egretdrum/operations_test.go
@@ -22,21 +22,31 @@
 // event of the code, or keeps one that is gone.
 func TestOperationsPage(t *testing.T) {
 	c := qt.New(t)
-	page, err := os.ReadFile(moduleRoot + "/docs/operations.md")
+	page, err := os.ReadFile(moduleRoot + "/docs/OPERATIONS.md")
 	c.Assert(err, qt.IsNil)
-	metrics, events := namesInCode(c)
-	c.Check(namesOnPage(string(page), "Metrics"), qt.DeepEquals, metrics)
-	c.Check(namesOnPage(string(page), "Log events"), qt.DeepEquals, events)
+	requests := namesInCode(c, func(path string) bool { return !servesJobs(path) })
+	c.Check(namesOnPage(string(page), "## Metrics"), qt.DeepEquals, requests.metrics)
+	c.Check(namesOnPage(string(page), "## Log events"), qt.DeepEquals, requests.events)
+	jobs := namesInCode(c, servesJobs)
+	c.Check(namesOnPage(string(page), "### Job metrics"), qt.DeepEquals, jobs.metrics)
+	c.Check(namesOnPage(string(page), "### Job log events"), qt.DeepEquals, jobs.events)
+}
+
+// servesJobs reports whether a file belongs to the way of jobs.
+func servesJobs(path string) bool {
+	path = strings.TrimPrefix(path, moduleRoot+"/")
+	dir, _, _ := strings.Cut(path, "/")
+	return slices.Contains([]string{"desk", "dispatch", "platform", "scheduler", "subscription", "tenure"}, dir) || path == "command/platform.go"
 }
 
 // namesOnPage returns the first cells of the table in a section, and with log events the
 // levels, sorted.
 func namesOnPage(page, section string) (names []string) {
-	_, rest, _ := strings.Cut(page, "\n## "+section+"\n")
-	rest, _, _ = strings.Cut(rest, "\n## ")
+	_, rest, _ := strings.Cut(page, "\n"+section+"\n")
+	rest, _, _ = strings.Cut(rest, "\n"+strings.Fields(section)[0]+" ")
 	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_-]+)` \\| ([a-z]+)").FindAllStringSubmatch(rest, -1) {
 		name := row[1]
-		if section == "Log events" {
+		if strings.HasSuffix(strings.ToLower(section), "log events") {
 			name += " " + row[2]
 		}
 		names = append(names, name)
@@ -46,11 +56,11 @@
 }
 
 // namesInCode finds the literal names in calls that make metrics or log events.
-func namesInCode(c *qt.C) (metrics, events []string) {
+func namesInCode(c *qt.C, wanted func(path string) bool) (found names) {
 	levels := map[string]string{"Info": "info", "Warn": "warn", "Error": "error"}
-	makers := []string{"Counter", "Timer", "Histogram", "Gauge", "gauge"}
+	makers := []string{"Counter", "Count", "Timer", "Histogram", "Gauge", "gauge"}
 	err := filepath.WalkDir(moduleRoot, func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || !wanted(path) {
 			return err
 		}
 		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
@@ -61,20 +71,41 @@
 			method, receiver, name, ok := namingCall(n)
 			switch {
 			case ok && slices.Contains(makers, method):
-				metrics = append(metrics, "egretdrum_"+name)
-			case ok && receiver == "log" && levels[method] != "":
-				events = append(events, name+" "+levels[method])
+				found.metrics = append(found.metrics, "egretdrum_"+name)
+			case ok && (receiver == "log" || receiver == "Log" && servesJobs(path)) && levels[method] != "":
+				found.events = append(found.events, name+" "+levels[method])
+			}
+			if event, ok := noteEvent(n); ok {
+				found.events = append(found.events, event+" info")
 			}
 			return true
 		})
 		return nil
 	})
 	c.Assert(err, qt.IsNil)
-	for _, names := range []*[]string{&metrics, &events} {
+	for _, names := range []*[]string{&found.metrics, &found.events} {
 		slices.Sort(*names)
 		*names = slices.Compact(*names)
 	}
-	return metrics, events
+	return found
+}
+
+// names are those of metrics, and of log events with their levels.
+type names struct{ metrics, events []string }
+
+// noteEvent finds the name in a note of the scheduler, Note{Event: "name"}.
+func noteEvent(n ast.Node) (string, bool) {
+	pair, ok := n.(*ast.KeyValueExpr)
+	if !ok {
+		return "", false
+	}
+	key, ok := pair.Key.(*ast.Ident)
+	literal, isLiteral := pair.Value.(*ast.BasicLit)
+	if !ok || !isLiteral || key.Name != "Event" || literal.Kind != token.STRING {
+		return "", false
+	}
+	name, err := strconv.Unquote(literal.Value)
+	return name, err == nil
 }
 
 // namingCall takes a call a.b.receiver.method("name", ...) apart.
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -138,7 +138,10 @@
 		fields = append(fields, zap.String("request", n.Job))
 	}
 	if n.Task.Job != "" {
-		fields = append(fields, zap.Stringer("task", n.Task), zap.Int64("run", n.Run))
+		fields = append(fields, zap.Stringer("task", n.Task))
+	}
+	if n.Run != 0 {
+		fields = append(fields, zap.Int64("run", n.Run))
 	}
 	if n.Worker != "" {
 		fields = append(fields, zap.String("worker", n.Worker))
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -10,7 +10,7 @@
 	"egretdrum.example/refusal"
 )
 
-// metrics holds the metrics of the host. docs/operations.md explains each of them.
+// metrics holds the metrics of the host. docs/OPERATIONS.md explains each of them.
 type metrics struct {
 	*meter.Meter
 	attempts tally.Counter
--- a/entry/tls_test.go
+++ b/entry/tls_test.go
@@ -74,7 +74,7 @@
 func TestTLS(t *testing.T) {
 	a := newAuthority(t)
 	a.issue("host", a.cert)
-	// Operators name their authority by this variable, as docs/operations.md says.
+	// Operators name their authority by this variable, as docs/OPERATIONS.md says.
 	t.Setenv("SSL_CERT_FILE", a.file("ca.pem"))
 	s := newStageWith(t, 2, 1, func(set *settings.Settings) {
 		set.CertificateFile, set.KeyFile, set.PeerCAFile = a.file("host.pem"), a.file("host-key.pem"), a.file("ca.pem")
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -49,6 +49,11 @@
 	listed     bool
 	checkpoint string // of a gang
 	rank       rank
+	// queued is when its first task began to wait, reason why it waits now, and explained
+	// is set once the log says so.
+	queued    time.Time
+	reason    string
+	explained bool
 	// detached parts belong to runs that are not wanted; their tasks are not started.
 	detached bool
 }
@@ -232,6 +237,7 @@
 		pool = q.Pool
 	}
 	p.listed = true
+	p.queued, p.explained = s.now, false
 	s.waiting[pool] = append(s.waiting[pool], p)
 }
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -40,6 +41,11 @@
 	work float64
 }
 
+// String gives the rank for the log.
+func (r rank) String() string {
+	return fmt.Sprintf("hope %d, beyond share %t, work %.1f", r.hope, r.excess, r.work)
+}
+
 // learn notes the run time of a task that is done.
 func (s *Scheduler) learn(p *part, d time.Duration) {
 	x := s.experiences[p.entry.job.Queue]
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
+	"time"
 
 	"egretdrum.example/resource"
 )
@@ -19,14 +21,16 @@
 		hosts := s.candidates(pool)
 		s.order(parts)
 		for _, p := range parts {
-			if s.held(p) {
-				continue
-			}
-			if p.step.Gang {
+			before := s.lastRun
+			switch {
+			case s.held(p):
+				p.reason = s.holdReason(p)
+			case p.step.Gang:
 				s.placeGang(p, hosts)
-				continue
+			default:
+				s.placePart(p, hosts)
 			}
-			s.placePart(p, hosts)
+			s.explain(p, before)
 		}
 		s.waiting[pool] = slices.DeleteFunc(parts, func(p *part) bool {
 			if len(p.queue) > 0 {
@@ -63,6 +67,35 @@
 	return p.blocked > 0 || (p.entry.inherited && !s.settled) || s.catalog.Queues[p.entry.job.Queue] == nil
 }
 
+func (s *Scheduler) holdReason(p *part) string {
+	switch {
+	case p.blocked > 0:
+		return "earlier steps are not done"
+	case s.catalog.Queues[p.entry.job.Queue] == nil:
+		return "queue is not configured"
+	}
+	return "recovery: runs of the earlier owner may be unknown"
+}
+
+// explainAfter is how long a part waits before the log says why; most parts start within
+// milliseconds.
+const explainAfter = 500 * time.Millisecond
+
+// explain notes the starts of a pass, or why a part has to wait, with what decided it.
+func (s *Scheduler) explain(p *part, before int64) {
+	if s.lastRun == before {
+		if !p.explained && s.now.Sub(p.queued) > explainAfter && len(p.queue) > 0 {
+			p.explained = true
+			s.note(Note{Event: "tasks-wait", Job: p.entry.job.ID, Reason: fmt.Sprintf("step %d, %d tasks: %s; %s", p.number, len(p.queue), p.reason, p.rank)})
+		}
+		return
+	}
+	s.note(Note{
+		Event: "tasks-placed", Job: p.entry.job.ID, Run: before + 1,
+		Reason: fmt.Sprintf("step %d, %d tasks, %d wait, after %v; %s", p.number, s.lastRun-before, len(p.queue), s.now.Sub(p.queued).Round(time.Millisecond), p.rank),
+	})
+}
+
 func (s *Scheduler) candidates(pool string) []*host {
 	var hosts []*host
 	for _, h := range s.ordered {
@@ -79,10 +112,12 @@
 	for len(p.queue) > 0 {
 		index := p.queue[0]
 		if !s.accountAllows(p, 1) {
+			p.reason = "limit of the account"
 			return
 		}
 		h := s.choose(p, index, hosts)
 		if h == nil {
+			p.reason = "no room in the pool"
 			return
 		}
 		p.queue = p.queue[1:]
@@ -94,6 +129,7 @@
 // placeGang starts all tasks of a part or none.
 func (s *Scheduler) placeGang(p *part, hosts []*host) {
 	if len(p.queue) < p.undone || !s.accountAllows(p, len(p.queue)) {
+		p.reason = "limit of the account, or members of the gang are still ending"
 		return
 	}
 	plan := make([]*host, 0, len(p.queue))
@@ -101,6 +137,7 @@
 	for _, index := range p.queue {
 		h := s.chooseWith(p, index, hosts, extra)
 		if h == nil {
+			p.reason = "no room for the whole gang"
 			return
 		}
 		extra[h]++
