--- /dev/null
+++ b/scheduler/machines_test.go
@@ -0,0 +1,224 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+	"egretdrum.example/worker"
+)
+
+// machinery adds machines to a stage: each carries one worker after the other.
+type machinery struct {
+	*stage
+	machines map[string]*fakeMachine
+	lives    int
+	ordered  []Order
+	// away is the highest number of machines in maintenance at the same time.
+	away int
+	// absent is the highest number of tasks of job "desk" that orders kept away.
+	absent   int
+	finished map[int64]bool
+}
+
+type fakeMachine struct {
+	worker.Machine
+	back time.Time
+}
+
+// newMachinery has the given number of machines in each pool, all up.
+func newMachinery(pools map[string]int) *machinery {
+	g := &machinery{stage: newStage(0), machines: make(map[string]*fakeMachine), finished: make(map[int64]bool)}
+	g.catalog = catalog.New(1,
+		[]*catalog.Queue{
+			{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: 600 * time.Millisecond},
+			{Name: "teams", Pool: "league", MaxAttempts: 3, Stretch: 1.6, Allowance: 600 * time.Millisecond},
+		},
+		[]*catalog.Pool{{Name: "desk"}, {Name: "league"}, {Name: "spare", Standby: true}},
+		[]*catalog.Account{{Name: "arbiters", Limit: resource.Amount{}}, {Name: "small", Share: 1}, {Name: "large", Share: 50}}, 0)
+	for _, pool := range []string{"desk", "league", "spare"} {
+		for n := range pools[pool] {
+			m := &fakeMachine{Machine: worker.Machine{ID: fmt.Sprintf("%s-%d", pool, n), Pool: pool, State: worker.Up, Capacity: resource.Amount{CPU: 4000, Memory: 8000}}}
+			g.machines[m.ID] = m
+			g.board(m)
+		}
+	}
+	g.orders = g.order
+	g.finishedWave = func(number int64) { g.finished[number] = true }
+	g.replaceOwner()
+	g.pass(time.Second)
+	return g
+}
+
+// board gives a machine a new worker, which registers unless its pool is on standby.
+func (g *machinery) board(m *fakeMachine) {
+	g.lives++
+	m.Worker = fmt.Sprintf("w%03d", g.lives)
+	if m.Pool == "spare" {
+		return
+	}
+	w := g.addWorker(m.Worker)
+	w.entry.Pool, w.entry.Machine = m.Pool, m.ID
+	g.core.SetWorker(w.entry, g.now)
+}
+
+func (g *machinery) list() []worker.Machine {
+	var list []worker.Machine
+	for _, m := range g.machines {
+		list = append(list, m.Machine)
+	}
+	return list
+}
+
+// pass lets time pass with machines that come back and lists of them.
+func (g *machinery) pass(d time.Duration) {
+	for end := g.now.Add(d); g.now.Before(end); {
+		for _, m := range g.machines {
+			if m.State != worker.Up && !g.now.Before(m.back) {
+				m.State = worker.Up
+				g.board(m)
+			}
+		}
+		g.core.SetMachines(g.list(), g.now, g.now)
+		g.step()
+		g.watchLosses()
+	}
+}
+
+// order carries out an order: the worker ends, and its machine comes back later.
+func (g *machinery) order(o Order) {
+	m := g.machines[o.Machine]
+	g.ordered = append(g.ordered, o)
+	if w := g.workers[m.Worker]; w != nil {
+		if len(w.runs) > 0 {
+			g.breaks("%s was ordered away with %d tasks", o.Machine, len(w.runs))
+		}
+		w.down = true
+		g.core.RemoveWorker(m.Worker, g.now)
+	}
+	m.Worker = ""
+	m.State, m.back = worker.Moving, g.now.Add(1500*time.Millisecond)
+	if o.Wave != 0 {
+		m.State, m.back = worker.Maintenance, g.now.Add(2*time.Second)
+	} else {
+		m.Pool = o.Pool
+	}
+	away := 0
+	for _, other := range g.machines {
+		if other.State == worker.Maintenance {
+			away++
+		}
+	}
+	g.away = max(g.away, away)
+	g.core.Ordered(o, true, false, g.now)
+}
+
+// watchLosses counts the tasks of the long-running job that are not at work.
+func (g *machinery) watchLosses() {
+	j := g.jobs["desk"]
+	if j == nil || g.starts < j.Steps[0].Count {
+		return
+	}
+	running := 0
+	for _, w := range g.workers {
+		for name := range w.runs {
+			if name.Job == "desk" && !w.down {
+				running++
+			}
+		}
+	}
+	g.absent = max(g.absent, j.Steps[0].Count-running)
+}
+
+func (g *machinery) wave(term time.Duration, limit int, machines ...string) {
+	g.core.SetWave(1, machines, g.now.Add(term), limit, nil, false)
+}
+
+func (g *machinery) submitTo(queue, account, id string, steps ...job.Step) {
+	j := &job.Job{ID: id, Queue: queue, Account: account, Steps: steps}
+	g.jobs[id], g.added[id] = j, g.owner
+	g.core.AddJob(j, nil, false, g.now)
+}
+
+// Guards against a wave that takes more machines than it may, ends tasks of a step that
+// may miss only one, ends late, or is said to be done too early.
+func TestWaveKeepsLimitAndAvailability(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 6})
+	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 4, Need: small, LongRunning: true, MayMiss: 1})
+	g.pass(2 * time.Second)
+	g.wave(25*time.Second, 2, "desk-0", "desk-1", "desk-2", "desk-3", "desk-4")
+	g.pass(25 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.ordered, qt.HasLen, 5)
+	qt.Assert(t, g.away <= 2, qt.IsTrue)
+	qt.Assert(t, g.absent <= 1, qt.IsTrue, qt.Commentf("%d absent", g.absent))
+	qt.Assert(t, g.finished[1], qt.IsTrue)
+}
+
+// Guards against a wave that takes all machines of a pool at once: a stopped long-running
+// task had nowhere to go, and its siblings could not be moved either.
+func TestWaveLeavesMachinesForThePool(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 3})
+	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 3, Need: small, LongRunning: true, MayMiss: 1, MaxPerWorker: 1})
+	g.pass(2 * time.Second)
+	g.wave(20*time.Second, 3, "desk-0", "desk-1", "desk-2")
+	g.pass(3 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.absent <= 1, qt.IsTrue, qt.Commentf("%d absent", g.absent))
+}
+
+// It answers the pattern of queues that burst by turns: waiting work calls spare machines
+// in, and then idle ones of the other pool, down to its home size.
+func TestBurstBorrowsMachines(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 2, "league": homeMachines + 1, "spare": 1})
+	for n := range 20 {
+		g.submitTo("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 4, Need: small})
+	}
+	g.pass(5 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.machines["spare-0"].Pool, qt.Equals, "desk")
+	lent := 0
+	for n := range homeMachines + 1 {
+		if g.machines[fmt.Sprintf("league-%d", n)].Pool == "desk" {
+			lent++
+		}
+	}
+	qt.Assert(t, lent, qt.Equals, 1)
+	for n := range 20 {
+		assertState(t, g.stage, fmt.Sprintf("j%02d", n), progress.Succeeded)
+	}
+}
+
+// It answers the pattern of one account that sends many times its share: jobs of an
+// account within its share do not wait for those beyond it.
+func TestAccountWithinShareDoesNotWait(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 2})
+	for n := range 40 {
+		g.submitTo("rounds", "small", fmt.Sprintf("hot%02d", n), job.Step{Count: 2, Need: small})
+	}
+	g.pass(700 * time.Millisecond)
+	g.submitTo("rounds", "large", "other", job.Step{Count: 4, Need: small})
+	g.pass(1500 * time.Millisecond)
+	assertNothingBroken(t, g.stage)
+	assertState(t, g.stage, "other", progress.Succeeded)
+}
+
+// It answers the pattern of overload: jobs that can still end in time go before those that
+// cannot, and smaller ones before larger ones.
+func TestHopefulJobsGoFirst(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 1})
+	for n := range 8 {
+		g.submitTo("rounds", "arbiters", fmt.Sprintf("early%d", n), job.Step{Count: 8, Need: small})
+	}
+	g.pass(8 * time.Second)
+	g.submitTo("rounds", "arbiters", "fresh", job.Step{Count: 4, Need: small})
+	g.pass(1600 * time.Millisecond)
+	assertNothingBroken(t, g.stage)
+	assertState(t, g.stage, "fresh", progress.Succeeded)
+}
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -66,6 +66,10 @@
 	snapshots map[job.Task][][]*fakeEnd
 	broken    []string
 	starts    int
+	// orders carries out orders for machines, if there are any.
+	orders func(Order)
+	// finishedWave is called for a wave that is said to be done.
+	finishedWave func(int64)
 	// fault decides the fate of a call; nil answers everything.
 	fault func(kind string) fate
 	// fails decides whether a run ends as failed.
@@ -266,6 +270,14 @@
 	for _, s := range a.Stops {
 		g.stop(s)
 	}
+	for _, o := range a.Orders {
+		g.orders(o)
+	}
+	for _, w := range a.WaveStates {
+		if w.Finished && g.finishedWave != nil {
+			g.finishedWave(w.Wave)
+		}
+	}
 }
 
 // deliver lets fate act on a call: it reports whether the caller gets an answer.
