--- a/command/platform.go
+++ b/command/platform.go
@@ -111,7 +111,7 @@
 func schedulerLimits(s *platform.Settings) scheduler.Limits {
 	limits := scheduler.DefaultLimits()
 	limits.Lease = min(limits.Lease, s.MaxLease)
-	limits.Maintenance, limits.Move, limits.RemoteFactor = s.MaintenanceTime, s.MoveTime, s.RemoteFactor
+	limits.Maintenance, limits.Move, limits.Stop, limits.RemoteFactor = s.MaintenanceTime, s.MoveTime, s.StopTime, s.RemoteFactor
 	return limits
 }
 
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -127,8 +127,8 @@
 	}
 	running := 0
 	for _, w := range g.workers {
-		for name := range w.runs {
-			if name.Job == "desk" && !w.down {
+		for name, r := range w.runs {
+			if name.Job == "desk" && !w.down && r.stopAt.IsZero() {
 				running++
 			}
 		}
@@ -161,6 +161,39 @@
 	qt.Assert(t, g.finished[1], qt.IsTrue)
 }
 
+// Guards against a new owner that stops a second task of a step while the one that its
+// predecessor told to stop is still listed as at work.
+func TestNewOwnerWaitsForStopsOfItsPredecessor(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 4})
+	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 3, Need: small, LongRunning: true, MayMiss: 1})
+	g.pass(2 * time.Second)
+	host, _ := g.core.Task(job.Task{Job: "desk"})
+	due := g.workers[host].entry.Machine
+	g.wave(20*time.Second, 1, due)
+	stopping := func() bool {
+		for _, w := range g.workers {
+			for _, r := range w.runs {
+				if !r.stopAt.IsZero() {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	for range 500 {
+		if stopping() {
+			break
+		}
+		g.pass(stageStep)
+	}
+	qt.Assert(t, stopping(), qt.IsTrue)
+	g.replaceOwner()
+	g.wave(20*time.Second, 1, due)
+	g.pass(10 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.absent <= 1, qt.IsTrue, qt.Commentf("%d absent", g.absent))
+}
+
 // Guards against a wave that takes all machines of a pool at once: a stopped long-running
 // task had nowhere to go, and its siblings could not be moved either.
 func TestWaveLeavesMachinesForThePool(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 type Scheduler struct {
 	limits  Limits
 	fence   int64
+	started time.Time
 	now     time.Time
 	catalog *catalog.Catalog
 
@@ -63,6 +64,8 @@
 	Absence time.Duration
 	// Maintenance and Move are how long a machine is away for each.
 	Maintenance, Move time.Duration
+	// Stop is how long a worker takes to end a run that was told to stop.
+	Stop time.Duration
 	// RemoteFactor is how much longer tasks take away from their data.
 	RemoteFactor float64
 }
@@ -71,7 +74,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Lease: 3200 * time.Millisecond, LookWait: 800 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
-		Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond, RemoteFactor: 1.5,
+		Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond, Stop: 900 * time.Millisecond, RemoteFactor: 1.5,
 	}
 }
 
@@ -88,7 +91,7 @@
 // later owners are higher.
 func New(limits Limits, ownership int64, now time.Time) *Scheduler {
 	s := &Scheduler{
-		limits: limits, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
+		limits: limits, started: now, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
 		jobs: make(map[string]*entry), hosts: make(map[string]*host), accounts: make(map[string]resource.Amount),
 		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave),
 		expected: make(map[string]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -362,6 +362,10 @@
 // moveLasting stops long-running tasks of a worker that is to be emptied, as far as the
 // steps may miss them. They are queued again when their end is listed.
 func (s *Scheduler) moveLasting(h *host) {
+	// Runs that a predecessor told to stop are still listed as at work.
+	if s.now.Sub(s.started) < s.limits.Stop+leaseMargin {
+		return
+	}
 	for _, r := range h.runs {
 		if !r.part.step.LongRunning || r.state != present {
 			continue
