--- a/command/platform.go
+++ b/command/platform.go
@@ -35,10 +35,13 @@
 	// drainShare of the time between the signal and the kill is left to callers with open
 	// connections. The platform needs two seconds to notice that a host is not ready.
 	drainShare = 0.55
-	// slowHostDelay is multiplied by the lack of processor time against a whole core.
-	slowHostDelay = 60 * time.Millisecond
+	// coreDelay is the delay of a host with a whole core; one with a fifth waits five times
+	// as long, which is more than the elections of hosts with several times as much take.
+	coreDelay = 20 * time.Millisecond
 	// oldHostDelay is that of a host that runs for oldHost or longer.
-	oldHostDelay  = 120 * time.Millisecond
+	oldHostDelay = 60 * time.Millisecond
+	// leastCPU bounds the delay of hosts without a usable setting.
+	leastCPU      = 0.1
 	oldHost       = time.Minute
 	headerTimeout = 10 * time.Second
 	// callerIdleTimeout is above the pauses of callers that poll.
@@ -101,7 +104,7 @@
 // ownershipDelay prefers hosts with much processor time, and among them those that were
 // started last: in a rolling restart, their turn is over.
 func ownershipDelay(cpu float64, started time.Time) func() time.Duration {
-	slow := time.Duration(max(0, 1-cpu) * float64(slowHostDelay))
+	slow := time.Duration(float64(coreDelay) / max(cpu, leastCPU))
 	return func() time.Duration {
 		age := min(time.Since(started), oldHost)
 		return slow + time.Duration(float64(oldHostDelay)*age.Seconds()/oldHost.Seconds())
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -43,6 +43,9 @@
 	h.clock, h.clockRead = answer.Clock, now
 	h.acknowledged = max(h.acknowledged, l.Seen)
 	s.applyListing(h, answer)
+	if !h.known || h.doubt {
+		s.changed[h.entry.Pool] = true
+	}
 	if h.lookFence == h.fence {
 		h.doubt = false
 	}
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -195,6 +195,7 @@
 	h := r.host
 	delete(h.runs, r.part.name(r.index))
 	h.used = h.used.Sub(r.need)
+	s.changed[h.entry.Pool] = true
 	h.count(r, -1)
 	s.addUse(r.part.entry.job.Account, resource.Amount{}.Sub(r.part.step.Need))
 	if t := &r.part.tasks[r.index]; t.run == r {
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -228,6 +228,9 @@
 
 // list makes the part visible to placement.
 func (s *Scheduler) list(p *part) {
+	if q, _ := s.pool(p.entry.job.Queue); p.listed && q != nil {
+		s.changed[q.Pool] = true
+	}
 	if p.listed || len(p.queue) == 0 {
 		return
 	}
@@ -236,6 +239,7 @@
 	if q != nil {
 		pool = q.Pool
 	}
+	s.changed[pool] = true
 	p.listed = true
 	p.queued, p.explained = s.now, false
 	s.waiting[pool] = append(s.waiting[pool], p)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,18 +14,29 @@
 	if s.catalog == nil {
 		return
 	}
-	s.relist()
-	for pool, parts := range s.waiting {
+	if s.now.Sub(s.lastPass) > passInterval {
+		s.lastPass = s.now
+		s.relist()
+		for pool := range s.waiting {
+			s.changed[pool] = true
+		}
+	}
+	for _, pool := range slices.Sorted(maps.Keys(s.changed)) {
+		delete(s.changed, pool)
+		parts := s.waiting[pool]
 		if len(parts) == 0 {
 			continue
 		}
 		hosts := s.candidates(pool)
+		room := largestRoom(hosts)
 		s.order(parts)
 		for _, p := range parts {
 			before := s.lastRun
 			switch {
 			case s.held(p):
 				p.reason = s.holdReason(p)
+			case !p.step.Reserved().Within(room):
+				p.reason = "no room in the pool"
 			case p.step.Gang:
 				s.placeGang(p, hosts)
 			default:
@@ -42,6 +54,21 @@
 	}
 }
 
+// passInterval is how often all waiting tasks are looked at. In between, a pool is looked
+// at when a task came to it or a worker of it became free.
+const passInterval = 100 * time.Millisecond
+
+// largestRoom is an upper bound of what a single worker has free; most waiting tasks of a
+// full pool need not be compared with each of its workers.
+func largestRoom(hosts []*host) resource.Amount {
+	var room resource.Amount
+	for _, h := range hosts {
+		free := h.entry.Capacity.Sub(h.used)
+		room = resource.Amount{CPU: max(room.CPU, free.CPU), Memory: max(room.Memory, free.Memory), Accelerators: max(room.Accelerators, free.Accelerators)}
+	}
+	return room
+}
+
 // relist moves parts whose queue belongs to another pool since a configuration change.
 func (s *Scheduler) relist() {
 	for pool, parts := range s.waiting {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,11 @@
 	experiences map[string]*experience
 	allowances  map[string]*allowance
 	waves       map[int64]*wave
+	nextPlan    time.Time
+	// changed has the pools in which a task may fit that did not fit before; lastPass is
+	// the time of the last pass over all pools.
+	changed  map[string]bool
+	lastPass time.Time
 
 	// lastRun numbers the runs. The first one of an owner is above all of its predecessors.
 	lastRun int64
@@ -94,7 +99,7 @@
 		limits: limits, started: now, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
 		jobs: make(map[string]*entry), hosts: make(map[string]*host), accounts: make(map[string]resource.Amount),
 		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave),
-		expected: make(map[string]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
+		expected: make(map[string]bool), changed: make(map[string]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
 	}
 	s.settleAt = now.Add(s.leaseBound(limits.Lease))
 	return s
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -26,6 +26,8 @@
 	cordonWave int64
 	moveTo     string
 	missing    bool
+	// due machines are still going to be taken by a wave.
+	due bool
 }
 
 // wave is a set of machines that are due for maintenance.
@@ -42,6 +44,8 @@
 const (
 	// drainPatience is how long a machine may wait for its tasks before they are stopped.
 	drainPatience = 3 * time.Second
+	// planInterval is how often machines are planned; they take seconds to come and go.
+	planInterval = 50 * time.Millisecond
 	// orderRetry is the pause after an order that was not accepted.
 	orderRetry = 500 * time.Millisecond
 	// cycleTime is how long a machine takes from its selection until the next one can take
@@ -134,11 +138,10 @@
 	s.waves[number] = w
 }
 
+// machineOf returns the machine that carries a worker now, or nil.
 func (s *Scheduler) machineOf(h *host) *machine {
-	for _, m := range s.machines {
-		if m.Worker == h.entry.ID {
-			return m
-		}
+	if m := s.machines[h.entry.Machine]; m != nil && m.Worker == h.entry.ID {
+		return m
 	}
 	return nil
 }
@@ -151,21 +154,32 @@
 // dueForMaintenance reports whether a wave is still going to take the machine.
 func (s *Scheduler) dueForMaintenance(h *host) bool {
 	m := s.machineOf(h)
-	if m == nil {
-		return false
+	return m != nil && m.due
+}
+
+// markDue finds the machines that a wave is still going to take.
+func (s *Scheduler) markDue() {
+	for _, m := range s.machines {
+		m.due = false
 	}
 	for _, w := range s.waves {
-		if !w.finished && !w.done[m.ID] && slices.Contains(w.machines, m.ID) {
-			return true
+		if w.finished {
+			continue
+		}
+		for _, id := range w.machines {
+			if m := s.machines[id]; m != nil && !w.done[id] {
+				m.due = true
+			}
 		}
 	}
-	return false
 }
 
 func (s *Scheduler) planMachines() {
-	if !s.machinesKnown || !s.settled {
+	if !s.machinesKnown || !s.settled || s.catalog == nil || s.now.Before(s.nextPlan) {
 		return
 	}
+	s.nextPlan = s.now.Add(planInterval)
+	s.markDue()
 	for _, w := range s.waves {
 		if !w.finished {
 			s.planWave(w)
