--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -20,11 +20,11 @@
 const (
 	// TTL is how long a silent owner keeps its right. It bounds the pause after a crash,
 	// and has to outlast a few answers of a slow store.
-	TTL = 2 * time.Second
+	TTL = 1300 * time.Millisecond
 	// renewInterval allows two lost renewals.
-	renewInterval = 500 * time.Millisecond
-	// callTimeout covers a store that answers 80 times slower than usual.
-	callTimeout = 900 * time.Millisecond
+	renewInterval = 300 * time.Millisecond
+	// callTimeout covers a store that answers 80 times slower than usual, in 330 ms.
+	callTimeout = 600 * time.Millisecond
 	// margin ends the right early enough for orders that are being sent.
 	margin = 200 * time.Millisecond
 	// followWait is how long a host waits for the key of the owner to change.
