--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -65,11 +65,7 @@
 	}
 }
 
-func (o *Owner) loadWaves(ctx context.Context) error {
-	items, _, err := o.Store.Range(ctx, layout.Waves)
-	if err != nil {
-		return err
-	}
+func (o *Owner) loadWaves(items []kv.Item) {
 	for _, item := range items {
 		number, err := strconv.ParseInt(strings.TrimPrefix(item.Key, layout.Waves), 10, 64)
 		var r waveRecord
@@ -79,7 +75,6 @@
 		}
 		o.waves[number] = r
 	}
-	return nil
 }
 
 // takeWave hands a wave of the operators to the scheduler. Its deadline counts from the
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -177,30 +177,29 @@
 // feeds are the revisions from which the store is followed.
 type feeds struct{ workers, submissions int64 }
 
-// load reads what the predecessor left.
+// load reads what the predecessor left. It cannot write any more, so the ranges may be
+// read at the same time, which counts when the store is slow.
 func (o *Owner) load() (feeds, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
-	now := time.Now()
-	workers, workerRevision, err := o.Store.Range(ctx, o.Calls.WorkerPrefix)
-	if err != nil {
-		return feeds{}, fmt.Errorf("workers: %w", err)
+	var workers, submissions, results, waves []kv.Item
+	var from feeds
+	reads := []<-chan error{
+		o.read(ctx, o.Calls.WorkerPrefix, &workers, &from.workers),
+		o.read(ctx, layout.Submissions, &submissions, &from.submissions),
+		o.read(ctx, layout.Results, &results, nil),
+		o.read(ctx, layout.Waves, &waves, nil),
 	}
+	for _, done := range reads {
+		if err := <-done; err != nil {
+			return feeds{}, err
+		}
+	}
+	now := time.Now()
+	o.loadWaves(waves)
 	for _, item := range workers {
 		o.setWorker(item, now)
 	}
-	submissions, submissionRevision, err := o.Store.Range(ctx, layout.Submissions)
-	if err != nil {
-		return feeds{}, fmt.Errorf("submissions: %w", err)
-	}
-	// Results are read after submissions: the owner before this one cannot write any more.
-	results, _, err := o.Store.Range(ctx, layout.Results)
-	if err != nil {
-		return feeds{}, fmt.Errorf("results: %w", err)
-	}
-	if err := o.loadWaves(ctx); err != nil {
-		return feeds{}, fmt.Errorf("waves: %w", err)
-	}
 	records := make(map[string]*progress.Record, len(results))
 	for _, item := range results {
 		o.saver.known(item.Key, item.Revision)
@@ -214,7 +213,24 @@
 	for _, item := range submissions {
 		o.submission(item, records, now)
 	}
-	return feeds{workerRevision, submissionRevision}, nil
+	return from, nil
+}
+
+// read reads a range in the background and reports its end on the returned channel.
+func (o *Owner) read(ctx context.Context, prefix string, items *[]kv.Item, revision *int64) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		list, at, err := o.Store.Range(ctx, prefix)
+		if err != nil {
+			err = fmt.Errorf("range %s: %w", prefix, err)
+		}
+		*items = list
+		if revision != nil {
+			*revision = at
+		}
+		done <- err
+	}()
+	return done
 }
 
 // submission applies an item under layout.Submissions.
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -105,7 +105,7 @@
 			e.ended = time.UnixMilli(r.Ended)
 		}
 	}
-	if e.state.Final() {
+	if e.state.Final() || len(j.Steps) == 0 {
 		return true
 	}
 	if j.Repeat > 0 {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -91,7 +91,7 @@
 				}
 			}
 			after, afterLeft := before+d, beforeLeft
-			if p.undone > 0 {
+			if p.undone > 0 && !p.step.LongRunning {
 				afterLeft += d
 				work += float64(p.undone) * float64(p.step.Need.CPU) / 1000 * d.Seconds()
 			}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -78,7 +78,7 @@
 // DefaultLimits are the limits for which nothing else was set.
 func DefaultLimits() Limits {
 	return Limits{
-		Lease: 3200 * time.Millisecond, LookWait: 800 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
+		Lease: 2800 * time.Millisecond, LookWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
 		Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond, Stop: 900 * time.Millisecond, RemoteFactor: 1.5,
 	}
 }
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -20,7 +20,7 @@
 const (
 	// TTL is how long a silent owner keeps its right. It bounds the pause after a crash,
 	// and has to outlast a few answers of a slow store.
-	TTL = 1300 * time.Millisecond
+	TTL = 1500 * time.Millisecond
 	// renewInterval allows two lost renewals.
 	renewInterval = 300 * time.Millisecond
 	// callTimeout covers a store that answers 80 times slower than usual, in 330 ms.
@@ -138,10 +138,8 @@
 	if !wait.For(ctx, t.Delay()) {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	sent := t.Now()
-	lease, ttl, err := t.Store.Grant(call, TTL)
+	lease, ttl, err := t.grant(ctx)
 	if err != nil {
 		t.Log.Warn("lease-not-granted", zap.Error(err))
 		wait.For(ctx, retryPause)
@@ -152,10 +150,7 @@
 		t.Log.Error("owner-not-encoded", zap.Error(err))
 		return
 	}
-	number, err := t.Store.Commit(call, kv.Change{
-		Conditions: []kv.Condition{{Key: layout.Owner}},
-		Puts:       []kv.Put{{Key: layout.Owner, Value: value, Lease: lease}},
-	})
+	number, err := t.take(ctx, kv.Put{Key: layout.Owner, Value: value, Lease: lease})
 	if err != nil {
 		// An unknown outcome ends with the lease, which is not renewed.
 		t.Log.Info("ownership-not-taken", zap.Error(err))
@@ -167,6 +162,19 @@
 	t.serve(ctx, lease, term)
 }
 
+func (t *Tenure) grant(ctx context.Context) (int64, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return t.Store.Grant(ctx, TTL)
+}
+
+// take creates the owner's key.
+func (t *Tenure) take(ctx context.Context, key kv.Put) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return t.Store.Commit(ctx, kv.Change{Conditions: []kv.Condition{{Key: layout.Owner}}, Puts: []kv.Put{key}})
+}
+
 // serve runs the owner's work and renews the lease.
 func (t *Tenure) serve(ctx context.Context, lease int64, term *Term) {
 	t.Log.Info("ownership-taken", zap.Int64("term", term.Number))
@@ -183,15 +191,16 @@
 	t.revoke(lease)
 }
 
-// renew returns when the right or the work has ended.
+// renew returns when the right or the work has ended. The first renewal is made at once,
+// as an election at a slow store uses up half of the lease.
 func (t *Tenure) renew(ctx context.Context, lease int64, term *Term, done <-chan struct{}) {
-	for {
+	for pause := time.Duration(0); ; pause = renewInterval {
 		select {
 		case <-ctx.Done():
 			return
 		case <-done:
 			return
-		case <-time.After(renewInterval):
+		case <-time.After(pause):
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		sent := t.Now()
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -135,3 +135,20 @@
 		stop()
 	})
 }
+
+// Guards against a fleet without an owner while the store takes 330 ms for each answer:
+// an election takes two calls, and the lease must outlast them and its first renewal.
+func TestElectionAtSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		h.store.Delay = 330 * time.Millisecond
+		stop := h.run(t.Context(), 0, "a")
+		time.Sleep(1500 * time.Millisecond)
+		first := h.terms[0].Load()
+		qt.Assert(t, first, qt.Not(qt.IsNil))
+		time.Sleep(10 * time.Second)
+		assertOwners(t, h, 0)
+		qt.Assert(t, h.terms[0].Load(), qt.Equals, first)
+		stop()
+	})
+}
