--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -20,8 +20,9 @@
 const (
 	// homeMachines is the least number of machines that a pool keeps when it lends.
 	homeMachines = 6
-	// fullShare is the use of a pool from which on it borrows.
-	fullShare = 0.9
+	// fullShare is the use of a pool from which on it borrows; a machine arrives 1.5 s later,
+	// and a burst fills a pool within that time.
+	fullShare = 0.75
 )
 
 // planMoves lends machines to pools whose waiting work exceeds their room: spare ones
