--- a/dispatch/feeds.go
+++ b/dispatch/feeds.go
@@ -55,8 +55,8 @@
 		if items, revision, ok := o.readRange(prefix); ok {
 			reload(items)
 			after = revision
-			continue
 		}
+		// Without a pause, a store that refuses watches at once would keep the host busy.
 		wait.For(o.ctx, feedRetry)
 	}
 }
--- /dev/null
+++ b/dispatch/owner_test.go
@@ -0,0 +1,308 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/job"
+	"egretdrum.example/kv"
+	"egretdrum.example/kvfake"
+	"egretdrum.example/layout"
+	"egretdrum.example/meter"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+	"egretdrum.example/scheduler"
+	"egretdrum.example/subscription"
+	"egretdrum.example/tenure"
+	"egretdrum.example/worker"
+)
+
+const (
+	workerPrefix = "workers/"
+	configKey    = "operators/config"
+	statusPrefix = "status/"
+	taskTime     = 400 * time.Millisecond
+)
+
+// plant is a store, a few workers and machines, on which owners run one after the other.
+type plant struct {
+	store   *kvfake.Fake
+	config  *subscription.Subscription
+	meter   *meter.Meter
+	started time.Time
+	ends    []func()
+
+	mu      sync.Mutex
+	workers map[string]*plantWorker
+	starts  map[job.Task]int
+	orders  []scheduler.Order
+}
+
+// plantWorker runs tasks for taskTime and lists them.
+type plantWorker struct {
+	fence int64
+	runs  map[job.Task]*plantRun
+	ended []worker.End
+	next  int64
+}
+
+type plantRun struct {
+	number int64
+	until  time.Time
+}
+
+func decodeOperator(item kv.Item) (subscription.Directive, error) {
+	if item.Key != configKey {
+		return subscription.Directive{}, nil
+	}
+	return subscription.Directive{Catalog: catalog.New(1,
+		[]*catalog.Queue{{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: time.Second}}, []*catalog.Pool{{Name: "desk"}}, nil, 0)}, nil
+}
+
+func newPlant(t *testing.T, workers int) *plant {
+	p := &plant{store: kvfake.New(), meter: meter.New(), started: time.Now(), workers: make(map[string]*plantWorker), starts: make(map[job.Task]int)}
+	p.store.Put(configKey, nil)
+	p.config = subscription.New(p.store.Store(), "operators/", configKey, decodeOperator, zap.NewNop())
+	p.config.Now = p.now
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); p.config.Run(ctx) }()
+	p.ends = append(p.ends, func() { cancel(); <-done }, func() { qt.Check(t, p.meter.Close(), qt.IsNil) })
+	for n := range workers {
+		id := fmt.Sprintf("w%d", n)
+		p.workers[id] = &plantWorker{runs: make(map[job.Task]*plantRun)}
+		p.store.Put(workerPrefix+id, []byte("m"+id))
+	}
+	time.Sleep(100 * time.Millisecond)
+	return p
+}
+
+func (p *plant) end() {
+	for _, f := range p.ends {
+		f()
+	}
+}
+
+func (p *plant) now() time.Duration { return time.Since(p.started) }
+
+// own runs an owner; the returned function kills it.
+func (p *plant) own() (kill func()) {
+	term := tenure.NewTerm(p.store.Put(layout.Owner, nil), p.now, time.Hour)
+	o := &Owner{
+		Store: p.store.Store(), Config: p.config, Limits: scheduler.DefaultLimits(), KeepResults: time.Minute, Log: zap.NewNop(), Meter: p.meter,
+		Calls: Calls{
+			Start: p.start, Stop: func(context.Context, scheduler.Stop) bool { return true }, Look: p.look,
+			Pace: func(context.Context, scheduler.Pace) bool { return true }, ListMachines: p.list, Order: p.order,
+			DecodeWorker: decodeWorker, WorkerPrefix: workerPrefix, WaveStatus: status, WaveStatusPrefix: statusPrefix,
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); o.Run(ctx, term) }()
+	return func() { cancel(); <-done }
+}
+
+func status(finished bool) ([]byte, error) { return fmt.Append(nil, finished), nil }
+
+func decodeWorker(item kv.Item) (worker.Entry, error) {
+	return worker.Entry{
+		ID: strings.TrimPrefix(item.Key, workerPrefix), Pool: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Capacity: resource.Amount{CPU: 4000, Memory: 4000}, Born: 1, Machine: string(item.Value),
+	}, nil
+}
+
+func (p *plant) list(context.Context) ([]worker.Machine, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []worker.Machine
+	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
+		m := worker.Machine{ID: "m" + id, Pool: "desk", State: worker.Up, Worker: id, Capacity: resource.Amount{CPU: 4000, Memory: 4000}}
+		if slices.ContainsFunc(p.orders, func(o scheduler.Order) bool { return o.Machine == m.ID }) {
+			m.Worker = id + "-next"
+		}
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+func (p *plant) order(_ context.Context, o scheduler.Order, _ int64) (accepted, impossible bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders = append(p.orders, o)
+	return true, false, nil
+}
+
+func (p *plant) start(_ context.Context, a scheduler.Start) (scheduler.StartResult, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[a.Worker.ID]
+	if a.Fence < w.fence {
+		return scheduler.StartRejected, "fence"
+	}
+	p.starts[a.Task]++
+	w.runs[a.Task] = &plantRun{a.Run, time.Now().Add(taskTime)}
+	return scheduler.StartAccepted, ""
+}
+
+// look waits for an end, as workers do.
+func (p *plant) look(ctx context.Context, a scheduler.Look) (*worker.Listing, bool, error) {
+	for deadline := time.Now().Add(a.Wait); ; {
+		l := p.listing(a)
+		if len(l.Ended) > 0 || !time.Now().Before(deadline) {
+			return l, false, nil
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, false, ctx.Err()
+		}
+	}
+}
+
+func (p *plant) listing(a scheduler.Look) *worker.Listing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[a.Worker.ID]
+	w.fence = max(w.fence, a.Fence)
+	w.ended = slices.DeleteFunc(w.ended, func(e worker.End) bool { return e.Number <= a.Seen })
+	l := &worker.Listing{Born: 1, Clock: p.now()}
+	for name, r := range w.runs {
+		if time.Now().Before(r.until) {
+			l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: 50})
+			continue
+		}
+		w.next++
+		w.ended = append(w.ended, worker.End{Number: w.next, Task: name, Run: r.number, How: worker.Done})
+		delete(w.runs, name)
+	}
+	l.Ended = slices.Clone(w.ended)
+	return l
+}
+
+func (p *plant) submit(t *testing.T, id string, steps ...job.Step) {
+	b, err := cbor.Marshal(&job.Job{ID: id, Queue: "rounds", Steps: steps})
+	qt.Assert(t, err, qt.IsNil)
+	p.store.Put(layout.Job(id), b)
+}
+
+func assertStored(t *testing.T, p *plant, id string, want progress.State) {
+	t.Helper()
+	item := p.store.Item(layout.Result(id))
+	qt.Assert(t, item.Revision > 0, qt.IsTrue, qt.Commentf("%s has no result", id))
+	r, err := progress.Decode(item.Value)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.State, qt.Equals, want)
+}
+
+func assertStartedOnce(t *testing.T, p *plant, tasks int) {
+	t.Helper()
+	qt.Assert(t, p.starts, qt.HasLen, tasks)
+	for name, n := range p.starts {
+		qt.Assert(t, n, qt.Equals, 1, qt.Commentf("%v", name))
+	}
+}
+
+var task = resource.Amount{CPU: 1000, Memory: 100}
+
+// Guards against jobs that are not run, or whose result is not stored.
+func TestJobFromStoreToResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 2)
+		defer p.end()
+		defer p.own()()
+		time.Sleep(time.Second)
+		p.submit(t, "a", job.Step{Count: 3, Need: task}, job.Step{Count: 1, Need: task, After: []int{0}})
+		time.Sleep(2 * time.Second)
+		assertStored(t, p, "a", progress.Succeeded)
+		assertStartedOnce(t, p, 4)
+	})
+}
+
+// Guards against tasks that run again, and results that are lost, when the owner is killed
+// while tasks run: the next owner adopts what the workers list.
+func TestKilledOwnerLeavesTasksRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 2)
+		defer p.end()
+		kill := p.own()
+		time.Sleep(time.Second)
+		p.submit(t, "a", job.Step{Count: 4, Need: task})
+		time.Sleep(taskTime / 2)
+		kill()
+		defer p.own()()
+		time.Sleep(2 * time.Second)
+		assertStored(t, p, "a", progress.Succeeded)
+		assertStartedOnce(t, p, 4)
+	})
+}
+
+// Guards against new jobs that wait while the store drops its history: the range is read
+// again.
+func TestJobsWhileHistoryIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 2)
+		defer p.end()
+		defer p.own()()
+		time.Sleep(time.Second)
+		p.submit(t, "a", job.Step{Count: 1, Need: task})
+		p.store.Compact()
+		time.Sleep(2 * time.Second)
+		assertStored(t, p, "a", progress.Succeeded)
+	})
+}
+
+// Guards against watches that are silent for good: each waits for less than a second.
+func TestJobsWhileWatchesAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 2)
+		defer p.end()
+		defer p.own()()
+		time.Sleep(time.Second)
+		p.store.Fault = func(call string) kvfake.Fault {
+			if call == "watch" {
+				return kvfake.Lost
+			}
+			return kvfake.Answered
+		}
+		p.submit(t, "a", job.Step{Count: 1, Need: task})
+		time.Sleep(2500 * time.Millisecond)
+		assertStored(t, p, "a", progress.Succeeded)
+	})
+}
+
+// Guards against a wave whose state stays "running" for operators after its last machine:
+// an earlier state must not replace a later one.
+func TestWaveStateReachesOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 3)
+		defer p.end()
+		p.config.Decode = func(item kv.Item) (subscription.Directive, error) {
+			if item.Key == "operators/wave/1" {
+				return subscription.Directive{Wave: &subscription.Wave{Number: 1, Machines: []string{"mw0", "mw1"}, Term: 20 * time.Second, Limit: 2}}, nil
+			}
+			return decodeOperator(item)
+		}
+		p.store.Delay = 20 * time.Millisecond
+		defer p.own()()
+		time.Sleep(time.Second)
+		p.store.Put("operators/wave/1", nil)
+		time.Sleep(20 * time.Second)
+		qt.Assert(t, string(p.store.Item(statusPrefix+"1").Value), qt.Equals, "true")
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		qt.Assert(t, p.orders, qt.HasLen, 2)
+	})
+}
