--- a/command/platform.go
+++ b/command/platform.go
@@ -88,7 +88,7 @@
 	owner := &dispatch.Owner{
 		Store: store, Config: h.config, Limits: schedulerLimits(s), KeepResults: s.KeepResults, Log: h.log, Meter: h.meter,
 		Calls: dispatch.Calls{
-			Start: client.Start, Stop: client.Stop, Pace: client.Pace, Look: client.Look,
+			Start: client.Start, Stop: client.Stop, Look: client.Look,
 			ListMachines: machines.List, Order: machines.Order,
 			DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix,
 			WaveStatus: platform.EncodeWaveStatus, WaveStatusPrefix: platform.WaveStatusPrefix,
@@ -114,7 +114,7 @@
 func schedulerLimits(s *platform.Settings) scheduler.Limits {
 	limits := scheduler.DefaultLimits()
 	limits.Lease = min(limits.Lease, s.MaxLease)
-	limits.Maintenance, limits.Move, limits.Stop, limits.RemoteFactor = s.MaintenanceTime, s.MoveTime, s.StopTime, s.RemoteFactor
+	limits.Maintenance, limits.Stop = s.MaintenanceTime, s.StopTime
 	return limits
 }
 
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -38,6 +38,8 @@
 	// answerMargin is left for the answer on its way back.
 	answerMargin = 150 * time.Millisecond
 	retryPause   = 60 * time.Millisecond
+	// presetBodyBytes limits bodies while the configuration does not.
+	presetBodyBytes = 256 << 10
 	// countAge is the age up to which the counts of the queues are not read again.
 	countAge = 500 * time.Millisecond
 )
@@ -82,6 +84,14 @@
 	return c != nil && age < readyAge
 }
 
+// MaxBodyBytes limits the body of a submission.
+func (d *Desk) MaxBodyBytes() int64 {
+	if c, _, _ := d.Config.Current(); c != nil && c.MaxBodyBytes > 0 {
+		return c.MaxBodyBytes
+	}
+	return presetBodyBytes
+}
+
 // Resolve finds the queue and the account of a call. If it fails, the answer says why.
 func (d *Desk) Resolve(call *Call) (*Target, Answer) {
 	c, revision, age := d.Config.Current()
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -44,9 +44,6 @@
 	for _, s := range a.Starts {
 		go o.start(s, o.slot(s.Worker.ID))
 	}
-	for _, p := range a.Paces {
-		go o.pace(p)
-	}
 	for _, order := range a.Orders {
 		go o.order(order)
 	}
@@ -98,16 +95,6 @@
 	o.post(func(now time.Time) { o.core.StopAnswered(a, ok, now) })
 }
 
-func (o *Owner) pace(a scheduler.Pace) {
-	if !o.term.Valid() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
-	defer cancel()
-	ok := o.Calls.Pace(ctx, a)
-	o.post(func(now time.Time) { o.core.Paced(a, ok, now) })
-}
-
 func (o *Owner) look(a scheduler.Look) {
 	if !o.term.Valid() {
 		return
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -48,7 +48,6 @@
 type Calls struct {
 	Start        func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string)
 	Stop         func(ctx context.Context, a scheduler.Stop) bool
-	Pace         func(ctx context.Context, a scheduler.Pace) bool
 	Look         func(ctx context.Context, a scheduler.Look) (*worker.Listing, bool, error)
 	ListMachines func(ctx context.Context) ([]worker.Machine, error)
 	Order        func(ctx context.Context, o scheduler.Order, term int64) (accepted, impossible bool, err error)
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -105,7 +105,7 @@
 		Store: p.store.Store(), Config: p.config, Limits: scheduler.DefaultLimits(), KeepResults: time.Minute, Log: zap.NewNop(), Meter: p.meter,
 		Calls: Calls{
 			Start: p.start, Stop: func(context.Context, scheduler.Stop) bool { return true }, Look: p.look,
-			Pace: func(context.Context, scheduler.Pace) bool { return true }, ListMachines: p.list, Order: p.order,
+			ListMachines: p.list, Order: p.order,
 			DecodeWorker: decodeWorker, WorkerPrefix: workerPrefix, WaveStatus: status, WaveStatusPrefix: statusPrefix,
 		},
 	}
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -18,7 +18,6 @@
 	Notes  []Note
 	// WaveStates lists waves whose state changed.
 	WaveStates []WaveState
-	Paces      []Pace
 }
 
 // Start tells a worker to run a task; report it by Started.
@@ -41,15 +40,6 @@
 	Reason string
 }
 
-// Pace limits the share of time in which a background task works.
-type Pace struct {
-	Worker  worker.Entry
-	Task    job.Task
-	Run     int64
-	Fence   int64
-	Percent int
-}
-
 // Look asks a worker for its lists and renews its lease; report it by Looked.
 type Look struct {
 	Worker worker.Entry
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -134,7 +134,7 @@
 	s.lastRun = max(s.lastRun, listed.Run)
 	r := &run{
 		part: p, index: index, number: listed.Run, host: h, state: present, fence: h.fence, sent: s.now, present: s.now,
-		percent: listed.Percent, load: listed.Load, paced: 100, save: listed.Checkpoint, need: p.step.Reserved(),
+		percent: listed.Percent, load: listed.Load, save: listed.Checkpoint, need: p.step.Reserved(),
 	}
 	s.hold(r)
 	if h.leaseEnd.Before(s.now) {
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -82,7 +82,6 @@
 	stopped time.Time
 	percent int
 	load    int
-	paced   int
 	save    string
 	speed   speed
 	need    resource.Amount
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -306,7 +306,7 @@
 // start books a run and orders it.
 func (s *Scheduler) start(p *part, index int, h *host, number int64) {
 	t := &p.tasks[index]
-	r := &run{part: p, index: index, number: number, host: h, fence: h.fence, sent: s.now, paced: 100, need: p.step.Reserved()}
+	r := &run{part: p, index: index, number: number, host: h, fence: h.fence, sent: s.now, need: p.step.Reserved()}
 	s.hold(r)
 	s.begun(p.entry)
 	checkpoint := t.checkpoint
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,19 +67,17 @@
 	MaxDrift float64
 	// Absence is how long a registration may be missing before its worker is gone.
 	Absence time.Duration
-	// Maintenance and Move are how long a machine is away for each.
-	Maintenance, Move time.Duration
+	// Maintenance is how long a machine is away for it.
+	Maintenance time.Duration
 	// Stop is how long a worker takes to end a run that was told to stop.
 	Stop time.Duration
-	// RemoteFactor is how much longer tasks take away from their data.
-	RemoteFactor float64
 }
 
 // DefaultLimits are the limits for which nothing else was set.
 func DefaultLimits() Limits {
 	return Limits{
 		Lease: 2800 * time.Millisecond, LookWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
-		Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond, Stop: 900 * time.Millisecond, RemoteFactor: 1.5,
+		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond,
 	}
 }
 
