Start second runs of speculative steps for silent and slow workers

Cause: tasks whose steps allow several runs waited for the lease of a dark worker, for the stop of a slow run, and for the recovery of a new owner.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -24,6 +24,7 @@
 		h.nextLook = now.Add(lookRetry)
 		if h.failures == 1 {
 			s.note(Note{Event: "worker-unanswered", Worker: h.entry.ID, Workers: len(h.runs)})
+			s.abandonAll(h)
 		}
 		if otherLife {
 			s.newLife(h, 0)
--- /dev/null
+++ b/scheduler/copies.go
@@ -0,0 +1,44 @@
+package scheduler
+
+// Steps whose tasks may have several runs at the same time need not wait for a worker
+// that is silent or slow: another run is started elsewhere, and the first one to be done
+// counts.
+
+// abandon leaves a run to its worker and queues its task again. The run holds its share of
+// the worker and of the account's limit until it has ended.
+func (s *Scheduler) abandon(r *run, reason string) {
+	p, index := r.part, r.index
+	t := &p.tasks[index]
+	if t.run != r || p.detached {
+		return
+	}
+	s.note(Note{Event: "run-copied", Job: p.entry.job.ID, Task: p.name(index), Worker: r.host.entry.ID, Run: r.number, Reason: reason})
+	detached := &part{
+		entry: p.entry, occurrence: &occurrence{number: p.occurrence.number}, number: p.number, step: p.step,
+		tasks: make([]task, len(p.tasks)), detached: true,
+	}
+	r.part = detached
+	detached.tasks[index].run = r
+	t.run = nil
+	t.copies = append(t.copies, r)
+	s.requeue(p, index)
+}
+
+// abandonAll leaves the runs of a silent worker to it, as far as their steps allow it.
+func (s *Scheduler) abandonAll(h *host) {
+	for _, r := range h.runs {
+		if r.part.step.Speculative && !r.part.step.Gang && r.state != stopping {
+			s.abandon(r, "worker does not answer")
+		}
+	}
+}
+
+// stopCopies stops the earlier runs of a task that are still present.
+func (s *Scheduler) stopCopies(t *task, reason string) {
+	for _, r := range t.copies {
+		if r.host.runs[r.part.name(r.index)] == r {
+			s.stop(r, reason)
+		}
+	}
+	t.copies = nil
+}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -64,6 +64,8 @@
 	done       bool
 	failed     []int64 // numbers of the failed runs
 	checkpoint string
+	// copies holds earlier runs of a speculative step that may still be present.
+	copies []*run
 	// moves counts restarts for slow workers.
 	moves int
 	// rate is the last measured speed, in percent per second, and rateHost its worker.
@@ -278,6 +280,7 @@
 	p.undone--
 	p.entry.remaining--
 	p.queue = slices.DeleteFunc(p.queue, func(n int) bool { return n == index })
+	s.stopCopies(t, "done elsewhere")
 	s.touch(p.entry)
 	if p.undone > 0 {
 		return
@@ -318,6 +321,7 @@
 				if r := p.tasks[i].run; r != nil {
 					s.stop(r, string(state))
 				}
+				s.stopCopies(&p.tasks[i], string(state))
 			}
 		}
 	}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -91,7 +91,9 @@
 // held reports whether a part must wait: it may have unknown runs of a predecessor, or
 // its queue is not configured any more.
 func (s *Scheduler) held(p *part) bool {
-	return p.blocked > 0 || (p.entry.inherited && !s.settled) || s.catalog.Queues[p.entry.job.Queue] == nil
+	// Steps that may have several runs need not wait for the runs of a predecessor.
+	unknown := p.entry.inherited && !s.settled && !p.step.Speculative
+	return p.blocked > 0 || unknown || s.catalog.Queues[p.entry.job.Queue] == nil
 }
 
 func (s *Scheduler) holdReason(p *part) string {
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -90,6 +90,10 @@
 	}
 	t.moves++
 	t.tried = append(t.tried, h.entry.ID)
+	if p.step.Speculative {
+		s.abandon(r, "slow worker")
+		return
+	}
 	s.stop(r, "slow worker")
 }
 
