--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -18,6 +18,7 @@
 	"egretdrum.example/scheduler"
 	"egretdrum.example/subscription"
 	"egretdrum.example/tenure"
+	"egretdrum.example/wait"
 	"egretdrum.example/worker"
 )
 
@@ -67,6 +68,8 @@
 	tick = 50 * time.Millisecond
 	// loadTimeout covers several pages from a slow store.
 	loadTimeout = 3 * time.Second
+	// configRetry is how often a new owner looks for the configuration of its host.
+	configRetry = 10 * time.Millisecond
 	// countInterval is how often the counts of the queues are written if they changed.
 	countInterval = time.Second
 	// cleanInterval is how often old results are removed.
@@ -85,6 +88,12 @@
 	o.core = scheduler.New(o.Limits, term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log)
 	started := time.Now()
+	// Without the configuration, it is not known how often a task may fail.
+	for c, _, _ := o.Config.Current(); c == nil; c, _, _ = o.Config.Current() {
+		if !wait.For(o.ctx, configRetry) {
+			return
+		}
+	}
 	feeds, err := o.load()
 	if err != nil {
 		o.Log.Warn("state-not-loaded", zap.Int64("term", term.Number), zap.Error(err))
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -337,10 +337,19 @@
 	t.failed = append(t.failed, number)
 	t.tried = append(t.tried, workerID)
 	s.touch(p.entry)
+	s.failExhausted(p, t)
+}
+
+// failExhausted ends the job of a task that has used up its attempts, and reports whether
+// it did. It is checked at each start as well, because a new owner may see a failed end
+// before it has the configuration.
+func (s *Scheduler) failExhausted(p *part, t *task) bool {
 	q, _ := s.pool(p.entry.job.Queue)
-	if q != nil && q.MaxAttempts > 0 && len(t.failed) >= q.MaxAttempts {
-		s.finish(p.entry, progress.Failed)
+	if q == nil || q.MaxAttempts <= 0 || len(t.failed) < q.MaxAttempts || p.entry.state.Final() {
+		return false
 	}
+	s.finish(p.entry, progress.Failed)
+	return true
 }
 
 func (e *entry) record() *progress.Record {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -140,6 +140,9 @@
 func (s *Scheduler) placePart(p *part, hosts []*host) {
 	for len(p.queue) > 0 {
 		index := p.queue[0]
+		if s.failExhausted(p, &p.tasks[index]) {
+			return
+		}
 		if !s.accountAllows(p, 1) {
 			p.reason = "limit of the account"
 			return
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -277,6 +277,39 @@
 	qt.Assert(t, g.starts-before, qt.Equals, 4)
 }
 
+// Guards against an attempt too many when a new owner sees the last failed end before it
+// has read the configuration, as after an outage of the store.
+func TestLastFailureBeforeConfiguration(t *testing.T) {
+	g := newStage(2)
+	g.fails = func(job.Task, string) bool { return true }
+	g.run(time.Second)
+	g.submit("a", job.Step{Count: 1, Need: small})
+	name := job.Task{Job: "a"}
+	for g.failures[name] < 2 {
+		g.step()
+	}
+	g.run(100 * time.Millisecond)
+	g.fault = func(kind string) fate {
+		if kind == "save" {
+			return lostBefore
+		}
+		return answered
+	}
+	for g.failures[name] < 3 {
+		g.step()
+	}
+	g.fault = nil
+	c := g.catalog
+	g.replaceOwner()
+	g.core.SetCatalog(nil)
+	g.run(500 * time.Millisecond)
+	g.core.SetCatalog(c)
+	g.run(2 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "a", progress.Failed)
+	qt.Assert(t, g.failures[name], qt.Equals, 3)
+}
+
 // Guards against speculative tasks that wait for the lease of a silent worker, and against
 // copies that go on when the task is done. It answers the pattern of a rack that is lost
 // during a burst.
