Count runs that were left to a worker for the limit of their step there

The test fails without the change. The faults of kvfake are set under its lock; the race detector found them in the new tests.

--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -142,13 +142,13 @@
 		g := newStage(t)
 		defer g.stop()
 		lost := 0
-		g.store.Fault = func(name string) kvfake.Fault {
+		g.store.SetFault(func(name string) kvfake.Fault {
 			if name == "commit" && lost == 0 {
 				lost++
 				return kvfake.AnswerLost
 			}
 			return kvfake.Answered
-		}
+		})
 		assertOutcome(t, g.submit("k1"), desk.Accepted)
 		first := g.store.Item(layout.Job(jobID)).Revision
 		assertOutcome(t, g.submit("k1"), desk.Accepted)
@@ -161,12 +161,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newStage(t)
 		defer g.stop()
-		g.store.Fault = func(name string) kvfake.Fault {
+		g.store.SetFault(func(name string) kvfake.Fault {
 			if name == "commit" {
 				return kvfake.Lost
 			}
 			return kvfake.Answered
-		}
+		})
 		assertOutcome(t, g.submit("k1"), desk.Unknown)
 	})
 }
@@ -177,12 +177,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newStage(t)
 		defer g.stop()
-		g.store.Fault = func(name string) kvfake.Fault {
+		g.store.SetFault(func(name string) kvfake.Fault {
 			if name == "commit" {
 				return kvfake.Refused
 			}
 			return kvfake.Answered
-		}
+		})
 		started := time.Now()
 		a := g.submit("k1")
 		assertOutcome(t, a, desk.Refused)
@@ -197,12 +197,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newStage(t)
 		defer g.stop()
-		g.store.Fault = func(name string) kvfake.Fault {
+		g.store.SetFault(func(name string) kvfake.Fault {
 			if name == "watch" || name == "range" {
 				return kvfake.Lost
 			}
 			return kvfake.Answered
-		}
+		})
 		g.setKeys(t, "k2")
 		assertOutcome(t, g.submit("k1"), desk.BadKey)
 		qt.Assert(t, g.store.Item(layout.Job(jobID)).Revision, qt.Equals, int64(0))
@@ -215,7 +215,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newStage(t)
 		defer g.stop()
-		g.store.Fault = func(string) kvfake.Fault { return kvfake.Lost }
+		g.store.SetFault(func(string) kvfake.Fault { return kvfake.Lost })
 		time.Sleep(5 * time.Second)
 		target, a := g.desk.Resolve(call("k1"))
 		qt.Assert(t, target, qt.IsNil)
@@ -232,7 +232,7 @@
 		defer g.stop()
 		_, a := g.desk.Resolve(call("k3"))
 		assertOutcome(t, a, desk.BadKey)
-		g.store.Fault = func(string) kvfake.Fault { return kvfake.Lost }
+		g.store.SetFault(func(string) kvfake.Fault { return kvfake.Lost })
 		time.Sleep(3 * time.Second)
 		_, a = g.desk.Resolve(call("k3"))
 		assertOutcome(t, a, desk.Refused)
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -33,6 +33,7 @@
 const (
 	workerPrefix = "workers/"
 	configKey    = "operators/config"
+	waveKey      = "operators/wave/1"
 	statusPrefix = "status/"
 	taskTime     = 400 * time.Millisecond
 )
@@ -65,6 +66,9 @@
 }
 
 func decodeOperator(item kv.Item) (subscription.Directive, error) {
+	if item.Key == waveKey {
+		return subscription.Directive{Wave: &subscription.Wave{Number: 1, Machines: []string{"mw0", "mw1"}, Term: 20 * time.Second, Limit: 2}}, nil
+	}
 	if item.Key != configKey {
 		return subscription.Directive{}, nil
 	}
@@ -271,12 +275,12 @@
 		defer p.end()
 		defer p.own()()
 		time.Sleep(time.Second)
-		p.store.Fault = func(call string) kvfake.Fault {
+		p.store.SetFault(func(call string) kvfake.Fault {
 			if call == "watch" {
 				return kvfake.Lost
 			}
 			return kvfake.Answered
-		}
+		})
 		p.submit(t, "a", job.Step{Count: 1, Need: task})
 		time.Sleep(2500 * time.Millisecond)
 		assertStored(t, p, "a", progress.Succeeded)
@@ -289,16 +293,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlant(t, 3)
 		defer p.end()
-		p.config.Decode = func(item kv.Item) (subscription.Directive, error) {
-			if item.Key == "operators/wave/1" {
-				return subscription.Directive{Wave: &subscription.Wave{Number: 1, Machines: []string{"mw0", "mw1"}, Term: 20 * time.Second, Limit: 2}}, nil
-			}
-			return decodeOperator(item)
-		}
-		p.store.Delay = 20 * time.Millisecond
+		p.store.SetDelay(20 * time.Millisecond)
 		defer p.own()()
 		time.Sleep(time.Second)
-		p.store.Put("operators/wave/1", nil)
+		p.store.Put(waveKey, nil)
 		time.Sleep(20 * time.Second)
 		qt.Assert(t, string(p.store.Item(statusPrefix+"1").Value), qt.Equals, "true")
 		p.mu.Lock()
--- a/dispatch/saver_test.go
+++ b/dispatch/saver_test.go
@@ -52,7 +52,7 @@
 func TestBurstOfResultsOnSlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newSaving()
-		g.store.Delay = 330 * time.Millisecond
+		g.store.SetDelay(330 * time.Millisecond)
 		g.queue(90)
 		g.run(t.Context(), 700*time.Millisecond)
 		qt.Assert(t, g.saved, qt.HasLen, 90)
@@ -88,14 +88,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newSaving()
 		commits := 0
-		g.store.Fault = func(call string) kvfake.Fault {
+		g.store.SetFault(func(call string) kvfake.Fault {
 			if call == "commit" {
 				if commits++; commits == 1 {
 					return kvfake.AnswerLost
 				}
 			}
 			return kvfake.Answered
-		}
+		})
 		g.queue(2)
 		g.run(t.Context(), time.Second)
 		qt.Assert(t, g.lost, qt.IsFalse)
--- a/kvfake/fake.go
+++ b/kvfake/fake.go
@@ -29,13 +29,9 @@
 
 // Fake is one stand-in. It is safe for concurrent use.
 type Fake struct {
-	// Fault decides the fate of a call by its name: get, range, watch, commit, grant,
-	// renew or revoke. Nil answers everything.
-	Fault func(call string) Fault
-	// Delay is the time that each call takes.
-	Delay time.Duration
-
 	mu       sync.Mutex
+	fault    func(call string) Fault
+	delay    time.Duration
 	revision int64
 	items    map[string]kv.Item
 	history  []kv.Event
@@ -55,6 +51,21 @@
 	return &Fake{items: make(map[string]kv.Item), leases: make(map[int64]*lease), changed: make(chan struct{}), calls: make(map[string]int)}
 }
 
+// SetFault lets a function decide the fate of calls by their names: get, range, watch,
+// commit, grant, renew or revoke. It is called by one call at a time; nil answers everything.
+func (f *Fake) SetFault(fault func(call string) Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+// SetDelay sets the time that each call takes.
+func (f *Fake) SetDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+}
+
 // Store returns the calls of the stand-in.
 func (f *Fake) Store() kv.Store {
 	return kv.Store{Get: f.get, Range: f.scan, Watch: f.watch, Commit: f.commit, Grant: f.grant, Renew: f.renew, Revoke: f.revoke}
@@ -95,9 +106,12 @@
 
 // begin counts a call and lets its fate act; carry says whether it takes effect.
 func (f *Fake) begin(ctx context.Context, name string) (carry bool, err error) {
-	if f.Delay > 0 {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	if delay > 0 {
 		select {
-		case <-time.After(f.Delay):
+		case <-time.After(delay):
 		case <-ctx.Done():
 			return false, &kv.UnavailableError{Cause: ctx.Err()}
 		}
@@ -105,11 +119,11 @@
 	f.mu.Lock()
 	f.calls[name]++
 	f.expire()
-	f.mu.Unlock()
 	fault := Answered
-	if f.Fault != nil {
-		fault = f.Fault(name)
+	if f.fault != nil {
+		fault = f.fault(name)
 	}
+	f.mu.Unlock()
 	switch fault {
 	case Refused:
 		return false, &kv.UnavailableError{Undone: true, Cause: errFault}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -251,11 +251,11 @@
 	return p.step.MaxPerWorker == 0 || s.siblings(p, h)+extra < p.step.MaxPerWorker
 }
 
-// siblings counts the tasks of a part on a worker.
+// siblings counts the runs of a part on a worker, also those that are left to it or stopped.
 func (s *Scheduler) siblings(p *part, h *host) int {
 	n := 0
-	for i := range p.tasks {
-		if r := p.tasks[i].run; r != nil && r.host == h {
+	for _, r := range h.runs {
+		if r.part.entry == p.entry && r.part.number == p.number && r.part.occurrence.number == p.occurrence.number {
 			n++
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -310,6 +310,22 @@
 	qt.Assert(t, g.failures[name], qt.Equals, 3)
 }
 
+// Guards against more tasks of a step on one worker than the step allows: a run that was
+// left to a silent worker still counts there.
+func TestCopiesCountForTheLimitPerWorker(t *testing.T) {
+	g := newStage(2)
+	g.duration = time.Hour
+	g.run(time.Second)
+	g.submit("a", job.Step{Count: 2, Need: small, Speculative: true, MaxPerWorker: 1})
+	g.run(300 * time.Millisecond)
+	g.workers["w0"].cut = true
+	g.run(1600 * time.Millisecond)
+	g.workers["w0"].cut = false
+	g.run(2 * time.Second)
+	assertNothingBroken(t, g)
+	qt.Assert(t, g.core.hosts["w0"].runs, qt.HasLen, 1)
+}
+
 // Guards against speculative tasks that wait for the lease of a silent worker, and against
 // copies that go on when the task is done. It answers the pattern of a rack that is lost
 // during a burst.
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -357,6 +357,15 @@
 	for _, r := range w.runs {
 		used = used.Add(r.need)
 	}
+	siblings := 0
+	for name := range w.runs {
+		if name.Job == a.Task.Job && name.Step == a.Task.Step {
+			siblings++
+		}
+	}
+	if step.MaxPerWorker > 0 && siblings >= step.MaxPerWorker {
+		g.breaks("%s beside %d others of its step on %s", a.Task, siblings, w.entry.ID)
+	}
 	if !used.Add(step.Reserved()).Within(w.entry.Capacity) {
 		g.breaks("%s above the capacity of %s", a.Task, w.entry.ID)
 	}
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -82,10 +82,10 @@
 		stop := h.run(t.Context(), 0, "a")
 		time.Sleep(time.Second)
 		assertOwners(t, h, 0)
-		h.store.Fault = func(string) kvfake.Fault { return kvfake.Lost }
+		h.store.SetFault(func(string) kvfake.Fault { return kvfake.Lost })
 		time.Sleep(tenure.TTL)
 		assertOwners(t, h)
-		h.store.Fault = nil
+		h.store.SetFault(nil)
 		time.Sleep(2 * tenure.TTL)
 		assertOwners(t, h, 0)
 		stop()
@@ -99,14 +99,14 @@
 		stop := h.run(t.Context(), 0, "a")
 		time.Sleep(time.Second)
 		// The process dies without a chance to give anything back.
-		h.store.Fault = func(call string) kvfake.Fault {
+		h.store.SetFault(func(call string) kvfake.Fault {
 			if call == "revoke" {
 				return kvfake.Lost
 			}
 			return kvfake.Answered
-		}
+		})
 		stop()
-		h.store.Fault = nil
+		h.store.SetFault(nil)
 		qt.Assert(t, h.store.Item(layout.Owner).Revision > 0, qt.IsTrue)
 		stop = h.run(t.Context(), 1, "a")
 		time.Sleep(300 * time.Millisecond)
@@ -121,14 +121,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts()
 		commits := 0
-		h.store.Fault = func(call string) kvfake.Fault {
+		h.store.SetFault(func(call string) kvfake.Fault {
 			if call == "commit" {
 				if commits++; commits == 1 {
 					return kvfake.AnswerLost
 				}
 			}
 			return kvfake.Answered
-		}
+		})
 		stop := h.run(t.Context(), 0, "a")
 		time.Sleep(time.Second)
 		assertOwners(t, h, 0)
@@ -141,7 +141,7 @@
 func TestElectionAtSlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts()
-		h.store.Delay = 330 * time.Millisecond
+		h.store.SetDelay(330 * time.Millisecond)
 		stop := h.run(t.Context(), 0, "a")
 		time.Sleep(1500 * time.Millisecond)
 		first := h.terms[0].Load()
