--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -227,8 +227,10 @@
 	var best *host
 	var bestScore float64
 	need := p.step.Reserved()
+	name := p.name(index)
 	for _, h := range hosts {
-		if !s.fits(p, h, need, extra[h]) {
+		// A worker takes one run of a task; an earlier one may have been left to it.
+		if h.runs[name] != nil || !s.fits(p, h, need, extra[h]) {
 			continue
 		}
 		if score := s.score(p, index, h, extra[h]); best == nil || score > bestScore {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -316,7 +316,7 @@
 	g := newStage(2)
 	g.duration = time.Hour
 	g.run(time.Second)
-	g.submit("a", job.Step{Count: 2, Need: small, Speculative: true, MaxPerWorker: 1})
+	g.submit("a", job.Step{Count: 3, Need: small, Speculative: true, MaxPerWorker: 1})
 	g.run(300 * time.Millisecond)
 	g.workers["w0"].cut = true
 	g.run(1600 * time.Millisecond)
@@ -326,6 +326,24 @@
 	qt.Assert(t, g.core.hosts["w0"].runs, qt.HasLen, 1)
 }
 
+// Guards against a second run of a task on the worker that still has the first one: the
+// worker rejects it, and the room of the first one was never given back.
+func TestCopyStartsOnAnotherWorker(t *testing.T) {
+	g := newStage(1)
+	g.duration = 4 * time.Second
+	g.run(time.Second)
+	g.submit("a", job.Step{Count: 2, Need: small, Speculative: true})
+	g.run(300 * time.Millisecond)
+	g.workers["w0"].cut = true
+	g.run(1600 * time.Millisecond)
+	g.workers["w0"].cut = false
+	g.run(6 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "a", progress.Succeeded)
+	qt.Assert(t, g.starts, qt.Equals, 2)
+	qt.Assert(t, g.core.hosts["w0"].used, qt.Equals, resource.Amount{})
+}
+
 // Guards against speculative tasks that wait for the lease of a silent worker, and against
 // copies that go on when the task is done. It answers the pattern of a rack that is lost
 // during a burst.
