Keep fractions of a second in the times of stored jobs

Cause: the default of the CBOR library writes times in whole seconds, so the first due time of a scheduled job was up to a second early, and the age of a job that a new owner takes over up to a second too high. Ruled out: the clock of the owner and the reading of the submission, which both keep milliseconds.

--- a/desk/desk.go
+++ b/desk/desk.go
@@ -7,7 +7,6 @@
 	"errors"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"egretdrum.example/catalog"
@@ -160,7 +159,7 @@
 			return uncertain(refused, mayHaveRun)
 		}
 		j.Queue, j.Account = t.Queue.Name, t.Account
-		value, err := cbor.Marshal(j)
+		value, err := j.Encode()
 		if err != nil {
 			return Answer{Outcome: Invalid, Reason: err.Error()}
 		}
@@ -200,8 +199,8 @@
 
 // again answers for a job that is stored already.
 func (d *Desk) again(existing kv.Item, t *Target) Answer {
-	var known job.Job
-	if err := cbor.Unmarshal(existing.Value, &known); err != nil {
+	known, err := job.Decode(existing.Value)
+	if err != nil {
 		return Answer{Outcome: Unknown, Reason: err.Error()}
 	}
 	if known.Queue != t.Queue.Name || known.Account != t.Account {
@@ -273,8 +272,8 @@
 		case layout.Cancel(t.ID):
 			cancelled = true
 		case layout.Job(t.ID):
-			var j job.Job
-			if err := cbor.Unmarshal(i.Value, &j); err != nil {
+			j, err := job.Decode(i.Value)
+			if err != nil {
 				return kv.Item{}, false, err
 			}
 			if j.Queue == t.Queue.Name && j.Account == t.Account {
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"egretdrum.example/job"
@@ -248,8 +247,8 @@
 		o.core.Cancel(id, now)
 		return
 	}
-	j := new(job.Job)
-	if err := cbor.Unmarshal(item.Value, j); err != nil {
+	j, err := job.Decode(item.Value)
+	if err != nil {
 		o.Log.Warn("job-not-decoded", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"egretdrum.example/catalog"
@@ -197,7 +196,7 @@
 }
 
 func (p *plant) submit(t *testing.T, id string, steps ...job.Step) {
-	b, err := cbor.Marshal(&job.Job{ID: id, Queue: "rounds", Steps: steps})
+	b, err := (&job.Job{ID: id, Queue: "rounds", Steps: steps}).Encode()
 	qt.Assert(t, err, qt.IsNil)
 	p.store.Put(layout.Job(id), b)
 }
