Count machines in maintenance whoever ordered it

Ruled out: two owners at the same time; the terms in the log do not overlap.

A machine that is shown in maintenance counts. The selection of a machine is stored before its order is given, so that a new owner also counts an order that is on its way, and gives it again with a higher token; tokens of orders now rise with each order, so one that is carried out late is refused. A machine whose order had been carried out before is used again. The writer of waves keeps a set of changed waves in place of a bounded queue.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -114,8 +114,8 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, machineTimeout)
 	defer cancel()
-	accepted, impossible, err := o.Calls.Order(ctx, a, o.term.Number)
-	o.Log.Info("machine-ordered", zap.String("machine", a.Machine), zap.String("pool", a.Pool), zap.Int64("wave", a.Wave), zap.Bool("accepted", accepted), zap.Error(err))
+	accepted, impossible, err := o.Calls.Order(ctx, a)
+	o.Log.Info("machine-ordered", zap.String("machine", a.Machine), zap.String("pool", a.Pool), zap.Int64("wave", a.Wave), zap.Int64("fence", a.Fence), zap.Bool("accepted", accepted), zap.Error(err))
 	o.post(func(now time.Time) { o.core.Ordered(a, accepted, impossible, now) })
 }
 
--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +32,8 @@
 	Due      int64    `cbor:"1,keyasint"`
 	Done     []string `cbor:"2,keyasint,omitempty"`
 	Finished bool     `cbor:"3,keyasint,omitempty"`
+	// Begun are the machines that may have been ordered to maintenance.
+	Begun []string `cbor:"4,keyasint,omitempty"`
 }
 
 // pollMachines lists the machines.
@@ -85,19 +88,20 @@
 		r.Due = now.Add(w.Term).UnixMilli()
 		o.waves[w.Number] = r
 	}
-	o.core.SetWave(w.Number, w.Machines, now.Add(time.Duration(r.Due-now.UnixMilli())*time.Millisecond), w.Limit, r.Done, r.Finished)
+	deadline := now.Add(time.Duration(r.Due-now.UnixMilli()) * time.Millisecond)
+	o.core.SetWave(w.Machines, deadline, w.Limit, scheduler.WaveState{Wave: w.Number, Finished: r.Finished, Done: r.Done, Begun: r.Begun})
 }
 
 // saveWave notes the progress of a wave and has it stored.
 func (o *Owner) saveWave(state scheduler.WaveState) {
 	r := o.waves[state.Wave]
-	r.Done, r.Finished = state.Done, state.Finished
+	r.Done, r.Begun, r.Finished = state.Done, state.Begun, state.Finished
 	o.waves[state.Wave] = r
+	o.changedWaves[state.Wave] = true
 	select {
-	case o.changedWaves <- state.Wave:
+	case o.wavesChanged <- struct{}{}:
 	default:
-		// The writer reads the newest state of all waves that are queued.
-		o.Log.Warn("wave-not-queued", zap.Int64("wave", state.Wave))
+		// The writer has not yet asked for the changes before.
 	}
 }
 
@@ -106,8 +110,20 @@
 func (o *Owner) writeWaves() {
 	for {
 		select {
-		case number := <-o.changedWaves:
-			o.writeWave(number)
+		case <-o.wavesChanged:
+		case <-o.ctx.Done():
+			return
+		}
+		numbers := make(chan []int64, 1)
+		o.post(func(time.Time) {
+			numbers <- slices.Sorted(maps.Keys(o.changedWaves))
+			clear(o.changedWaves)
+		})
+		select {
+		case changed := <-numbers:
+			for _, number := range changed {
+				o.writeWave(number)
+			}
 		case <-o.ctx.Done():
 			return
 		}
@@ -134,7 +150,11 @@
 		cancel()
 		var conflict *kv.ConflictError
 		if err == nil || errors.As(err, &conflict) {
-			o.Log.Info("wave-stored", zap.Int64("wave", number), zap.Int("done", len(r.Done)), zap.Bool("finished", r.Finished), zap.Error(err))
+			o.Log.Info("wave-stored", zap.Int64("wave", number), zap.Int("done", len(r.Done)), zap.Int("begun", len(r.Begun)), zap.Bool("finished", r.Finished), zap.Error(err))
+			if err == nil {
+				state := scheduler.WaveState{Wave: number, Finished: r.Finished, Done: r.Done, Begun: r.Begun}
+				o.post(func(now time.Time) { o.core.WaveStored(state, now) })
+			}
 			return
 		}
 		wait.For(o.ctx, saveRetry)
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -40,8 +40,10 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	waves  map[int64]waveRecord
-	// changedWaves has the numbers of waves whose progress is to be stored.
-	changedWaves chan int64
+	// changedWaves has the numbers of waves whose progress is to be stored; wavesChanged
+	// tells their writer.
+	changedWaves map[int64]bool
+	wavesChanged chan struct{}
 }
 
 // Calls are the calls to workers and machines, and the formats of the platform.
@@ -50,7 +52,7 @@
 	Stop         func(ctx context.Context, a scheduler.Stop) bool
 	Look         func(ctx context.Context, a scheduler.Look) (*worker.Listing, bool, error)
 	ListMachines func(ctx context.Context) ([]worker.Machine, error)
-	Order        func(ctx context.Context, o scheduler.Order, term int64) (accepted, impossible bool, err error)
+	Order        func(ctx context.Context, o scheduler.Order) (accepted, impossible bool, err error)
 	// DecodeWorker reads a registration under WorkerPrefix.
 	DecodeWorker func(kv.Item) (worker.Entry, error)
 	WorkerPrefix string
@@ -83,7 +85,7 @@
 	o.events = make(chan func(time.Time), eventBuffer)
 	o.slots = make(map[string]chan struct{})
 	o.waves = make(map[int64]waveRecord)
-	o.changedWaves = make(chan int64, eventBuffer)
+	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
 	o.core = scheduler.New(o.Limits, term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log)
 	started := time.Now()
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -141,7 +141,7 @@
 	return list, nil
 }
 
-func (p *plant) order(_ context.Context, o scheduler.Order, _ int64) (accepted, impossible bool, err error) {
+func (p *plant) order(_ context.Context, o scheduler.Order) (accepted, impossible bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.orders = append(p.orders, o)
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -65,13 +65,16 @@
 	Pool    string
 	// Wave is the maintenance wave; zero for a move.
 	Wave int64
+	// Fence is higher than that of each earlier order for the machine.
+	Fence int64
 }
 
-// WaveState tells operators how far a maintenance wave is.
+// WaveState is how far a maintenance wave is; report it by WaveStored once it is durable.
 type WaveState struct {
 	Wave     int64
 	Finished bool
-	Done     []string
+	// Done machines had their maintenance, Begun ones may be ordered to it from now on.
+	Done, Begun []string
 }
 
 // Note describes a decision for the log.
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -24,6 +24,8 @@
 	// known is set once the worker has answered a look of this owner in its present life.
 	known bool
 	born  int64
+	// orderedAway is set once the machine was ordered to another pool or to maintenance.
+	orderedAway bool
 	// fence rises when an order has gone unanswered or a new life was seen, so that an
 	// older order which is still on its way does nothing.
 	fence int64
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -30,6 +30,9 @@
 type fakeMachine struct {
 	worker.Machine
 	back time.Time
+	// fence is the highest that an order had.
+	fence      int64
+	maintained bool
 }
 
 // newMachinery has the given number of machines in each pool, all up.
@@ -93,8 +96,20 @@
 
 // order carries out an order: the worker ends, and its machine comes back later.
 func (g *machinery) order(o Order) {
+	g.carryOut(o)
+	g.core.Ordered(o, true, false, g.now)
+}
+
+func (g *machinery) carryOut(o Order) {
 	m := g.machines[o.Machine]
+	if o.Fence <= m.fence {
+		return
+	}
+	m.fence = o.Fence
 	g.ordered = append(g.ordered, o)
+	if o.Wave != 0 && m.maintained {
+		return
+	}
 	if w := g.workers[m.Worker]; w != nil {
 		if len(w.runs) > 0 {
 			g.breaks("%s was ordered away with %d tasks", o.Machine, len(w.runs))
@@ -105,6 +120,7 @@
 	m.Worker = ""
 	m.State, m.back = worker.Moving, g.now.Add(1500*time.Millisecond)
 	if o.Wave != 0 {
+		m.maintained = true
 		m.State, m.back = worker.Maintenance, g.now.Add(2*time.Second)
 	} else {
 		m.Pool = o.Pool
@@ -116,7 +132,6 @@
 		}
 	}
 	g.away = max(g.away, away)
-	g.core.Ordered(o, true, false, g.now)
 }
 
 // watchLosses counts the tasks of the long-running job that are not at work.
@@ -137,7 +152,8 @@
 }
 
 func (g *machinery) wave(term time.Duration, limit int, machines ...string) {
-	g.core.SetWave(1, machines, g.now.Add(term), limit, nil, false)
+	g.waves[1] = fakeWave{machines, g.now.Add(term), limit}
+	g.core.SetWave(machines, g.waves[1].deadline, limit, WaveState{Wave: 1})
 }
 
 func (g *machinery) submitTo(queue, account, id string, steps ...job.Step) {
@@ -188,12 +204,93 @@
 	}
 	qt.Assert(t, stopping(), qt.IsTrue)
 	g.replaceOwner()
-	g.wave(20*time.Second, 1, due)
 	g.pass(10 * time.Second)
 	assertNothingBroken(t, g.stage)
 	qt.Assert(t, g.absent <= 1, qt.IsTrue, qt.Commentf("%d absent", g.absent))
 }
 
+// Guards against a new owner that does not count the machines which its predecessor
+// ordered to maintenance, and so takes more than the wave allows.
+func TestNewOwnerCountsMachinesOfItsPredecessor(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 12})
+	g.wave(20*time.Second, 3, deskMachines(8)...)
+	for len(g.ordered) < 3 {
+		g.pass(stageStep)
+	}
+	g.pass(stageStep)
+	g.replaceOwner()
+	g.pass(20 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.away, qt.Equals, 3)
+	qt.Assert(t, g.finished[1], qt.IsTrue)
+}
+
+// Guards against a new owner that does not know of an order on its way: once it is
+// carried out late, more machines than the wave allows are in maintenance.
+func TestLateMaintenanceOrderOfPredecessorCounts(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 12})
+	var held []Order
+	g.orders = func(o Order) { held = append(held, o) }
+	// The machines of these tasks come last for this owner, and first for the next one.
+	g.submitTo("rounds", "arbiters", "brief", job.Step{Count: 4, Need: resource.Amount{CPU: 1500}, MaxPerWorker: 1})
+	g.pass(100 * time.Millisecond)
+	g.wave(20*time.Second, 2, deskMachines(8)...)
+	for len(held) < 2 {
+		g.pass(stageStep)
+	}
+	g.pass(time.Second)
+	g.orders = g.order
+	g.replaceOwner()
+	g.pass(time.Second)
+	for _, o := range held {
+		g.carryOut(o)
+	}
+	g.pass(20 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.away, qt.Equals, 2)
+	qt.Assert(t, g.finished[1], qt.IsTrue)
+}
+
+// Guards against an order that a new owner cannot know of, as it was given before the
+// selection of the machine was durable.
+func TestMaintenanceWaitsForTheStore(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 12})
+	g.storeDown = true
+	g.wave(20*time.Second, 2, deskMachines(8)...)
+	g.pass(time.Second)
+	qt.Assert(t, g.ordered, qt.HasLen, 0)
+}
+
+// Guards against a machine that stays unused and counted as away because its order had
+// been carried out before and so changed nothing.
+func TestMachineThatHadItsMaintenanceIsUsed(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 3})
+	g.machines["desk-0"].maintained = true
+	g.wave(20*time.Second, 1, deskMachines(3)...)
+	g.pass(20 * time.Second)
+	qt.Assert(t, g.finished[1], qt.IsTrue)
+	for n := range 12 {
+		g.submitTo("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 1, Need: resource.Amount{CPU: 4000}})
+	}
+	g.pass(stageStep)
+	g.pass(stageStep)
+	used := 0
+	for _, w := range g.workers {
+		if len(w.runs) > 0 {
+			used++
+		}
+	}
+	qt.Assert(t, used, qt.Equals, 3)
+}
+
+func deskMachines(n int) []string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("desk-%d", i))
+	}
+	return ids
+}
+
 // Guards against a wave that takes all machines of a pool at once: a stopped long-running
 // task had nowhere to go, and its siblings could not be moved either.
 func TestWaveLeavesMachinesForThePool(t *testing.T) {
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -115,7 +115,7 @@
 		if !spare && (from.machines <= homeMachines || from.missing() > 0 || 2*from.wanted.CPU > from.capacity.CPU) {
 			continue
 		}
-		if h := s.hosts[m.Worker]; h != nil && (len(h.runs) > 0 || h.entry.Leaving || h.doubt) {
+		if h := s.hosts[m.Worker]; h != nil && (len(h.runs) > 0 || h.entry.Leaving || h.orderedAway || h.doubt) {
 			continue
 		}
 		if best == nil || (spare && !bestSpare) || (spare == bestSpare && m.ID < best.ID) {
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -70,6 +70,11 @@
 	orders func(Order)
 	// finishedWave is called for a wave that is said to be done.
 	finishedWave func(int64)
+	waves        map[int64]fakeWave
+	// waveStates is the durable state of the waves.
+	waveStates map[int64]WaveState
+	// storeDown loses the states of waves.
+	storeDown bool
 	// fault decides the fate of a call; nil answers everything.
 	fault func(kind string) fate
 	// fails decides whether a run ends as failed.
@@ -77,6 +82,12 @@
 	duration time.Duration
 }
 
+type fakeWave struct {
+	machines []string
+	deadline time.Time
+	limit    int
+}
+
 // fakeEnd is the end of a run, which counts once it was noted.
 type fakeEnd struct {
 	number int64
@@ -109,6 +120,7 @@
 		added: make(map[string]int64), stored: make(map[string]*progress.Record), cancels: make(map[string]time.Time),
 		failures: make(map[job.Task]int), ends: make(map[job.Task][]*fakeEnd), snapshots: make(map[job.Task][][]*fakeEnd),
 		done: make(map[job.Task]bool), noted: make(map[job.Task]bool), duration: 500 * time.Millisecond,
+		waves: make(map[int64]fakeWave), waveStates: make(map[int64]WaveState),
 	}
 	g.catalog = catalog.New(1,
 		[]*catalog.Queue{{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: 600 * time.Millisecond}},
@@ -149,6 +161,11 @@
 	for id := range g.cancels {
 		g.core.Cancel(id, g.now)
 	}
+	for number, w := range g.waves {
+		state := g.waveStates[number]
+		state.Wave = number
+		g.core.SetWave(w.machines, w.deadline, w.limit, state)
+	}
 }
 
 func (g *stage) submit(id string, steps ...job.Step) {
@@ -274,6 +291,11 @@
 		g.orders(o)
 	}
 	for _, w := range a.WaveStates {
+		if g.storeDown {
+			continue
+		}
+		g.waveStates[w.Wave] = w
+		g.core.WaveStored(w, g.now)
 		if w.Finished && g.finishedWave != nil {
 			g.finishedWave(w.Wave)
 		}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -28,6 +28,9 @@
 	missing    bool
 	// due machines are still going to be taken by a wave.
 	due bool
+	// ordersGiven numbers the orders for the machine, so that one which is carried out
+	// late is refused.
+	ordersGiven int64
 }
 
 // wave is a set of machines that are due for maintenance.
@@ -37,6 +40,11 @@
 	deadline time.Time
 	limit    int
 	done     map[string]bool
+	// begun holds the machines that were selected, and stored those of them of which the
+	// durable state tells: an order may be under way for them that a new owner does not
+	// know of.
+	begun    map[string]bool
+	stored   map[string]bool
 	finished bool
 	reported bool
 }
@@ -59,6 +67,9 @@
 	// maintenanceSlack is the time that a machine needs besides its maintenance: to be
 	// noticed as back, and for the next one to be emptied.
 	maintenanceSlack = 1500 * time.Millisecond
+	// unchangedAfter is how long after an accepted order the list may still show the
+	// machine as before; later it shows that the order had been carried out earlier.
+	unchangedAfter = 500 * time.Millisecond
 )
 
 // SetMachines replaces the list of machines, which was asked for at a given time.
@@ -80,8 +91,8 @@
 		if !s.machinesKnown && info.State == worker.Up && info.Worker != "" && !s.settled {
 			s.expected[info.Worker] = true
 		}
-		if m.away && info.State == worker.Up && info.Worker != "" && info.Worker != m.oldWorker {
-			m.away = false
+		if m.away && info.State == worker.Up && info.Worker != "" {
+			m.back(s.hosts[info.Worker], asked)
 		}
 	}
 	for id, m := range s.machines {
@@ -99,6 +110,21 @@
 	}
 }
 
+// back ends the absence of a machine that is up with a worker, nil if that is unknown.
+func (m *machine) back(h *host, asked time.Time) {
+	if m.Worker != m.oldWorker {
+		m.away = false
+		return
+	}
+	if asked.Sub(m.awaySince) < unchangedAfter {
+		return
+	}
+	m.away = false
+	if h != nil {
+		h.orderedAway = false
+	}
+}
+
 // carriesOther reports whether a worker that was on the machine has ended: the machine
 // is on its way, or carries another worker.
 func (m *machine) carriesOther(id string) bool {
@@ -126,16 +152,31 @@
 	return false
 }
 
-// SetWave reports a maintenance wave with what is known to be done of it.
-func (s *Scheduler) SetWave(number int64, machines []string, deadline time.Time, limit int, done []string, finished bool) {
-	if s.waves[number] != nil {
+// SetWave reports a maintenance wave with its durable state.
+func (s *Scheduler) SetWave(machines []string, deadline time.Time, limit int, state WaveState) {
+	if s.waves[state.Wave] != nil {
 		return
 	}
-	w := &wave{number: number, machines: machines, deadline: deadline, limit: max(1, limit), done: make(map[string]bool), finished: finished}
-	for _, id := range done {
-		w.done[id] = true
+	s.waves[state.Wave] = &wave{
+		number: state.Wave, machines: machines, deadline: deadline, limit: max(1, limit), finished: state.Finished,
+		done: setOf(state.Done), begun: setOf(state.Begun), stored: setOf(state.Begun),
 	}
-	s.waves[number] = w
+}
+
+// WaveStored reports that the state of a wave is durable.
+func (s *Scheduler) WaveStored(state WaveState, now time.Time) {
+	s.now = now
+	if w := s.waves[state.Wave]; w != nil {
+		w.stored = setOf(state.Begun)
+	}
+}
+
+func setOf(ids []string) map[string]bool {
+	set := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
 }
 
 // machineOf returns the machine that carries a worker now, or nil.
@@ -199,26 +240,31 @@
 		w.reported = true
 		s.reportWave(w)
 	}
-	busy := 0
+	busy, left := 0, 0
 	var open []*machine
-	left := 0
 	for _, id := range w.machines {
 		m := s.machines[id]
 		if m == nil {
 			continue
 		}
+		if !w.done[id] {
+			left++
+		}
 		switch {
-		case m.away && m.awayWave == w.number, m.ordering && m.cordonWave == w.number:
+		case m.State == worker.Maintenance, m.away && m.awayWave == w.number, m.ordering && m.cordonWave == w.number:
+			// A machine in maintenance counts whoever ordered it.
 			busy++
 		case w.done[id]:
 		case m.cordoned && m.cordonWave == w.number:
 			busy++
-			left++
-		default:
-			left++
-			if m.State == worker.Up && !m.cordoned && !m.ordering && !m.away && !s.now.Before(m.retryAt) {
-				open = append(open, m)
+		case w.begun[id]:
+			// An earlier owner may have given its order, so it is given again.
+			busy++
+			if m.selectable(s.now) {
+				s.cordonForWave(w, m)
 			}
+		case m.selectable(s.now):
+			open = append(open, m)
 		}
 	}
 	for _, m := range open {
@@ -247,12 +293,23 @@
 			continue
 		}
 		state.away++
-		m.cordoned, m.cordonedAt, m.cordonWave = true, s.now, w.number
 		busy++
-		s.note(Note{Event: "machine-cordoned", Worker: m.Worker, Run: w.number, Reason: "maintenance " + m.ID})
+		w.begun[m.ID] = true
+		s.cordonForWave(w, m)
+		s.reportWave(w)
 	}
 }
 
+// selectable reports whether the machine is up and no order is planned for it.
+func (m *machine) selectable(now time.Time) bool {
+	return m.State == worker.Up && !m.cordoned && !m.ordering && !m.away && !now.Before(m.retryAt)
+}
+
+func (s *Scheduler) cordonForWave(w *wave, m *machine) {
+	m.cordoned, m.cordonedAt, m.cordonWave, m.moveTo = true, s.now, w.number, ""
+	s.note(Note{Event: "machine-cordoned", Worker: m.Worker, Run: w.number, Reason: "maintenance " + m.ID})
+}
+
 // parallel is how many machines of a wave are taken at the same time: as many as the
 // deadline needs, so that the pools keep the others.
 func (s *Scheduler) parallel(w *wave, left int) int {
@@ -321,7 +378,13 @@
 	for id := range w.done {
 		state.Done = append(state.Done, id)
 	}
+	for id := range w.begun {
+		if !w.done[id] {
+			state.Begun = append(state.Begun, id)
+		}
+	}
 	slices.Sort(state.Done)
+	slices.Sort(state.Begun)
 	s.actions.WaveStates = append(s.actions.WaveStates, state)
 }
 
@@ -364,9 +427,14 @@
 		// Ends that are not durable yet would be lost with the worker.
 		return
 	}
+	if w != nil && !w.stored[m.ID] {
+		// A new owner has to count the machine as away even if this host ends now.
+		return
+	}
 	m.ordering = true
 	m.oldWorker = m.Worker
-	s.actions.Orders = append(s.actions.Orders, Order{Machine: m.ID, Pool: m.moveTo, Wave: m.cordonWave})
+	m.ordersGiven++
+	s.actions.Orders = append(s.actions.Orders, Order{Machine: m.ID, Pool: m.moveTo, Wave: m.cordonWave, Fence: s.fence + m.ordersGiven})
 }
 
 func (s *Scheduler) pressedOrGone(w *wave, h *host) bool {
@@ -431,13 +499,16 @@
 		m.retryAt = now.Add(orderRetry)
 		if impossible {
 			m.cordoned, m.moveTo = false, ""
+			if w := s.waves[o.Wave]; w != nil {
+				delete(w.begun, m.ID)
+			}
 		}
 		return
 	}
 	m.cordoned, m.moveTo = false, ""
 	m.away, m.awayWave, m.awaySince = true, o.Wave, now
 	if h := s.hosts[m.oldWorker]; h != nil {
-		h.entry.Leaving = true
+		h.orderedAway = true
 		for _, r := range h.runs {
 			s.drop(r, "machine ordered away")
 		}
