Place colocated steps in one rack, lend by label, rank occurrences by their due time

Occurrences were ranked from the arrival of their job, so all but the first were hopeless; machines were lent without regard to the label that waiting tasks need; colocated steps were spread; long-running tasks with a label had no refuge when their machine was due.

--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -30,10 +30,13 @@
 	remaining              int
 }
 
+// occurrence is one time that the steps of a job run.
 type occurrence struct {
 	number int
-	parts  []*part
-	open   int // steps that are not done
+	// due is when it was to begin: the arrival of a job without times.
+	due   time.Time
+	parts []*part
+	open  int // steps that are not done
 }
 
 // part is one step of one occurrence.
@@ -161,7 +164,11 @@
 
 // begin creates the parts of an occurrence and queues those that depend on nothing.
 func (s *Scheduler) begin(e *entry, number int) {
-	o := &occurrence{number: number}
+	o := &occurrence{number: number, due: e.arrived}
+	if e.job.Repeat > 0 {
+		// Due times are times of day, which may jump; all else is on the steady clock.
+		o.due = s.now.Add(-max(0, s.now.Round(0).Sub(e.job.Due(number))))
+	}
 	e.occurrences[number] = o
 	e.begun = number + 1
 	for i := range e.job.Steps {
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -68,9 +68,22 @@
 	}
 	w := g.addWorker(m.Worker)
 	w.entry.Pool, w.entry.Machine = m.Pool, m.ID
+	if m.Labels != nil {
+		w.entry.Labels = m.Labels
+	}
 	g.core.SetWorker(w.entry, g.now)
 }
 
+// relabel registers all workers again with the labels of their machines.
+func (g *machinery) relabel() {
+	for _, m := range g.machines {
+		if w := g.workers[m.Worker]; w != nil && m.Labels != nil {
+			w.entry.Labels = m.Labels
+			g.core.SetWorker(w.entry, g.now)
+		}
+	}
+}
+
 func (g *machinery) list() []worker.Machine {
 	var list []worker.Machine
 	for _, m := range g.machines {
@@ -325,6 +338,39 @@
 	}
 }
 
+// It answers the pattern of a burst of tasks that need one kind of worker: machines of
+// another kind are not borrowed for them.
+func TestBurstForALabelBorrowsMachinesWithIt(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 1, "spare": 4})
+	g.machines["spare-2"].Labels = worker.Labels{"large"}
+	g.submitTo("rounds", "arbiters", "need", job.Step{Count: 2, Need: small, Label: "large"})
+	g.pass(5 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.machines["spare-2"].Pool, qt.Equals, "desk")
+	qt.Assert(t, g.ordered, qt.HasLen, 1)
+	assertState(t, g.stage, "need", progress.Succeeded)
+}
+
+// Guards against a wave that ends late because the long-running tasks of a due machine have
+// nowhere to go: the only other workers of their label are due as well.
+func TestWaveBorrowsARefuge(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 4, "spare": 2})
+	for id, m := range g.machines {
+		if id == "desk-0" || id == "desk-1" || id == "spare-1" {
+			m.Labels = worker.Labels{"large"}
+		}
+	}
+	g.relabel()
+	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 2, Need: small, LongRunning: true, MayMiss: 1, MaxPerWorker: 1, Label: "large"})
+	g.pass(2 * time.Second)
+	g.wave(15*time.Second, 2, "desk-0", "desk-1")
+	g.pass(15 * time.Second)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.machines["spare-1"].Pool, qt.Equals, "desk")
+	qt.Assert(t, g.finished[1], qt.IsTrue)
+	qt.Assert(t, g.absent <= 1, qt.IsTrue, qt.Commentf("%d absent", g.absent))
+}
+
 // It answers the pattern of one account that sends many times its share: jobs of an
 // account within its share do not wait for those beyond it.
 func TestAccountWithinShareDoesNotWait(t *testing.T) {
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"egretdrum.example/resource"
@@ -15,6 +16,57 @@
 	wanted   resource.Amount
 	machines int
 	unit     resource.Amount
+	// label is set for a demand that only machines with this label can meet.
+	label string
+	// labelled has the demands of waiting tasks that need a label.
+	labelled map[string]*demand
+}
+
+// add counts a machine of the pool.
+func (d *demand) add(m *machine) {
+	d.machines++
+	d.capacity = d.capacity.Add(m.Capacity)
+	for label, of := range d.labelled {
+		if m.Labels.Have(label) {
+			of.add(m)
+		}
+	}
+}
+
+// remove takes a machine from the pool.
+func (d *demand) remove(m *machine) {
+	d.machines--
+	d.capacity = d.capacity.Sub(m.Capacity)
+	for label, of := range d.labelled {
+		if m.Labels.Have(label) {
+			of.remove(m)
+		}
+	}
+}
+
+// use counts what tasks take of a worker of the pool.
+func (d *demand) use(h *host) {
+	d.wanted = d.wanted.Add(h.used)
+	for label, of := range d.labelled {
+		if h.entry.Labels.Have(label) {
+			of.use(h)
+		}
+	}
+}
+
+// wait counts tasks that wait.
+func (d *demand) wait(p *part) {
+	amount := p.step.Reserved().Times(len(p.queue))
+	d.wanted = d.wanted.Add(amount)
+	if p.step.Label == "" {
+		return
+	}
+	of := d.labelled[p.step.Label]
+	if of == nil {
+		of = &demand{pool: d.pool, label: p.step.Label, unit: d.unit}
+		d.labelled[p.step.Label] = of
+	}
+	of.wanted = of.wanted.Add(amount)
 }
 
 const (
@@ -29,31 +81,43 @@
 // first, then idle ones of pools that ask for little.
 func (s *Scheduler) planMoves() {
 	pools := s.demands()
-	short := make([]*demand, 0, len(pools))
+	s.lendRefuges(pools)
+	var short []*demand
 	for _, d := range pools {
 		if d.missing() > 0 {
 			short = append(short, d)
 		}
+		for _, of := range d.labelled {
+			if of.missing() > 0 {
+				short = append(short, of)
+			}
+		}
 	}
+	// Labels go first, as machines without them do not help.
 	slices.SortFunc(short, func(a, b *demand) int {
-		return cmp.Or(cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.pool, b.pool))
+		return cmp.Or(-boolCompare(a.label != "", b.label != ""), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.pool, b.pool), cmp.Compare(a.label, b.label))
 	})
 	for _, d := range short {
-		for n := d.missing(); n > 0; n-- {
-			m := s.lender(pools, d.pool)
+		for d.missing() > 0 {
+			m := s.lender(pools, d)
 			if m == nil {
 				break
 			}
-			m.cordoned, m.cordonedAt, m.cordonWave, m.moveTo = true, s.now, 0, d.pool
-			if from := pools[m.Pool]; from != nil {
-				from.machines--
-				from.capacity = from.capacity.Sub(m.Capacity)
-			}
-			s.note(Note{Event: "machine-lent", Worker: m.Worker, Reason: m.ID + " from " + m.Pool + " to " + d.pool})
+			s.lend(m, d.pool, pools)
 		}
 	}
 }
 
+// lend plans to move a machine to a pool.
+func (s *Scheduler) lend(m *machine, pool string, pools map[string]*demand) {
+	m.cordoned, m.cordonedAt, m.cordonWave, m.moveTo = true, s.now, 0, pool
+	if from := pools[m.Pool]; from != nil {
+		from.remove(m)
+	}
+	pools[pool].add(m)
+	s.note(Note{Event: "machine-lent", Worker: m.Worker, Reason: m.ID + " from " + m.Pool + " to " + pool})
+}
+
 // missing is the number of machines that a pool lacks.
 func (d *demand) missing() int {
 	if d.unit.CPU == 0 {
@@ -67,9 +131,19 @@
 
 func (s *Scheduler) demands() map[string]*demand {
 	pools := make(map[string]*demand)
+	unit := s.meanMachine()
 	for name, p := range s.catalog.Pools {
 		if !p.Standby {
-			pools[name] = &demand{pool: name}
+			pools[name] = &demand{pool: name, unit: unit, labelled: make(map[string]*demand)}
+		}
+	}
+	for pool, parts := range s.waiting {
+		d := pools[pool]
+		if d == nil {
+			continue
+		}
+		for _, p := range parts {
+			d.wait(p)
 		}
 	}
 	for _, m := range s.machines {
@@ -78,36 +152,64 @@
 			pool = m.moveTo
 		}
 		if d := pools[pool]; d != nil && m.State != worker.Down {
-			d.machines++
-			d.capacity = d.capacity.Add(m.Capacity)
-		}
-		for _, d := range pools {
-			d.unit = m.Capacity
+			d.add(m)
 		}
 	}
 	for _, h := range s.hosts {
 		if d := pools[h.entry.Pool]; d != nil {
-			d.wanted = d.wanted.Add(h.used)
+			d.use(h)
 		}
 	}
-	for pool, parts := range s.waiting {
-		d := pools[pool]
-		if d == nil {
+	return pools
+}
+
+// refuge is a machine with a label that a pool lacks for long-running tasks that have to
+// leave their worker: the others of the pool are due as well or run the same step.
+type refuge struct{ pool, label string }
+
+// lendRefuges gives each pool that lacks a refuge a machine that stays.
+func (s *Scheduler) lendRefuges(pools map[string]*demand) {
+	for _, r := range slices.SortedFunc(maps.Keys(s.refuges), func(a, b refuge) int {
+		return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.label, b.label))
+	}) {
+		if pools[r.pool] == nil || s.onItsWay(r) {
 			continue
 		}
-		for _, p := range parts {
-			d.wanted = d.wanted.Add(p.step.Reserved().Times(len(p.queue)))
+		if m := s.lender(pools, &demand{pool: r.pool, label: r.label}); m != nil && !m.due {
+			s.lend(m, r.pool, pools)
 		}
 	}
-	return pools
+}
+
+// onItsWay reports whether a machine is coming that may be the refuge.
+func (s *Scheduler) onItsWay(r refuge) bool {
+	for _, m := range s.machines {
+		if !m.Labels.Have(r.label) {
+			continue
+		}
+		if m.moveTo == r.pool || (m.Pool == r.pool && (m.away || m.State == worker.Moving)) {
+			return true
+		}
+	}
+	return false
+}
+
+// meanMachine is the mean capacity of the machines.
+func (s *Scheduler) meanMachine() resource.Amount {
+	var sum resource.Amount
+	for _, m := range s.machines {
+		sum = sum.Add(m.Capacity)
+	}
+	n := max(1, len(s.machines))
+	return resource.Amount{CPU: sum.CPU / n, Memory: sum.Memory / n, Accelerators: sum.Accelerators / n}
 }
 
 // lender returns a machine that another pool can do without, or nil.
-func (s *Scheduler) lender(pools map[string]*demand, borrower string) *machine {
+func (s *Scheduler) lender(pools map[string]*demand, borrower *demand) *machine {
 	var best *machine
 	bestSpare := false
 	for _, m := range s.machines {
-		if m.State != worker.Up || m.Pool == borrower || m.cordoned || m.ordering || m.away || s.now.Before(m.retryAt) {
+		if m.State != worker.Up || m.Pool == borrower.pool || !m.Labels.Have(borrower.label) || m.cordoned || m.ordering || m.away || s.now.Before(m.retryAt) {
 			continue
 		}
 		from := pools[m.Pool]
@@ -118,7 +220,8 @@
 		if h := s.hosts[m.Worker]; h != nil && (len(h.runs) > 0 || h.entry.Leaving || h.orderedAway || h.doubt) {
 			continue
 		}
-		if best == nil || (spare && !bestSpare) || (spare == bestSpare && m.ID < best.ID) {
+		// A machine that is due for maintenance would leave again soon.
+		if best == nil || cmp.Or(-boolCompare(spare, bestSpare), boolCompare(m.due, best.due), cmp.Compare(m.ID, best.ID)) < 0 {
 			best, bestSpare = m, spare
 		}
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -35,9 +35,9 @@
 	at time.Time
 	// excess is set for jobs beyond the share of their account.
 	excess bool
-	// hope is 0 while the job can end in time, 1 while it can end late, 2 afterwards.
+	// hope is 0 while the occurrence can end in time, 1 while it can end late, 2 afterwards.
 	hope int
-	// work is the work that is left of the job, in core-seconds.
+	// work is the work that is left of the occurrence, in core-seconds.
 	work float64
 }
 
@@ -74,32 +74,30 @@
 	return time.Duration(math.Exp((x.mean+math.Log(estimate.Seconds()))/2) * float64(time.Second))
 }
 
-// outlook returns the time of the longest chain of a job, of the part of it that is left,
-// and the work that is left.
-func (s *Scheduler) outlook(e *entry) (chain, left time.Duration, work float64) {
+// outlook returns the time of the longest chain of an occurrence, of the part of it that
+// is left, and the work that is left.
+func (s *Scheduler) outlook(queue string, o *occurrence) (chain, left time.Duration, work float64) {
 	var longest, longestLeft [maxChain]time.Duration
-	for _, o := range e.occurrences {
-		for _, p := range o.parts {
-			d := s.expectedTime(e.job.Queue, p.step.Estimate)
-			if rate, known := p.usualRate(nil); known {
-				d = time.Duration(100 / rate * float64(time.Second))
-			}
-			var before, beforeLeft time.Duration
-			for _, earlier := range p.step.After {
-				if earlier < maxChain {
-					before, beforeLeft = max(before, longest[earlier]), max(beforeLeft, longestLeft[earlier])
-				}
-			}
-			after, afterLeft := before+d, beforeLeft
-			if p.undone > 0 && !p.step.LongRunning {
-				afterLeft += d
-				work += float64(p.undone) * float64(p.step.Need.CPU) / 1000 * d.Seconds()
-			}
-			if p.number < maxChain {
-				longest[p.number], longestLeft[p.number] = after, afterLeft
+	for _, p := range o.parts {
+		d := s.expectedTime(queue, p.step.Estimate)
+		if rate, known := p.usualRate(nil); known {
+			d = time.Duration(100 / rate * float64(time.Second))
+		}
+		var before, beforeLeft time.Duration
+		for _, earlier := range p.step.After {
+			if earlier < maxChain {
+				before, beforeLeft = max(before, longest[earlier]), max(beforeLeft, longestLeft[earlier])
 			}
-			chain, left = max(chain, after), max(left, afterLeft)
 		}
+		after, afterLeft := before+d, beforeLeft
+		if p.undone > 0 && !p.step.LongRunning {
+			afterLeft += d
+			work += float64(p.undone) * float64(p.step.Need.CPU) / 1000 * d.Seconds()
+		}
+		if p.number < maxChain {
+			longest[p.number], longestLeft[p.number] = after, afterLeft
+		}
+		chain, left = max(chain, after), max(left, afterLeft)
 	}
 	return chain, left, work
 }
@@ -113,7 +111,7 @@
 func (s *Scheduler) order(parts []*part) {
 	for _, p := range parts {
 		if s.now.Sub(p.rank.at) > rankAge {
-			p.rank = s.rankOf(p.entry)
+			p.rank = s.rankOf(p.entry, p.occurrence)
 		}
 	}
 	slices.SortStableFunc(parts, func(a, b *part) int {
@@ -123,21 +121,21 @@
 			boolCompare(a.rank.excess, b.rank.excess),
 			cmp.Compare(a.rank.hope, b.rank.hope),
 			cmp.Compare(a.rank.work, b.rank.work),
-			a.entry.arrived.Compare(b.entry.arrived),
+			a.occurrence.due.Compare(b.occurrence.due),
 			cmp.Compare(a.entry.job.ID, b.entry.job.ID),
 		)
 	})
 }
 
-func (s *Scheduler) rankOf(e *entry) rank {
-	chain, left, work := s.outlook(e)
+func (s *Scheduler) rankOf(e *entry, o *occurrence) rank {
+	chain, left, work := s.outlook(e.job.Queue, o)
 	r := rank{at: s.now, excess: e.excess, work: work}
 	q := s.catalog.Queues[e.job.Queue]
 	if q == nil {
 		return r
 	}
 	objective := objective(q, chain)
-	switch end := s.now.Sub(e.arrived) + left; {
+	switch end := s.now.Sub(o.due) + left; {
 	case end > lateFactor*objective:
 		r.hope = 2
 	case end > objective:
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -38,9 +38,9 @@
 			case !p.step.Reserved().Within(room):
 				p.reason = "no room in the pool"
 			case p.step.Gang:
-				s.placeGang(p, hosts)
+				s.placeGang(p, s.together(p, hosts))
 			default:
-				s.placePart(p, hosts)
+				s.placePart(p, s.together(p, hosts))
 			}
 			s.explain(p, before)
 		}
@@ -244,7 +244,7 @@
 	if !h.used.Add(need.Times(extra + 1)).Within(h.entry.Capacity) {
 		return false
 	}
-	if !h.entry.HasLabel(p.step.Label) {
+	if !h.entry.Labels.Have(p.step.Label) {
 		return false
 	}
 	if p.step.Background && h.serving > 0 {
@@ -282,7 +282,7 @@
 func (s *Scheduler) score(p *part, index int, h *host, extra int) float64 {
 	free := 1 - float64(h.used.CPU+extra*p.step.Need.CPU)/float64(max(1, h.entry.Capacity.CPU))
 	score := free
-	if p.step.Rack != "" && h.entry.Rack() == p.step.Rack {
+	if p.step.Rack != "" && h.entry.Labels.Have(p.step.Rack) {
 		score += preferRack
 	}
 	if slices.Contains(p.tasks[index].tried, h.entry.ID) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	allowances  map[string]*allowance
 	waves       map[int64]*wave
 	nextPlan    time.Time
+	// refuges has what is missing for long-running tasks that have to leave their worker.
+	refuges map[refuge]bool
 	// changed has the pools in which a task may fit that did not fit before; lastPass is
 	// the time of the last pass over all pools.
 	changed  map[string]bool
@@ -96,7 +98,7 @@
 	s := &Scheduler{
 		limits: limits, started: now, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
 		jobs: make(map[string]*entry), hosts: make(map[string]*host), accounts: make(map[string]resource.Amount),
-		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave),
+		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave), refuges: make(map[refuge]bool),
 		expected: make(map[string]bool), changed: make(map[string]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
 	}
 	s.settleAt = now.Add(s.leaseBound(limits.Lease))
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -137,7 +137,7 @@
 	w := &fakeWorker{
 		entry: worker.Entry{
 			ID: id, Pool: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1,
-			Capacity: resource.Amount{CPU: 4000, Memory: 8000}, Labels: []string{"a", "r1-1"},
+			Capacity: resource.Amount{CPU: 4000, Memory: 8000}, Labels: worker.Labels{"a", "r1-1"}, Rack: "r1-1",
 		},
 		runs: make(map[job.Task]*fakeRun), highest: make(map[job.Task]int64), void: make(map[int64]bool),
 	}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -67,6 +67,9 @@
 	// maintenanceSlack is the time that a machine needs besides its maintenance: to be
 	// noticed as back, and for the next one to be emptied.
 	maintenanceSlack = 1500 * time.Millisecond
+	// lastingMove is how long it takes to stop a long-running task and to have it at work on
+	// another worker; those of one step go one after the other.
+	lastingMove = 2 * time.Second
 	// unchangedAfter is how long after an accepted order the list may still show the
 	// machine as before; later it shows that the order had been carried out earlier.
 	unchangedAfter = 500 * time.Millisecond
@@ -221,6 +224,7 @@
 	}
 	s.nextPlan = s.now.Add(planInterval)
 	s.markDue()
+	clear(s.refuges)
 	for _, w := range s.waves {
 		if !w.finished {
 			s.planWave(w)
@@ -270,7 +274,7 @@
 	for _, m := range open {
 		// Tasks that are moved one after the other take the longest, so they go first.
 		if h := s.hosts[m.Worker]; h != nil && h.lasting > 0 {
-			s.moveLasting(h)
+			s.moveLasting(h, false)
 		}
 	}
 	if left == 0 && !s.anyUndone(w) {
@@ -390,14 +394,19 @@
 
 // pressed reports whether a wave misses its deadline unless each machine is taken at once.
 func (s *Scheduler) pressed(w *wave) bool {
-	undone := 0
+	undone, lasting := 0, 0
 	for _, id := range w.machines {
-		if s.machines[id] != nil && !w.done[id] {
-			undone++
+		m := s.machines[id]
+		if m == nil || w.done[id] {
+			continue
+		}
+		undone++
+		if h := s.hosts[m.Worker]; h != nil {
+			lasting = max(lasting, h.lasting)
 		}
 	}
 	rounds := (undone + w.limit - 1) / w.limit
-	need := time.Duration(rounds) * (s.limits.Maintenance + maintenanceSlack)
+	need := time.Duration(rounds)*(s.limits.Maintenance+maintenanceSlack) + time.Duration(lasting)*lastingMove
 	return s.now.Add(need).After(w.deadline)
 }
 
@@ -413,7 +422,7 @@
 	}
 	h := s.hosts[m.Worker]
 	if h != nil && len(h.runs) > 0 {
-		s.moveLasting(h)
+		s.moveLasting(h, w != nil && s.pressed(w))
 		if w != nil && (s.pressed(w) || s.now.Sub(m.cordonedAt) > drainPatience) {
 			for _, r := range h.runs {
 				if !r.part.step.LongRunning && r.state == present {
@@ -442,8 +451,9 @@
 }
 
 // moveLasting stops long-running tasks of a worker that is to be emptied, as far as the
-// steps may miss them. They are queued again when their end is listed.
-func (s *Scheduler) moveLasting(h *host) {
+// steps may miss them. They are queued again when their end is listed. Unless a deadline
+// presses, they wait for a worker that can take them.
+func (s *Scheduler) moveLasting(h *host, pressed bool) {
 	// Runs that a predecessor told to stop are still listed as at work.
 	if s.now.Sub(s.started) < s.limits.Stop+leaseMargin {
 		return
@@ -456,7 +466,10 @@
 			continue
 		}
 		if !s.hasRefuge(r) {
-			continue
+			s.refuges[refuge{h.entry.Pool, r.part.step.Label}] = true
+			if !pressed {
+				continue
+			}
 		}
 		s.stop(r, "machine is emptied")
 	}
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -4,7 +4,6 @@
 import (
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"egretdrum.example/job"
@@ -15,38 +14,26 @@
 type Entry struct {
 	ID      string
 	Pool    string
-	Zone    string
 	Address netip.AddrPort
 	// Leaving workers end soon and take no new tasks.
 	Leaving bool
 	// Remaining is the least time that a leaving worker has left.
 	Remaining time.Duration
 	Capacity  resource.Amount
-	Labels    []string
+	Labels    Labels
+	// Rack is the label that names the rack of the worker, or the empty string.
+	Rack string
 	// Born tells lives of a worker under the same ID apart.
 	Born int64
 	// Machine is the machine that carries the worker.
 	Machine string
 }
 
-// rackPrefix begins the label that names a rack.
-const rackPrefix = "r"
+// Labels say what a host is, for steps that need one of a kind or in a rack.
+type Labels []string
 
-// Rack returns the label that names the rack of the worker, or the empty string. The
-// labels are the kind of the worker and its rack; a rack label has a hyphen.
-func (e *Entry) Rack() string {
-	for _, l := range e.Labels {
-		if strings.HasPrefix(l, rackPrefix) && strings.Contains(l, "-") {
-			return l
-		}
-	}
-	return ""
-}
-
-// HasLabel reports whether the worker carries the label; every worker has the empty one.
-func (e *Entry) HasLabel(label string) bool {
-	return label == "" || slices.Contains(e.Labels, label)
-}
+// Have reports whether the label is among them; the empty one always is.
+func (l Labels) Have(label string) bool { return label == "" || slices.Contains(l, label) }
 
 // Listing is a worker's own account of its tasks.
 type Listing struct {
@@ -100,8 +87,7 @@
 	ID       string
 	Pool     string
 	State    MachineState
-	Zone     string
-	Labels   []string
+	Labels   Labels
 	Capacity resource.Amount
 	// Worker is the ID of the present worker, if there is one.
 	Worker string
