Link entry hosts to the owner and write final results first

A job waited for the owner's watch, its result for an earlier record of the same job, and both for the 12 changes on their way, which progress of jobs at work had filled; then its caller waited for a read.

Hosts tell the owner of jobs that they have stored and ask it for states. Final records go first, the newest record of a job replaces one that waits, and progress takes two of the 12 changes.

--- a/command/platform.go
+++ b/command/platform.go
@@ -21,6 +21,7 @@
 	"egretdrum.example/dispatch"
 	"egretdrum.example/eventlog"
 	"egretdrum.example/meter"
+	"egretdrum.example/ownerlink"
 	"egretdrum.example/platform"
 	"egretdrum.example/scheduler"
 	"egretdrum.example/subscription"
@@ -72,6 +73,8 @@
 	config   *subscription.Subscription
 	desk     *desk.Desk
 	tenure   *tenure.Tenure
+	link     *ownerlink.Link
+	owners   *ownerlink.Server
 	draining atomic.Bool
 }
 
@@ -94,8 +97,11 @@
 			WaveStatus: platform.EncodeWaveStatus, WaveStatusPrefix: platform.WaveStatusPrefix,
 		},
 	}
+	h.link = ownerlink.New(h.log)
+	h.desk.Tell, h.desk.Ask = h.link.Tell, h.link.Ask
+	h.owners = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: h.log}
 	h.tenure = &tenure.Tenure{
-		Store: store, Host: s.Host, Work: owner.Run, Log: h.log, Now: boottime.Now,
+		Store: store, Host: s.Host, Work: owner.Run, Log: h.log, Now: boottime.Now, Link: s.Link, Followed: h.link.Follow,
 		Delay: ownershipDelay(s.CPU, time.Now()),
 	}
 	return h
@@ -128,7 +134,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	h.log.Info("host-started", zap.String("host", h.settings.Host), zap.String("version", Version), zap.String("availability-zone", h.settings.AvailabilityZone))
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	callers := &http.Server{
 		Handler:           &platform.Callers{Desk: h.desk, Log: h.log, Draining: &h.draining},
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
@@ -136,16 +142,21 @@
 	ready := func() bool { return !h.draining.Load() && h.desk.Ready() }
 	readiness := &http.Server{Handler: platform.Readiness(ready), ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: h.meter.Handler(), ReadHeaderTimeout: headerTimeout}
-	for server, at := range map[*http.Server]netip.AddrPort{callers: h.settings.Callers, readiness: h.settings.Readiness, metrics: h.settings.Metrics} {
+	links := &http.Server{Handler: h.owners, ReadHeaderTimeout: headerTimeout}
+	servers := map[*http.Server]netip.AddrPort{
+		callers: h.settings.Callers, readiness: h.settings.Readiness, metrics: h.settings.Metrics, links: h.settings.Link,
+	}
+	for server, at := range servers {
 		if err := serve(ctx, server, at, failed); err != nil {
 			return err
 		}
 	}
 	duty, resign := context.WithCancel(ctx)
 	defer resign()
-	ended := make(chan struct{}, 2)
+	ended := make(chan struct{}, 3)
 	go func() { h.config.Run(ctx); ended <- struct{}{} }()
 	go func() { h.tenure.Run(duty); ended <- struct{}{} }()
+	go func() { h.link.Run(ctx); ended <- struct{}{} }()
 	for {
 		select {
 		case err := <-failed:
@@ -155,8 +166,9 @@
 		case <-stop.Done():
 			h.drain(resign, callers)
 			cancel()
-			<-ended
-			<-ended
+			for range cap(ended) {
+				<-ended
+			}
 			h.log.Info("host-stopped", zap.String("host", h.settings.Host))
 			return nil
 		}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -14,6 +14,7 @@
 	"egretdrum.example/kv"
 	"egretdrum.example/layout"
 	"egretdrum.example/meter"
+	"egretdrum.example/ownerlink"
 	"egretdrum.example/progress"
 	"egretdrum.example/subscription"
 	"egretdrum.example/wait"
@@ -51,6 +52,9 @@
 	RevokeWithin time.Duration
 	Log          *zap.Logger
 	Meter        *meter.Meter
+	// Tell and Ask, if set, are the link to the owner.
+	Tell func(kv.Item)
+	Ask  func(ctx context.Context, id string) (ownerlink.Answer, bool)
 
 	counts counts
 }
@@ -163,13 +167,15 @@
 		if err != nil {
 			return Answer{Outcome: Invalid, Reason: err.Error()}
 		}
-		err = d.commit(ctx, kv.Change{
+		put := kv.Put{Key: layout.Job(j.ID), Value: value}
+		revision, err := d.commit(ctx, kv.Change{
 			Conditions: []kv.Condition{{Key: d.Config.ConfigKey, Revision: t.revision}, {Key: layout.Job(j.ID)}},
-			Puts:       []kv.Put{{Key: layout.Job(j.ID), Value: value}},
+			Puts:       []kv.Put{put},
 		})
 		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
+			d.tell(put, revision)
 			return Answer{Outcome: Accepted}
 		case errors.As(err, &conflict):
 			if existing := conflict.Find(layout.Job(j.ID)); existing.Revision > 0 {
@@ -209,17 +215,26 @@
 	return Answer{Outcome: Accepted, Reason: "known"}
 }
 
-func (d *Desk) commit(ctx context.Context, c kv.Change) error {
+// tell gives the owner what was stored.
+func (d *Desk) tell(put kv.Put, revision int64) {
+	if d.Tell != nil {
+		d.Tell(kv.Item{Key: put.Key, Value: put.Value, Revision: revision})
+	}
+}
+
+func (d *Desk) commit(ctx context.Context, c kv.Change) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	_, err := d.Store.Commit(ctx, c)
-	return err
+	return d.Store.Commit(ctx, c)
 }
 
 // State shows how far a job is.
 func (d *Desk) State(ctx context.Context, call *Call, t *Target) Answer {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout(call))
 	defer cancel()
+	if a, ok := d.ask(ctx, t); ok {
+		return a
+	}
 	for {
 		a, err := d.state(ctx, t)
 		if err == nil {
@@ -231,6 +246,29 @@
 	}
 }
 
+// ask asks the owner, which knows the state without a read of the store.
+func (d *Desk) ask(ctx context.Context, t *Target) (Answer, bool) {
+	if d.Ask == nil {
+		return Answer{}, false
+	}
+	a, ok := d.Ask(ctx, t.ID)
+	d.Meter.Count("states", "from", source(ok))
+	if !ok {
+		return Answer{}, false
+	}
+	if a.Queue != t.Queue.Name || a.Account != t.Account {
+		return Answer{Outcome: NoJob}, true
+	}
+	return Answer{Outcome: Shown, State: a.State}, true
+}
+
+func source(owner bool) string {
+	if owner {
+		return "owner"
+	}
+	return "store"
+}
+
 func (d *Desk) state(ctx context.Context, t *Target) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -311,12 +349,14 @@
 	case cancelled:
 		return Answer{Outcome: Accepted, Reason: "known"}, nil
 	}
-	err = d.commit(ctx, kv.Change{
+	put := kv.Put{Key: layout.Cancel(t.ID), Value: []byte{}}
+	revision, err := d.commit(ctx, kv.Change{
 		Conditions: []kv.Condition{{Key: layout.Job(t.ID), Revision: item.Revision}},
-		Puts:       []kv.Put{{Key: layout.Cancel(t.ID), Value: []byte{}}},
+		Puts:       []kv.Put{put},
 	})
 	if err != nil {
 		return Answer{}, err
 	}
+	d.tell(put, revision)
 	return Answer{Outcome: Accepted}, nil
 }
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -20,6 +20,7 @@
 	"egretdrum.example/kvfake"
 	"egretdrum.example/layout"
 	"egretdrum.example/meter"
+	"egretdrum.example/ownerlink"
 	"egretdrum.example/progress"
 	"egretdrum.example/resource"
 	"egretdrum.example/subscription"
@@ -104,6 +105,47 @@
 	qt.Assert(t, a.Outcome, qt.Equals, want, qt.Commentf("%+v", a))
 }
 
+// It answers the pattern of a slow store: a state that the owner knows is shown without a
+// read, and a job that is stored is told to the owner.
+func TestOwnerIsToldAndAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		var told []kv.Item
+		g.desk.Tell = func(i kv.Item) { told = append(told, i) }
+		g.desk.Ask = func(context.Context, string) (ownerlink.Answer, bool) {
+			return ownerlink.Answer{Known: true, State: progress.Succeeded, Queue: "rounds", Account: "arbiters"}, true
+		}
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		qt.Assert(t, told, qt.DeepEquals, []kv.Item{g.store.Item(layout.Job(jobID))})
+		qt.Assert(t, g.state(t).State, qt.Equals, progress.Succeeded)
+		qt.Assert(t, g.store.Calls("get"), qt.Equals, 0)
+	})
+}
+
+// Guards against states that cannot be read while there is no owner.
+func TestStateWithoutOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		g.desk.Ask = func(context.Context, string) (ownerlink.Answer, bool) { return ownerlink.Answer{}, false }
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		qt.Assert(t, g.state(t).State, qt.Equals, progress.Pending)
+	})
+}
+
+// Guards against a job of another account that is shown because its owner knows it.
+func TestOwnerAnswersForAnotherAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		g.desk.Ask = func(context.Context, string) (ownerlink.Answer, bool) {
+			return ownerlink.Answer{Known: true, State: progress.Running, Queue: "rounds", Account: "others"}, true
+		}
+		assertOutcome(t, g.state(t), desk.NoJob)
+	})
+}
+
 // Guards against an acknowledgement of a job that is not stored.
 func TestAcceptedIsStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -29,11 +29,7 @@
 		o.logNote(n)
 	}
 	for _, s := range a.Saves {
-		select {
-		case o.saver.queue <- s:
-		default:
-			o.core.Saved(s.Job, s.Version, false, time.Now())
-		}
+		o.saver.add(s)
 	}
 	for _, l := range a.Looks {
 		go o.look(l)
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +41,9 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	waves  map[int64]waveRecord
+	asks   chan func()
+	// live is the term that other hosts may use, nil while there is none.
+	live atomic.Pointer[liveTerm]
 	// changedWaves has the numbers of waves whose progress is to be stored; wavesChanged
 	// tells their writer.
 	changedWaves map[int64]bool
@@ -82,12 +86,15 @@
 	o.ctx, o.stop = context.WithCancel(ctx)
 	defer o.stop()
 	o.term = term
-	o.events = make(chan func(time.Time), eventBuffer)
+	o.events, o.asks = make(chan func(time.Time), eventBuffer), make(chan func(), eventBuffer)
 	o.slots = make(map[string]chan struct{})
 	o.waves = make(map[int64]waveRecord)
 	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
 	o.core = scheduler.New(o.Limits, term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log)
+	// Items that arrive during the load wait for the loop; questions go to the store.
+	o.live.Store(&liveTerm{term: term, events: o.events, done: o.ctx.Done()})
+	defer o.live.Store(nil)
 	started := time.Now()
 	// Without the configuration, it is not known how often a task may fail.
 	for c, _, _ := o.Config.Current(); c == nil; c, _, _ = o.Config.Current() {
@@ -101,6 +108,7 @@
 		return
 	}
 	o.Log.Info("state-loaded", zap.Int64("term", term.Number), zap.Duration("took", time.Since(started)), zap.Int("jobs", o.core.Summary().Jobs), zap.Int("workers", o.core.Summary().Workers))
+	o.live.Store(&liveTerm{term: term, events: o.events, asks: o.asks, done: o.ctx.Done()})
 	ends := []<-chan struct{}{
 		o.background(func() { o.saver.run(o.ctx, o.stop, o.saved) }),
 		o.background(func() { o.follow(o.Calls.WorkerPrefix, feeds.workers, o.workerEvent, o.reloadWorkers) }),
@@ -145,17 +153,24 @@
 	for {
 		o.core.Tick(time.Now())
 		o.execute(o.core.Take())
-		select {
-		case <-o.ctx.Done():
-			return
-		case event := <-o.events:
-			event(time.Now())
-		case <-changed:
-			changed = o.Config.Changed()
-			o.takeConfig(time.Now())
-		case <-clean.C:
-			o.clean(time.Now())
-		case <-ticker.C:
+		for asked := true; asked; {
+			asked = false
+			select {
+			case <-o.ctx.Done():
+				return
+			case ask := <-o.asks:
+				// Questions change nothing, so that no pass of the scheduler is needed.
+				ask()
+				asked = true
+			case event := <-o.events:
+				event(time.Now())
+			case <-changed:
+				changed = o.Config.Changed()
+				o.takeConfig(time.Now())
+			case <-clean.C:
+				o.clean(time.Now())
+			case <-ticker.C:
+			}
 		}
 		o.drain()
 	}
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -44,6 +44,7 @@
 	meter   *meter.Meter
 	started time.Time
 	ends    []func()
+	owner   *Owner
 
 	mu      sync.Mutex
 	workers map[string]*plantWorker
@@ -112,6 +113,7 @@
 			DecodeWorker: decodeWorker, WorkerPrefix: workerPrefix, WaveStatus: status, WaveStatusPrefix: statusPrefix,
 		},
 	}
+	p.owner = o
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); o.Run(ctx, term) }()
--- a/dispatch/saver.go
+++ b/dispatch/saver.go
@@ -19,12 +19,23 @@
 // record are as they were, so that a write of an earlier owner, or one whose answer was
 // lost, never replaces a newer record.
 type saver struct {
-	store     kv.Store
-	term      int64
-	log       *zap.Logger
-	queue     chan scheduler.Save
+	store kv.Store
+	term  int64
+	log   *zap.Logger
+	// changed tells the writer that a save came or that a batch was written.
+	changed chan struct{}
+
 	mu        sync.Mutex
 	revisions map[string]int64 // by key
+	// waiting has the newest record of each job that is to be written; finals and others
+	// have their IDs in the order of arrival, IDs of records that were written among them.
+	waiting        map[string]scheduler.Save
+	finals, others []string
+	// writing has the jobs whose records are on their way; partial counts the batches
+	// without a final record among them.
+	writing  map[string]bool
+	inFlight int
+	partial  int
 }
 
 const (
@@ -40,12 +51,17 @@
 	savePatience = 25 * time.Millisecond
 	// savesInFlight bounds the batches on their way, and so the calls to a slow store.
 	savesInFlight = 12
-	// saveQueue is above the number of jobs that change in one pass.
-	saveQueue = 8192
+	// partialInFlight bounds those without a final record: of a job that is at work, the
+	// newest record replaces the ones that wait, and a job that ends must not wait for the
+	// answer to an earlier record.
+	partialInFlight = 2
 )
 
 func newSaver(store kv.Store, term int64, log *zap.Logger) *saver {
-	return &saver{store: store, term: term, log: log, queue: make(chan scheduler.Save, saveQueue), revisions: make(map[string]int64)}
+	return &saver{
+		store: store, term: term, log: log, changed: make(chan struct{}, 1), revisions: make(map[string]int64),
+		waiting: make(map[string]scheduler.Save), writing: make(map[string]bool),
+	}
 }
 
 // known notes the revision of a record that was read or written.
@@ -55,31 +71,53 @@
 	v.revisions[key] = revision
 }
 
+// add queues a record in place of an earlier one of the same job.
+func (v *saver) add(s scheduler.Save) {
+	v.mu.Lock()
+	before, queued := v.waiting[s.Job]
+	v.waiting[s.Job] = s
+	switch {
+	case s.Final && !(queued && before.Final):
+		v.finals = append(v.finals, s.Job)
+	case !s.Final && !queued:
+		v.others = append(v.others, s.Job)
+	}
+	v.mu.Unlock()
+	v.wake()
+}
+
+func (v *saver) wake() {
+	select {
+	case v.changed <- struct{}{}:
+	default:
+		// The writer has not yet seen the change before.
+	}
+}
+
 // run writes until ctx ends; it calls lost if another host is the owner. A job is in one
 // batch at a time, so batches may be on their way together: a store that answers in
 // milliseconds gets one after the other, a slow one gets several.
 func (v *saver) run(ctx context.Context, lost func(), saved func(id string, version int, ok bool)) {
 	var writing sync.WaitGroup
 	defer writing.Wait()
-	free := make(chan struct{}, savesInFlight)
-	for {
-		batch := v.collect(ctx)
-		if batch == nil {
-			return
-		}
-		select {
-		case free <- struct{}{}:
-		case <-ctx.Done():
-			return
+	for ctx.Err() == nil {
+		batch, partial := v.pick()
+		if len(batch) == 0 {
+			select {
+			case <-v.changed:
+				wait.For(ctx, gatherSaves)
+			case <-ctx.Done():
+			}
+			continue
 		}
 		done := make(chan struct{})
 		writing.Go(func() {
 			defer close(done)
-			defer func() { <-free }()
 			if !v.write(ctx, batch) {
 				lost()
 				return
 			}
+			v.written(batch, partial)
 			for _, s := range batch {
 				saved(s.Job, s.Version, true)
 			}
@@ -92,24 +130,61 @@
 	}
 }
 
-func (v *saver) collect(ctx context.Context) []scheduler.Save {
-	var batch []scheduler.Save
-	select {
-	case s := <-v.queue:
-		batch = append(batch, s)
-	case <-ctx.Done():
-		return nil
+// pick takes the next batch, the final records first.
+func (v *saver) pick() (batch []scheduler.Save, partial bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.inFlight >= savesInFlight {
+		return nil, false
 	}
-	wait.For(ctx, gatherSaves)
-	for len(batch) < savesPerChange {
-		select {
-		case s := <-v.queue:
-			batch = append(batch, s)
+	v.finals = v.take(v.finals, &batch)
+	partial = len(batch) == 0
+	if !partial || v.partial < partialInFlight {
+		v.others = v.take(v.others, &batch)
+	}
+	if len(batch) == 0 {
+		return nil, false
+	}
+	v.inFlight++
+	if partial {
+		v.partial++
+	}
+	return batch, partial
+}
+
+// take moves records of the given jobs to the batch and returns the jobs that are left.
+func (v *saver) take(ids []string, batch *[]scheduler.Save) []string {
+	left := ids[:0]
+	for i, id := range ids {
+		if len(*batch) == savesPerChange {
+			return append(left, ids[i:]...)
+		}
+		s, waiting := v.waiting[id]
+		switch {
+		case !waiting:
+		case v.writing[id]:
+			left = append(left, id)
 		default:
-			return batch
+			*batch = append(*batch, s)
+			delete(v.waiting, id)
+			v.writing[id] = true
 		}
 	}
-	return batch
+	return left
+}
+
+// written notes the end of a batch.
+func (v *saver) written(batch []scheduler.Save, partial bool) {
+	v.mu.Lock()
+	for _, s := range batch {
+		delete(v.writing, s.Job)
+	}
+	v.inFlight--
+	if partial {
+		v.partial--
+	}
+	v.mu.Unlock()
+	v.wake()
 }
 
 // write repeats a batch until it is stored. It reports false if the right is lost.
--- a/dispatch/saver_test.go
+++ b/dispatch/saver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,7 @@
 type saving struct {
 	store *kvfake.Fake
 	saver *saver
-	lost  bool
+	lost  atomic.Bool
 	saved map[string]int
 }
 
@@ -33,8 +34,8 @@
 func (g *saving) run(ctx context.Context, d time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
-	saved := make(chan string, saveQueue)
-	g.saver.run(ctx, func() { g.lost = true; cancel() }, func(id string, _ int, _ bool) { saved <- id })
+	saved := make(chan string, 10_000)
+	g.saver.run(ctx, func() { g.lost.Store(true); cancel() }, func(id string, _ int, _ bool) { saved <- id })
 	close(saved)
 	for id := range saved {
 		g.saved[id]++
@@ -43,7 +44,7 @@
 
 func (g *saving) queue(n int) {
 	for i := range n {
-		g.saver.queue <- scheduler.Save{Job: fmt.Sprintf("j%d", i), Version: 1, Record: fmt.Appendf(nil, "record %d", i)}
+		g.saver.add(scheduler.Save{Job: fmt.Sprintf("j%d", i), Version: 1, Record: fmt.Appendf(nil, "record %d", i), Final: true})
 	}
 }
 
@@ -59,6 +60,62 @@
 	})
 }
 
+// Guards against final results that wait behind the progress of other jobs while the store
+// is slow, and behind an earlier record of their own job: 400 jobs are at work.
+func TestFinalResultsGoFirstOnSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSaving()
+		g.store.SetDelay(330 * time.Millisecond)
+		for i := range 400 {
+			g.saver.add(scheduler.Save{Job: fmt.Sprintf("work%d", i), Version: 1, Record: []byte("at work")})
+		}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			for i := range 400 {
+				g.saver.add(scheduler.Save{Job: fmt.Sprintf("work%d", i), Version: 2, Record: []byte("at work")})
+			}
+			g.queue(60)
+			// This job's earlier record has not been taken into a batch.
+			g.saver.add(scheduler.Save{Job: "work399", Version: 3, Record: []byte("ended"), Final: true})
+		}()
+		g.run(t.Context(), 900*time.Millisecond)
+		for i := range 60 {
+			qt.Assert(t, g.saved[fmt.Sprintf("j%d", i)], qt.Equals, 1)
+		}
+		qt.Assert(t, string(g.store.Item(layout.Result("work399")).Value), qt.Equals, "ended")
+	})
+}
+
+// Guards against progress that takes all calls to a slow store, so that results have none.
+func TestProgressLeavesCallsToResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSaving()
+		g.store.SetDelay(330 * time.Millisecond)
+		for i := range 400 {
+			g.saver.add(scheduler.Save{Job: fmt.Sprintf("work%d", i), Version: 1, Record: []byte("at work")})
+		}
+		g.run(t.Context(), 650*time.Millisecond)
+		qt.Assert(t, g.store.Calls("commit"), qt.Equals, partialInFlight)
+	})
+}
+
+// Guards against a record that replaces a newer one of the same job.
+func TestNewestRecordIsWrittenLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSaving()
+		g.store.SetDelay(50 * time.Millisecond)
+		go func() {
+			for n := range 20 {
+				g.saver.add(scheduler.Save{Job: "j", Version: n, Record: fmt.Appendf(nil, "record %d", n), Final: n == 19})
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+		g.run(t.Context(), time.Second)
+		qt.Assert(t, string(g.store.Item(layout.Result("j")).Value), qt.Equals, "record 19")
+		qt.Assert(t, g.store.Calls("commit") <= 6, qt.IsTrue)
+	})
+}
+
 // Guards against a call for each result when many come together.
 func TestResultsShareChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -77,7 +134,7 @@
 		g.store.Put(layout.Owner, nil)
 		g.queue(1)
 		g.run(t.Context(), time.Second)
-		qt.Assert(t, g.lost, qt.IsTrue)
+		qt.Assert(t, g.lost.Load(), qt.IsTrue)
 		qt.Assert(t, g.store.Item(layout.Result("j0")).Revision, qt.Equals, int64(0))
 	})
 }
@@ -98,7 +155,7 @@
 		})
 		g.queue(2)
 		g.run(t.Context(), time.Second)
-		qt.Assert(t, g.lost, qt.IsFalse)
+		qt.Assert(t, g.lost.Load(), qt.IsFalse)
 		qt.Assert(t, g.saved, qt.DeepEquals, map[string]int{"j0": 1, "j1": 1})
 	})
 }
--- /dev/null
+++ b/ownerlink/server.go
@@ -0,0 +1,98 @@
+package ownerlink
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/kv"
+)
+
+// Server takes the links of other hosts while this host is the owner.
+type Server struct {
+	// Token returns the token of the present term, nil while this host is not the owner.
+	Token func() []byte
+	// Tell takes an item that was stored.
+	Tell func(kv.Item)
+	// State answers for a job by calling reply, which does not block.
+	State func(job string, reply func(Answer))
+	Log   *zap.Logger
+}
+
+// ServeHTTP serves one link until it ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	token := s.Token()
+	if len(token) == 0 || subtle.ConstantTimeCompare(token, []byte(r.Header.Get(tokenHeader))) != 1 {
+		http.Error(w, "not the owner of this term", http.StatusForbidden)
+		return
+	}
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		s.Log.Info("link-not-accepted", zap.String("from", r.RemoteAddr), zap.Error(err))
+		return
+	}
+	conn.SetReadLimit(maxMessageBytes)
+	ctx, cancel := context.WithCancel(r.Context())
+	out := make(chan []byte, queueMessages)
+	written := make(chan error, 1)
+	go func() { written <- send(ctx, conn, out); cancel() }()
+	err = s.receive(ctx, conn, out)
+	cancel()
+	<-written
+	// The connection has failed or the peer has closed it, so nothing is left to report.
+	_ = conn.CloseNow()
+	s.Log.Debug("link-ended", zap.String("from", r.RemoteAddr), zap.Error(err))
+}
+
+func (s *Server) receive(ctx context.Context, conn *websocket.Conn, out chan<- []byte) error {
+	for {
+		_, b, err := conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		var m message
+		if err := cbor.Unmarshal(b, &m); err != nil {
+			return err
+		}
+		if m.ID == 0 {
+			s.Tell(m.item())
+			continue
+		}
+		s.State(m.Job, func(a Answer) {
+			b, err := cbor.Marshal(reply{m.ID, a})
+			if err != nil {
+				s.Log.Error("answer-not-encoded", zap.String("request", m.Job), zap.Error(err))
+				return
+			}
+			select {
+			case out <- b:
+			default:
+				// The host asks the store after a while.
+			}
+		})
+	}
+}
+
+// send writes messages until ctx ends or the connection fails.
+func send(ctx context.Context, conn *websocket.Conn, out <-chan []byte) error {
+	for {
+		select {
+		case b := <-out:
+			if err := write(ctx, conn, b); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func write(ctx context.Context, conn *websocket.Conn, b []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, b)
+}
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -57,6 +57,8 @@
 	Job     string
 	Version int
 	Record  []byte
+	// Final records are what callers wait for.
+	Final bool
 }
 
 // Order moves a machine to another pool or starts its maintenance; report it by Ordered.
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -390,14 +390,14 @@
 	return r
 }
 
-// collectSaves adds a save for each job whose record changed and is not being saved.
+// collectSaves adds a save for each job whose record changed.
 func (s *Scheduler) collectSaves(a *Actions) {
 	for id, e := range s.dirty {
 		if e.version == e.saved {
 			delete(s.dirty, id)
 			continue
 		}
-		if e.saving > e.saved {
+		if e.saving == e.version {
 			continue
 		}
 		b, err := e.record().Encode()
@@ -406,7 +406,7 @@
 			continue
 		}
 		e.saving = e.version
-		a.Saves = append(a.Saves, Save{Job: id, Version: e.version, Record: b})
+		a.Saves = append(a.Saves, Save{Job: id, Version: e.version, Record: b, Final: e.state.Final()})
 	}
 }
 
@@ -418,10 +418,11 @@
 	if e == nil {
 		return
 	}
-	if ok && version > e.saved {
-		e.saved = version
+	if !ok {
+		e.saving = e.saved
+		return
 	}
-	e.saving = e.saved
+	e.saved = max(e.saved, version)
 }
 
 func (s *Scheduler) addUse(account string, need resource.Amount) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -168,6 +168,20 @@
 // Settled reports whether the recovery is over.
 func (s *Scheduler) Settled() bool { return s.settled }
 
+// Shown returns a job with the state that callers may be told, nil if it is not held. A
+// success or a failure is shown once it is durable; a cancellation is durable before the
+// scheduler learns of it.
+func (s *Scheduler) Shown(id string) (*job.Job, progress.State) {
+	e := s.jobs[id]
+	if e == nil {
+		return nil, ""
+	}
+	if e.state.Final() && e.state != progress.Cancelled && e.saved < e.version {
+		return e.job, progress.Running
+	}
+	return e.job, e.state
+}
+
 // Pending returns the number of jobs of each queue for which no task has started.
 func (s *Scheduler) Pending() map[string]int {
 	counts := make(map[string]int)
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -39,6 +41,11 @@
 	Host string
 	// Delay returns how long to leave the duty to hosts that are better suited.
 	Delay func() time.Duration
+	// Link is where this host takes links of the others while it is the owner.
+	Link netip.AddrPort
+	// Followed, if set, is told where the owner takes links and with which token; an
+	// invalid address means that there is no owner.
+	Followed func(at netip.AddrPort, token []byte)
 	// Work is run while this host is the owner; its context ends with the right.
 	Work func(ctx context.Context, term *Term)
 	Log  *zap.Logger
@@ -49,6 +56,8 @@
 type Term struct {
 	// Number is higher than that of all terms before, of any host.
 	Number int64
+	// Token is known to hosts that can read the store, and to no one else.
+	Token []byte
 
 	now   func() time.Duration
 	mu    sync.Mutex
@@ -78,6 +87,9 @@
 	Host string `cbor:"1,keyasint"`
 	// Nonce tells attempts of the same host apart.
 	Nonce int64 `cbor:"2,keyasint"`
+	// Link is an address and a port in text.
+	Link  string `cbor:"3,keyasint,omitempty"`
+	Token []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Run competes until ctx ends. A host that stops gives its right back at once.
@@ -89,6 +101,7 @@
 		item, err := t.read(ctx)
 		switch {
 		case errors.Is(err, kv.ErrNotFound):
+			t.followed(holder{})
 			t.compete(ctx)
 		case err != nil:
 			wait.For(ctx, retryPause)
@@ -98,6 +111,18 @@
 	}
 }
 
+// followed tells where the owner takes links.
+func (t *Tenure) followed(h holder) {
+	if t.Followed == nil {
+		return
+	}
+	at, err := netip.ParseAddrPort(h.Link)
+	if err != nil && h.Link != "" {
+		t.Log.Warn("owner-link-not-decoded", zap.String("owner", h.Host), zap.Error(err))
+	}
+	t.Followed(at, h.Token)
+}
+
 func (t *Tenure) read(ctx context.Context) (kv.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -116,6 +141,7 @@
 		t.revoke(item.Lease)
 		return
 	}
+	t.followed(h)
 	t.Log.Info("owner-followed", zap.String("owner", h.Host), zap.Int64("term", item.Revision))
 	after := item.Revision
 	for ctx.Err() == nil {
@@ -145,7 +171,8 @@
 		wait.For(ctx, retryPause)
 		return
 	}
-	value, err := cbor.Marshal(holder{t.Host, int64(sent)})
+	own := holder{Host: t.Host, Nonce: int64(sent), Link: t.Link.String(), Token: []byte(rand.Text())}
+	value, err := cbor.Marshal(own)
 	if err != nil {
 		t.Log.Error("owner-not-encoded", zap.Error(err))
 		return
@@ -158,7 +185,8 @@
 		wait.For(ctx, retryPause)
 		return
 	}
-	term := &Term{Number: number, now: t.Now, until: sent + ttl}
+	term := &Term{Number: number, Token: own.Token, now: t.Now, until: sent + ttl}
+	t.followed(own)
 	t.serve(ctx, lease, term)
 }
 
