--- a/ownerlink/server.go
+++ b/ownerlink/server.go
@@ -45,7 +45,7 @@
 	<-written
 	// The connection has failed or the peer has closed it, so nothing is left to report.
 	_ = conn.CloseNow()
-	s.Log.Debug("link-ended", zap.String("from", r.RemoteAddr), zap.Error(err))
+	s.Log.Info("link-ended", zap.String("from", r.RemoteAddr), zap.Error(err))
 }
 
 func (s *Server) receive(ctx context.Context, conn *websocket.Conn, out chan<- []byte) error {
