Store what may run on workers that do not answer

Ruled out: the election (0.6 s) and the load (15 ms).

After two looks without an answer, the owner stores which tasks the worker may hold, and gives it none until that record is durably gone. A new owner books these runs and starts all others. A look that follows an unanswered one does not wait for an end, so that a single lost answer costs 50 ms in place of up to a second. The property test found that an owner which had never reached a worker recorded it as empty; mended before this commit.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -14,8 +14,6 @@
 	// orderTimeout is far above the few milliseconds of an answer; after it, the next look
 	// finds out what became of the order.
 	orderTimeout = 400 * time.Millisecond
-	// lookPatience is how late the answer to a look may be.
-	lookPatience = 400 * time.Millisecond
 	stopRetry    = 200 * time.Millisecond
 	// ordersPerWorker keeps the number of connections to a worker low.
 	ordersPerWorker = 2
@@ -43,6 +41,12 @@
 	for _, order := range a.Orders {
 		go o.order(order)
 	}
+	for _, v := range a.Silences {
+		o.silences.set(v)
+	}
+	for _, id := range a.SilenceEnds {
+		o.silences.end(id)
+	}
 	for _, w := range a.WaveStates {
 		o.saveWave(w)
 	}
@@ -95,7 +99,7 @@
 	if !o.term.Valid() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, a.Wait+lookPatience)
+	ctx, cancel := context.WithTimeout(o.ctx, a.Wait+a.Patience)
 	defer cancel()
 	listing, otherLife, err := o.Calls.Look(ctx, a)
 	if err != nil && o.ctx.Err() == nil {
--- a/job/task.go
+++ b/job/task.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 )
@@ -22,6 +23,11 @@
 	return string(b)
 }
 
+// Compare orders tasks by their names.
+func Compare(a, b Task) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
 // ParseTask reads the form that String writes.
 func ParseTask(s string) (Task, bool) {
 	parts := strings.Split(s, ".")
--- a/layout/keys.go
+++ b/layout/keys.go
@@ -17,6 +17,8 @@
 	Results = "egretdrum/out/"
 	// Waves is the prefix of the progress of maintenance waves.
 	Waves = "egretdrum/wave/"
+	// Silences is the prefix of the records of workers that do not answer.
+	Silences = "egretdrum/silent/"
 
 	cancelSuffix = "/cancel"
 )
@@ -33,6 +35,9 @@
 // Wave is the key of a maintenance wave's progress.
 func Wave(number int64) string { return Waves + strconv.FormatInt(number, 10) }
 
+// Silence is the key of the record of a worker that does not answer.
+func Silence(worker string) string { return Silences + worker }
+
 // ParseSubmission splits a key under Submissions.
 func ParseSubmission(key string) (id string, cancel bool) {
 	rest := strings.TrimPrefix(key, Submissions)
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -16,6 +16,10 @@
 	Saves  []Save
 	Orders []Order
 	Notes  []Note
+	// Silences lists workers that have stopped answering, SilenceEnds those that answer again
+	// or are gone; report an end by SilenceEnded once it is durable.
+	Silences    []Silence
+	SilenceEnds []string
 	// WaveStates lists waves whose state changed.
 	WaveStates []WaveState
 }
@@ -42,6 +46,8 @@
 
 // Look asks a worker for its lists and renews its lease; report it by Looked.
 type Look struct {
+	// Patience is how late the answer may be.
+	Patience time.Duration
 	Worker worker.Entry
 	Fence  int64
 	// Seen is the number of the last end that the worker may forget.
@@ -71,6 +77,21 @@
 	Fence int64
 }
 
+// Silence is what may run on a worker that does not answer. A new owner needs not wait for
+// the lease of such a worker before it starts other tasks.
+type Silence struct {
+	Worker string `cbor:"1,keyasint"`
+	// Born is the life of the worker, zero if it was never seen.
+	Born int64       `cbor:"2,keyasint,omitempty"`
+	Runs []SilentRun `cbor:"3,keyasint,omitempty"`
+}
+
+// SilentRun is a run that a silent worker may hold.
+type SilentRun struct {
+	Task job.Task `cbor:"1,keyasint"`
+	Run  int64    `cbor:"2,keyasint"`
+}
+
 // WaveState is how far a maintenance wave is; report it by WaveStored once it is durable.
 type WaveState struct {
 	Wave     int64
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -23,6 +23,7 @@
 		h.failures++
 		h.nextLook = now.Add(lookRetry)
 		if h.failures == 1 {
+			h.nextLook = now.Add(firstLookRetry)
 			s.note(Note{Event: "worker-unanswered", Worker: h.entry.ID, Workers: len(h.runs)})
 			s.abandonAll(h)
 		}
@@ -102,6 +103,12 @@
 		return
 	}
 	p := s.part(listed.Task)
+	if p != nil && listed.Task.Index < len(p.tasks) {
+		// The record of a silent worker is older than what another worker lists.
+		if r := p.tasks[listed.Task.Index].run; r != nil && r.recorded && r.number < listed.Run {
+			detach(r)
+		}
+	}
 	if p == nil || p.entry.state.Final() || p.tasks[listed.Task.Index].done || p.tasks[listed.Task.Index].run != nil {
 		s.reject(h, listed)
 		return
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -13,15 +13,21 @@
 		return
 	}
 	s.note(Note{Event: "run-copied", Job: p.entry.job.ID, Task: p.name(index), Worker: r.host.entry.ID, Run: r.number, Reason: reason})
-	detached := &part{
+	detach(r)
+	t.copies = append(t.copies, r)
+	s.requeue(p, index)
+}
+
+// detach parts a run from its task, so that the task can have another one.
+func detach(r *run) {
+	p := r.part
+	d := &part{
 		entry: p.entry, occurrence: &occurrence{number: p.occurrence.number}, number: p.number, step: p.step,
 		tasks: make([]task, len(p.tasks)), detached: true,
 	}
-	r.part = detached
-	detached.tasks[index].run = r
-	t.run = nil
-	t.copies = append(t.copies, r)
-	s.requeue(p, index)
+	d.tasks[r.index].run = r
+	p.tasks[r.index].run = nil
+	r.part = d
 }
 
 // abandonAll leaves the runs of a silent worker to it, as far as their steps allow it.
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -24,6 +24,14 @@
 	// known is set once the worker has answered a look of this owner in its present life.
 	known bool
 	born  int64
+	// recorded is set from the time at which the silence of the worker is to be stored until
+	// the end of the record is durable: the worker gets no task meanwhile, so that the
+	// record holds. ending is set while that end is on its way, and emptied once the record
+	// says that the worker holds nothing any more.
+	recorded, ending, emptied bool
+	// accounted is set while the runs that a predecessor may have there are known from such
+	// a record.
+	accounted bool
 	// orderedAway is set once the machine was ordered to another pool or to maintenance.
 	orderedAway bool
 	// fence rises when an order has gone unanswered or a new life was seen, so that an
@@ -84,9 +92,11 @@
 	stopped time.Time
 	percent int
 	load    int
-	save    string
-	speed   speed
-	need    resource.Amount
+	// recorded runs are known from the record of a silent worker only.
+	recorded bool
+	save     string
+	speed    speed
+	need     resource.Amount
 }
 
 type runState int
@@ -98,8 +108,14 @@
 )
 
 const (
-	// lookRetry is the pause after a look that was not answered.
-	lookRetry = 250 * time.Millisecond
+	// lookPatience is far above the few milliseconds of an answer. A worker that left one
+	// look unanswered has secondPatience, so that its silence is known soon.
+	lookPatience   = 400 * time.Millisecond
+	secondPatience = 200 * time.Millisecond
+	// firstLookRetry is the pause after a look that was not answered: a single answer may
+	// be lost. lookRetry is the pause after further ones.
+	firstLookRetry = 50 * time.Millisecond
+	lookRetry      = 250 * time.Millisecond
 	// unhealthyPause keeps work away from a worker that reported that it is not healthy.
 	unhealthyPause = time.Second
 	// idleLook is how often an unfinished lease of an otherwise quiet worker is renewed
@@ -246,6 +262,9 @@
 		h.doubt, h.known = false, false
 	}
 	if !h.listed && len(h.runs) == 0 && s.now.Sub(h.unlistedAt) > s.limits.Absence && s.now.After(h.leaseEnd) {
+		if h.recorded {
+			s.actions.SilenceEnds = append(s.actions.SilenceEnds, h.entry.ID)
+		}
 		delete(s.hosts, h.entry.ID)
 		s.ordered = slices.DeleteFunc(s.ordered, func(other *host) bool { return other == h })
 	}
@@ -268,14 +287,17 @@
 	if !unknown && !news && len(h.unsaved) > 0 && s.now.Sub(h.lookSent) < idleLook {
 		return
 	}
-	l := Look{Worker: h.entry, Seen: h.noted}
+	l := Look{Worker: h.entry, Seen: h.noted, Patience: lookPatience}
+	if h.failures == 1 {
+		l.Patience = secondPatience
+	}
 	l.Fence = h.fence
 	// A worker that does not answer gets no longer lease, or its tasks could never be
 	// started elsewhere.
 	if !h.clockRead.IsZero() && len(h.runs) > 0 && h.failures == 0 {
 		l.Deadline = s.grant(h)
 	}
-	if !unknown && len(h.runs) > 0 && len(h.unsaved) == 0 {
+	if !unknown && len(h.runs) > 0 && len(h.unsaved) == 0 && h.failures == 0 {
 		l.Wait = s.limits.LookWait
 		if h.startsUp() {
 			l.Wait = startupWait
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -206,7 +206,7 @@
 		return sum
 	}
 	for id := range s.expected {
-		if h := s.hosts[id]; h != nil && !h.known {
+		if h := s.hosts[id]; h != nil && !h.known && !h.accounted {
 			sum = sum.Add(h.entry.Capacity)
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -121,6 +121,7 @@
 	for _, h := range slices.Clone(s.ordered) {
 		s.expire(h)
 	}
+	s.recordSilences()
 	s.planMachines()
 	s.place()
 	for _, h := range s.ordered {
@@ -139,13 +140,13 @@
 			return
 		}
 		for id := range s.expected {
-			if h := s.hosts[id]; h == nil || !h.known {
+			if h := s.hosts[id]; h == nil || (!h.known && !h.accounted) {
 				return
 			}
 		}
 	}
 	for id := range s.expected {
-		if h := s.hosts[id]; h == nil || !h.known {
+		if h := s.hosts[id]; h == nil || (!h.known && !h.accounted) {
 			s.note(Note{Event: "worker-not-recovered", Worker: id, Reason: s.silence(id)})
 		}
 	}
@@ -226,7 +227,7 @@
 
 // usable reports whether a worker takes new tasks.
 func (s *Scheduler) usable(h *host) bool {
-	if !h.known || h.foreign || h.failures > 0 || h.doubt || h.entry.Leaving || h.orderedAway || s.now.Before(h.pausedUntil) {
+	if !h.known || h.foreign || h.failures > 0 || h.doubt || h.recorded || h.entry.Leaving || h.orderedAway || s.now.Before(h.pausedUntil) {
 		return false
 	}
 	return h.listed || s.now.Sub(h.unlistedAt) < s.limits.Absence
--- /dev/null
+++ b/scheduler/silence.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/worker"
+)
+
+// silentAfter is the number of looks in a row without an answer after which the silence is
+// recorded; a single answer may be lost.
+const silentAfter = 2
+
+// recordSilences has it stored which workers do not answer and what may run on them.
+func (s *Scheduler) recordSilences() {
+	for _, h := range s.ordered {
+		// Until a recovery is over, runs of a predecessor may be on a worker that has not
+		// answered.
+		complete := s.settled || h.known
+		lapsed := h.recorded && !h.ending && !h.emptied && h.failures > 0 && len(h.runs) == 0
+		switch {
+		case complete && h.failures >= silentAfter && !h.recorded, lapsed:
+			// Without an update, a later owner would take the runs for present again, though
+			// their tasks have been started elsewhere.
+			h.recorded, h.emptied = true, len(h.runs) == 0
+			s.actions.Silences = append(s.actions.Silences, h.silence())
+		case h.failures == 0 && h.known && h.recorded && !h.ending:
+			h.ending = true
+			s.actions.SilenceEnds = append(s.actions.SilenceEnds, h.entry.ID)
+		}
+	}
+}
+
+func (h *host) silence() Silence {
+	v := Silence{Worker: h.entry.ID, Born: max(h.born, h.entry.Born)}
+	for name, r := range h.runs {
+		v.Runs = append(v.Runs, SilentRun{name, r.number})
+	}
+	slices.SortFunc(v.Runs, func(a, b SilentRun) int { return job.Compare(a.Task, b.Task) })
+	return v
+}
+
+// SilenceEnded reports that the record of a worker is durably gone.
+func (s *Scheduler) SilenceEnded(id string, now time.Time) {
+	s.now = now
+	if h := s.hosts[id]; h != nil && h.ending {
+		h.recorded, h.ending, h.emptied = false, false, false
+		s.changed[h.entry.Pool] = true
+	}
+}
+
+// SetSilence takes over what the predecessor knew of a silent worker. It is called after
+// the workers and the jobs are known, and before the first Tick.
+func (s *Scheduler) SetSilence(v Silence, now time.Time) {
+	s.now = now
+	h := s.hosts[v.Worker]
+	if h == nil {
+		s.actions.SilenceEnds = append(s.actions.SilenceEnds, v.Worker)
+		return
+	}
+	h.recorded = true
+	if h.entry.Born != v.Born {
+		// The record is of another life. What runs in this one is not known.
+		return
+	}
+	h.accounted = true
+	for _, r := range v.Runs {
+		s.account(h, r)
+	}
+	s.note(Note{Event: "silence-known", Worker: v.Worker, Workers: len(v.Runs)})
+}
+
+// account books a run that a silent worker may hold until its lease ends.
+func (s *Scheduler) account(h *host, v SilentRun) {
+	e := s.jobs[v.Task.Job]
+	if e == nil || v.Task.Step >= len(e.job.Steps) || v.Task.Index >= e.job.Steps[v.Task.Step].Count || h.runs[v.Task] != nil {
+		return
+	}
+	listed := &worker.Run{Task: v.Task, Run: v.Run}
+	p := s.part(v.Task)
+	free := p != nil && !e.state.Final() && !p.tasks[v.Task.Index].done && p.tasks[v.Task.Index].run == nil
+	if !free {
+		p = &part{
+			entry: e, occurrence: &occurrence{number: v.Task.Occurrence}, number: v.Task.Step, step: &e.job.Steps[v.Task.Step],
+			tasks: make([]task, e.job.Steps[v.Task.Step].Count), detached: true,
+		}
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(n int) bool { return n == v.Task.Index })
+	r := s.adopt(h, p, listed)
+	// The first look has a higher token, so what it does not list is gone.
+	r.fence, r.recorded = h.fence-1, true
+	if free && p.step.Speculative && !p.step.Gang {
+		s.abandon(r, "worker does not answer")
+	}
+}
--- /dev/null
+++ b/scheduler/silence_test.go
@@ -0,0 +1,114 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/resource"
+)
+
+// assertRunning checks how many tasks of a job are on workers that can be reached.
+func assertRunning(t *testing.T, g *stage, id string, want int) {
+	t.Helper()
+	n := 0
+	for _, w := range g.workers {
+		for name := range w.runs {
+			if name.Job == id && !w.cut {
+				n++
+			}
+		}
+	}
+	qt.Assert(t, n, qt.Equals, want, qt.Commentf("tasks of %s", id))
+}
+
+// newSilent has a worker that went silent with a task of "held", and as much work waiting
+// as the others cannot take.
+func newSilent() *stage {
+	g := newStage(3)
+	g.duration = 1500 * time.Millisecond
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	g.run(100 * time.Millisecond)
+	g.submit("held", job.Step{Count: 3, Need: resource.Amount{CPU: 3000}, MaxPerWorker: 1})
+	g.run(100 * time.Millisecond)
+	for n := range 6 {
+		g.submit(fmt.Sprintf("wait%d", n), job.Step{Count: 1, Need: resource.Amount{CPU: 3000}})
+	}
+	g.workers["w0"].cut = true
+	return g
+}
+
+// It answers the pattern of a rack that fails shortly before the owner does: the next owner
+// starts other tasks at once, in place of after the lease of the silent worker.
+func TestNewOwnerKnowsWhatASilentWorkerHolds(t *testing.T) {
+	g := newSilent()
+	g.run(1200 * time.Millisecond)
+	qt.Assert(t, g.silences, qt.HasLen, 1)
+	g.replaceOwner()
+	g.run(500 * time.Millisecond)
+	running := 0
+	for n := range 6 {
+		for _, w := range g.workers {
+			for name := range w.runs {
+				if name.Job == fmt.Sprintf("wait%d", n) {
+					running++
+				}
+			}
+		}
+	}
+	qt.Assert(t, running, qt.Equals, 2)
+	assertNothingBroken(t, g)
+	// The task of the silent worker is started elsewhere once its lease has ended.
+	g.run(8 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "held", "succeeded")
+}
+
+// Guards against a record of an owner that never reached the worker: it would say that
+// nothing runs there, and the next owner would start a task of an earlier owner twice.
+func TestUnknownRunsAreNotRecordedAsNone(t *testing.T) {
+	g := newSilent()
+	g.replaceOwner()
+	g.run(1200 * time.Millisecond)
+	qt.Assert(t, g.silences, qt.HasLen, 0)
+	g.replaceOwner()
+	g.run(500 * time.Millisecond)
+	assertRunning(t, g, "held", 0)
+	g.run(8 * time.Second)
+	assertNothingBroken(t, g)
+}
+
+// Guards against a task on a worker of which the store still says that it holds less.
+func TestWorkerWithARecordGetsNoTasks(t *testing.T) {
+	g := newSilent()
+	g.run(1200 * time.Millisecond)
+	g.storeDown = true
+	g.workers["w0"].cut = false
+	before := len(g.workers["w0"].runs)
+	g.run(2 * time.Second)
+	qt.Assert(t, len(g.workers["w0"].runs) <= before, qt.IsTrue)
+	for name := range g.workers["w0"].runs {
+		qt.Assert(t, name.Job, qt.Equals, "held")
+	}
+	g.storeDown = false
+	g.run(100 * time.Millisecond)
+	qt.Assert(t, g.silences, qt.HasLen, 0)
+	g.run(8 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "wait5", "succeeded")
+}
+
+// Guards against a record that outlives the lease: the next owner would take the task for
+// present there and stop the run that has taken its place.
+func TestRecordIsEmptiedWhenTheLeaseEnds(t *testing.T) {
+	g := newSilent()
+	g.run(4 * time.Second)
+	qt.Assert(t, g.silences["w0"].Runs, qt.HasLen, 0)
+	g.replaceOwner()
+	g.run(8 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "held", "succeeded")
+}
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -73,6 +73,9 @@
 	waves        map[int64]fakeWave
 	// waveStates is the durable state of the waves.
 	waveStates map[int64]WaveState
+	// silences is the durable record of silent workers, silenceWrites what is on its way.
+	silences      map[string]Silence
+	silenceWrites []func()
 	// storeDown loses the states of waves.
 	storeDown bool
 	// fault decides the fate of a call; nil answers everything.
@@ -120,7 +123,7 @@
 		added: make(map[string]int64), stored: make(map[string]*progress.Record), cancels: make(map[string]time.Time),
 		failures: make(map[job.Task]int), ends: make(map[job.Task][]*fakeEnd), snapshots: make(map[job.Task][][]*fakeEnd),
 		done: make(map[job.Task]bool), noted: make(map[job.Task]bool), duration: 500 * time.Millisecond,
-		waves: make(map[int64]fakeWave), waveStates: make(map[int64]WaveState),
+		silences: make(map[string]Silence), waves: make(map[int64]fakeWave), waveStates: make(map[int64]WaveState),
 	}
 	g.catalog = catalog.New(1,
 		[]*catalog.Queue{{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: 600 * time.Millisecond}},
@@ -148,7 +151,7 @@
 // replaceOwner starts a new owner that knows what is stored, as after a crash.
 func (g *stage) replaceOwner() {
 	g.owner++
-	g.looks = nil
+	g.looks, g.silenceWrites = nil, nil
 	g.core = New(DefaultLimits(), g.owner, g.now)
 	g.core.SetCatalog(g.catalog)
 	for _, id := range slices.Sorted(maps.Keys(g.workers)) {
@@ -161,6 +164,9 @@
 	for id := range g.cancels {
 		g.core.Cancel(id, g.now)
 	}
+	for _, id := range slices.Sorted(maps.Keys(g.silences)) {
+		g.core.SetSilence(g.silences[id], g.now)
+	}
 	for number, w := range g.waves {
 		state := g.waveStates[number]
 		state.Wave = number
@@ -290,6 +296,18 @@
 	for _, o := range a.Orders {
 		g.orders(o)
 	}
+	for _, v := range a.Silences {
+		g.silenceWrites = append(g.silenceWrites, func() { g.silences[v.Worker] = v })
+	}
+	for _, id := range a.SilenceEnds {
+		g.silenceWrites = append(g.silenceWrites, func() { delete(g.silences, id); g.core.SilenceEnded(id, g.now) })
+	}
+	if len(g.silenceWrites) > 0 && !g.storeDown && g.decide("save") == answered {
+		for _, write := range g.silenceWrites {
+			write()
+		}
+		g.silenceWrites = nil
+	}
 	for _, w := range a.WaveStates {
 		if g.storeDown {
 			continue
