Bound the connections of callers and put changed settings in force without a signal

Callers get half of the descriptors and a fifth of the memory of the settings' limits; those beyond are refused at once, as not run. The settings file is read every 2 s; a faulty one is reported once and the last good settings hold.

--- a/command/platform.go
+++ b/command/platform.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"egretdrum.example/boottime"
+	"egretdrum.example/callerlimit"
 	"egretdrum.example/desk"
 	"egretdrum.example/dispatch"
 	"egretdrum.example/eventlog"
@@ -41,6 +42,16 @@
 	coreDelay = 20 * time.Millisecond
 	// oldHostDelay is that of a host that runs for oldHost or longer.
 	oldHostDelay = 60 * time.Millisecond
+	// callerShare of the descriptors is for callers; the others are for workers, the store
+	// and links.
+	callerShare = 0.5
+	// callerMemory is what a connection takes, with its buffers and its goroutine, and
+	// callerMemoryShare is the part of the memory that connections may take.
+	callerMemory      = 24 << 10
+	callerMemoryShare = 0.2
+	// settingsInterval is how often the settings file is read, which may change without a
+	// signal.
+	settingsInterval = 2 * time.Second
 	// leastCPU bounds the delay of hosts without a usable setting.
 	leastCPU      = 0.1
 	oldHost       = time.Minute
@@ -65,7 +76,9 @@
 
 // platformHost is an entry host with its parts.
 type platformHost struct {
+	// settings are those of the start; present are those in force.
 	settings *platform.Settings
+	present  atomic.Pointer[platform.Settings]
 	log      *zap.Logger
 	logEnd   <-chan struct{}
 	closeLog context.CancelFunc
@@ -76,20 +89,24 @@
 	link     *ownerlink.Link
 	owners   *ownerlink.Server
 	draining atomic.Bool
+	// settingsFault is the last fault of the settings file, which is reported once.
+	settingsFault string
 }
 
 func newPlatformHost(s *platform.Settings) *platformHost {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	logCtx, closeLog := context.WithCancel(context.Background())
 	out := eventlog.NewBuffered(logCtx, os.Stdout)
 	h := &platformHost{settings: s, log: eventlog.New(out), logEnd: out.Done(), closeLog: closeLog, meter: meter.New()}
+	h.apply(s)
 	client := platform.NewClient(s.Host)
 	store := client.Store(s.Store)
 	h.config = subscription.New(store, platform.OperatorPrefix, platform.ConfigKey, platform.DecodeOperator, h.log)
-	h.desk = &desk.Desk{Store: store, Config: h.config, RevokeWithin: s.RevokeWithin, Log: h.log, Meter: h.meter}
+	h.desk = &desk.Desk{Store: store, Config: h.config, RevokeWithin: func() time.Duration { return h.present.Load().RevokeWithin }, Log: h.log, Meter: h.meter}
 	machines := &platform.Machines{Client: client, At: s.Machines}
 	owner := &dispatch.Owner{
-		Store: store, Config: h.config, Limits: schedulerLimits(s), KeepResults: s.KeepResults, Log: h.log, Meter: h.meter,
+		Store: store, Config: h.config, Log: h.log, Meter: h.meter,
+		Limits:      func() scheduler.Limits { return schedulerLimits(h.present.Load()) },
+		KeepResults: func() time.Duration { return h.present.Load().KeepResults },
 		Calls: dispatch.Calls{
 			Start: client.Start, Stop: client.Stop, Look: client.Look,
 			ListMachines: machines.List, Order: machines.Order,
@@ -139,6 +156,8 @@
 		Handler:           &platform.Callers{Desk: h.desk, Log: h.log, Draining: &h.draining},
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 	}
+	limit := &callerlimit.Limit{Most: maxCallers(h.settings), Refuse: platform.Busy()}
+	limit.Set(callers)
 	ready := func() bool { return !h.draining.Load() && h.desk.Ready() }
 	readiness := &http.Server{Handler: platform.Readiness(ready), ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: h.meter.Handler(), ReadHeaderTimeout: headerTimeout}
@@ -157,12 +176,17 @@
 	go func() { h.config.Run(ctx); ended <- struct{}{} }()
 	go func() { h.tenure.Run(duty); ended <- struct{}{} }()
 	go func() { h.link.Run(ctx); ended <- struct{}{} }()
+	poll := time.NewTicker(settingsInterval)
+	defer poll.Stop()
 	for {
 		select {
 		case err := <-failed:
 			return err
+		case <-poll.C:
+			h.meter.Gauge("caller_connections", float64(limit.Open()))
+			h.reload(false)
 		case <-reload:
-			h.reload()
+			h.reload(true)
 		case <-stop.Done():
 			h.drain(resign, callers)
 			cancel()
@@ -193,25 +217,49 @@
 	return nil
 }
 
-// reload reads the settings again. Addresses and limits hold for the life of a process,
-// so a change of them is only reported.
-func (h *platformHost) reload() {
+// maxCallers is the number of callers' connections that the descriptors and the memory of
+// the host allow.
+func maxCallers(s *platform.Settings) int64 {
+	byMemory := callerMemoryShare * float64(s.MemoryBytes) / callerMemory
+	return max(1, int64(min(callerShare*float64(s.Descriptors), byMemory)))
+}
+
+// apply puts settings in force.
+func (h *platformHost) apply(s *platform.Settings) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	h.present.Store(s)
+}
+
+// reload reads the settings again, told by a signal or at intervals. Bounds and the memory
+// limit are put in force; addresses, the processor share and descriptors hold for the life
+// of a process, so a change of them is only reported.
+func (h *platformHost) reload(told bool) {
 	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
-		h.log.Warn("settings-not-reloaded", zap.Error(err))
+		if told || h.settingsFault != err.Error() {
+			h.log.Warn("settings-not-reloaded", zap.Error(err))
+		}
+		h.settingsFault = err.Error()
+		return
+	}
+	h.settingsFault = ""
+	changed := *s != *h.present.Load()
+	if !told && !changed {
 		return
 	}
-	h.log.Info("settings-reloaded", zap.Bool("changed", *s != *h.settings))
+	h.apply(s)
+	h.log.Info("settings-reloaded", zap.Bool("told", told), zap.Bool("changed", changed), zap.Bool("restart-needed", !s.SameProcess(h.settings)))
 }
 
 // drain gives the right to schedule back, lets callers finish and ends their connections.
 func (h *platformHost) drain(resign context.CancelFunc, callers *http.Server) {
-	h.log.Info("host-draining", zap.Duration("grace", h.settings.Grace))
+	grace := h.present.Load().Grace
+	h.log.Info("host-draining", zap.Duration("grace", grace))
 	h.draining.Store(true)
 	resign()
-	open := time.Duration(drainShare * float64(h.settings.Grace))
+	open := time.Duration(drainShare * float64(grace))
 	wait.For(context.Background(), open)
-	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace-open-time.Second/2)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-open-time.Second/2)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		h.log.Warn("callers-cut", zap.Error(err))
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -49,7 +49,7 @@
 	Store  kv.Store
 	Config *subscription.Subscription
 	// RevokeWithin is the time after which a withdrawn key must not work any more.
-	RevokeWithin time.Duration
+	RevokeWithin func() time.Duration
 	Log          *zap.Logger
 	Meter        *meter.Meter
 	// Tell and Ask, if set, are the link to the owner.
@@ -109,7 +109,7 @@
 	if q.Open {
 		return t, Answer{}
 	}
-	if age > d.RevokeWithin-keyMargin {
+	if age > d.RevokeWithin()-keyMargin {
 		return nil, d.refuse("the store has not confirmed the keys in time")
 	}
 	a := c.ByKey(call.Key)
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -60,7 +60,7 @@
 	start := time.Now()
 	g.config = subscription.New(g.store.Store(), configKey, configKey, decode, zap.NewNop())
 	g.config.Now = func() time.Duration { return time.Since(start) }
-	g.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: 5 * time.Second, Log: zap.NewNop(), Meter: meter.New()}
+	g.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: func() time.Duration { return 5 * time.Second }, Log: zap.NewNop(), Meter: meter.New()}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	go func() { defer close(g.done); g.config.Run(ctx) }()
@@ -164,7 +164,7 @@
 		g := newStage(t)
 		defer g.stop()
 		other := *g
-		other.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: 5 * time.Second, Log: zap.NewNop(), Meter: g.desk.Meter}
+		other.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: func() time.Duration { return 5 * time.Second }, Log: zap.NewNop(), Meter: g.desk.Meter}
 		answers := make([]desk.Answer, 2)
 		var wait sync.WaitGroup
 		wait.Go(func() { answers[0] = g.submit("k1") })
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -27,9 +27,10 @@
 	Store  kv.Store
 	Calls  Calls
 	Config *subscription.Subscription
-	Limits scheduler.Limits
+	// Limits are those of the next term.
+	Limits func() scheduler.Limits
 	// KeepResults is how long an ended job is known.
-	KeepResults time.Duration
+	KeepResults func() time.Duration
 	Log         *zap.Logger
 	Meter       *meter.Meter
 
@@ -92,7 +93,7 @@
 	o.slots = make(map[string]chan struct{})
 	o.waves = make(map[int64]waveRecord)
 	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
-	o.core = scheduler.New(o.Limits, term.Number, time.Now())
+	o.core = scheduler.New(o.Limits(), term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log)
 	o.silences = newSilences(o.Store, term.Number, o.Log)
 	// Items that arrive during the load wait for the loop; questions go to the store.
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -106,7 +106,7 @@
 func (p *plant) own() (kill func()) {
 	term := tenure.NewTerm(p.store.Put(layout.Owner, nil), p.now, time.Hour)
 	o := &Owner{
-		Store: p.store.Store(), Config: p.config, Limits: scheduler.DefaultLimits(), KeepResults: time.Minute, Log: zap.NewNop(), Meter: p.meter,
+		Store: p.store.Store(), Config: p.config, Limits: scheduler.DefaultLimits, KeepResults: func() time.Duration { return time.Minute }, Log: zap.NewNop(), Meter: p.meter,
 		Calls: Calls{
 			Start: p.start, Stop: func(context.Context, scheduler.Stop) bool { return true }, Look: p.look,
 			ListMachines: p.list, Order: p.order,
