Ask which workers may run a step before its tasks are started

Queues may have a service that knows which workers their policy allows; starts elsewhere are rejected, so the tasks of such a queue never ran. A question names up to 30 workers with the most room, 4 of them are on their way, in the order of the waiting work; tickets are used for the life of the worker that they were given for.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -39,6 +39,16 @@
 	// of tasks, and Allowance more.
 	Stretch   float64
 	Allowance time.Duration
+	// Advice is set if a service says which workers may run a step of the queue.
+	Advice *Advice
+}
+
+// Advice is what a question to the service of advice costs and how long its answer holds.
+type Advice struct {
+	// Decide is the time of a question, Each that of each worker named in it.
+	Decide, Each time.Duration
+	// Valid is how long a ticket can be used.
+	Valid time.Duration
 }
 
 // Pool is a set of workers.
--- a/command/platform.go
+++ b/command/platform.go
@@ -109,6 +109,7 @@
 		KeepResults: func() time.Duration { return h.present.Load().KeepResults },
 		Calls: dispatch.Calls{
 			Start: client.Start, Stop: client.Stop, Look: client.Look,
+			Advise:       (&platform.Advice{Client: client, At: s.Advice}).Ask,
 			ListMachines: machines.List, Order: machines.Order,
 			DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix,
 			WaveStatus: platform.EncodeWaveStatus, WaveStatusPrefix: platform.WaveStatusPrefix,
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -41,6 +41,9 @@
 	for _, order := range a.Orders {
 		go o.order(order)
 	}
+	for _, q := range a.Advice {
+		go o.advise(q)
+	}
 	for _, v := range a.Silences {
 		o.silences.set(v)
 	}
@@ -108,6 +111,14 @@
 	o.post(func(now time.Time) { o.core.Looked(a, listing, otherLife, now) })
 }
 
+func (o *Owner) advise(q scheduler.Advise) {
+	ctx, cancel := context.WithTimeout(o.ctx, q.Timeout)
+	defer cancel()
+	tickets, err := o.Calls.Advise(ctx, q)
+	o.Log.Info("advice-answered", zap.String("request", q.Step.Job), zap.String("step", q.Step.StepName()), zap.Int("asked", len(q.Workers)), zap.Int("good", len(tickets)), zap.Error(err))
+	o.post(func(now time.Time) { o.core.Advised(q, tickets, err == nil, now) })
+}
+
 func (o *Owner) order(a scheduler.Order) {
 	if !o.term.Valid() {
 		return
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -60,6 +60,8 @@
 	Look         func(ctx context.Context, a scheduler.Look) (*worker.Listing, bool, error)
 	ListMachines func(ctx context.Context) ([]worker.Machine, error)
 	Order        func(ctx context.Context, o scheduler.Order) (accepted, impossible bool, err error)
+	// Advise returns the tickets of the workers that may run a step.
+	Advise func(ctx context.Context, q scheduler.Advise) (map[string]string, error)
 	// DecodeWorker reads a registration under WorkerPrefix.
 	DecodeWorker func(kv.Item) (worker.Entry, error)
 	WorkerPrefix string
--- a/job/task.go
+++ b/job/task.go
@@ -28,6 +28,11 @@
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
+// StepName returns the form JOB.OCCURRENCE.STEP, which all tasks of a step share.
+func (t Task) StepName() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
+}
+
 // ParseTask reads the form that String writes.
 func ParseTask(s string) (Task, bool) {
 	parts := strings.Split(s, ".")
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -16,6 +16,7 @@
 	Saves  []Save
 	Orders []Order
 	Notes  []Note
+	Advice []Advise
 	// Silences lists workers that have stopped answering, SilenceEnds those that answer again
 	// or are gone; report an end by SilenceEnded once it is durable.
 	Silences    []Silence
@@ -33,6 +34,8 @@
 	Deadline   time.Duration
 	Fence      int64
 	Checkpoint string
+	// Ticket is the permission to run the step on the worker, if its queue needs one.
+	Ticket string
 }
 
 // Stop tells a worker to end a run; report it by StopAnswered.
@@ -48,8 +51,8 @@
 type Look struct {
 	// Patience is how late the answer may be.
 	Patience time.Duration
-	Worker worker.Entry
-	Fence  int64
+	Worker   worker.Entry
+	Fence    int64
 	// Seen is the number of the last end that the worker may forget.
 	Seen int64
 	// Deadline is the end of the lease on the worker's clock; zero leaves it unchanged.
@@ -131,6 +134,8 @@
 	StartRejected
 	// StartUnhealthy means that the worker did nothing because it is not healthy.
 	StartUnhealthy
+	// StartWithoutTicket means that the worker did nothing because its ticket has ended.
+	StartWithoutTicket
 	// StartOtherLife means that the worker has started again since.
 	StartOtherLife
 	// StartUnanswered means that the run may be present now or later.
--- /dev/null
+++ b/scheduler/advice.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/job"
+)
+
+// Advise asks which of the workers may run a step; report the answer by Advised.
+type Advise struct {
+	// Step is the first task of the step.
+	Step job.Task
+	// Workers are named in the question, at most maxAdvised.
+	Workers []string
+	// Timeout is how long the answer may take.
+	Timeout time.Duration
+
+	lives []int64
+}
+
+// ticket is the permission to run a step on one life of a worker.
+type ticket struct {
+	value string
+	born  int64
+	until time.Time
+	// refused workers may never run the step.
+	refused bool
+}
+
+const (
+	// maxAdvised is the number of workers in a question. Each of them costs time, and a
+	// step seldom needs more; further ones are asked for if it does.
+	maxAdvised = 30
+	// adviceInFlight bounds the questions on their way: the service answers one after the
+	// other, so more would only spoil their order.
+	adviceInFlight = 4
+	// adviceRetry is the pause after a question without an answer.
+	adviceRetry = 150 * time.Millisecond
+	// adviceSlack is added to the time that the service states for a question.
+	adviceSlack = time.Second
+	// ticketMargin ends the use of a ticket before its time, as a start is on its way.
+	ticketMargin = 150 * time.Millisecond
+)
+
+// advice returns how the queue of a part asks for advice, nil if it does not.
+func (s *Scheduler) advice(p *part) *catalog.Advice {
+	if q := s.catalog.Queues[p.entry.job.Queue]; q != nil {
+		return q.Advice
+	}
+	return nil
+}
+
+// advised narrows the workers down to those that may run the part now, and asks for others
+// while too few are known.
+func (s *Scheduler) advised(p *part, hosts []*host) []*host {
+	a := s.advice(p)
+	if a == nil {
+		return hosts
+	}
+	var allowed, unknown []*host
+	room := 0
+	for _, h := range hosts {
+		t := p.tickets[h.entry.ID]
+		switch {
+		case t != nil && t.refused:
+		case t != nil && t.holds(h, s.now):
+			allowed = append(allowed, h)
+			room += s.roomFor(p, h)
+		default:
+			unknown = append(unknown, h)
+		}
+	}
+	if room < len(p.queue) {
+		s.ask(p, a, unknown)
+	}
+	return allowed
+}
+
+// holds reports whether the ticket is good for the present life of the worker.
+func (t *ticket) holds(h *host, now time.Time) bool {
+	return t.value != "" && t.born == h.life() && now.Before(t.until)
+}
+
+// ask sends a question for the workers with the most room.
+func (s *Scheduler) ask(p *part, a *catalog.Advice, hosts []*host) {
+	if p.asking || s.asking >= adviceInFlight || s.now.Before(p.askAfter) {
+		return
+	}
+	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return s.roomFor(p, h) == 0 })
+	if len(hosts) == 0 {
+		return
+	}
+	slices.SortStableFunc(hosts, func(a, b *host) int {
+		return cmp.Compare(s.score(p, p.queue[0], b, 0), s.score(p, p.queue[0], a, 0))
+	})
+	hosts = hosts[:min(len(hosts), maxAdvised)]
+	p.asking = true
+	s.asking++
+	q := Advise{Step: p.name(0), Timeout: adviceInFlight*(a.Decide+time.Duration(len(hosts))*a.Each) + adviceSlack}
+	for _, h := range hosts {
+		q.Workers = append(q.Workers, h.entry.ID)
+		q.lives = append(q.lives, h.life())
+	}
+	s.actions.Advice = append(s.actions.Advice, q)
+}
+
+// Advised reports the answer to a question: the tickets of the workers that may run the
+// step, or ok false without an answer.
+func (s *Scheduler) Advised(q Advise, tickets map[string]string, ok bool, now time.Time) {
+	s.now = now
+	s.asking--
+	p := s.part(q.Step)
+	if p == nil {
+		return
+	}
+	p.asking = false
+	if queue, _ := s.pool(p.entry.job.Queue); queue != nil {
+		s.changed[queue.Pool] = true
+	}
+	a := s.advice(p)
+	if !ok || a == nil {
+		p.askAfter = now.Add(adviceRetry)
+		s.note(Note{Event: "advice-missing", Job: q.Step.Job, Task: q.Step, Workers: len(q.Workers)})
+		return
+	}
+	if p.tickets == nil {
+		p.tickets = make(map[string]*ticket)
+	}
+	for i, id := range q.Workers {
+		value := tickets[id]
+		p.tickets[id] = &ticket{value: value, born: q.lives[i], until: now.Add(a.Valid - ticketMargin), refused: value == ""}
+	}
+	s.note(Note{Event: "advice-taken", Job: q.Step.Job, Task: q.Step, Workers: len(tickets)})
+}
+
+// ticketFor returns the ticket for a start, empty if the queue needs none.
+func (p *part) ticketFor(h *host) string {
+	if t := p.tickets[h.entry.ID]; t != nil {
+		return t.value
+	}
+	return ""
+}
+
+// refusedBy reports whether the advice keeps the part away from a worker.
+func (p *part) refusedBy(h *host) bool {
+	t := p.tickets[h.entry.ID]
+	return t != nil && t.refused
+}
+
+// life tells lives of a worker apart.
+func (h *host) life() int64 { return max(h.born, h.entry.Born) }
--- /dev/null
+++ b/scheduler/advice_test.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+)
+
+// newAdvised has a queue whose tasks only run on workers that the adviser allows.
+func newAdvised(workers int, allows func(workerID string) bool) *stage {
+	g := newStage(workers)
+	g.adviser = allows
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	g.catalog.Queues["rounds"].Advice = &catalog.Advice{Decide: 5 * time.Millisecond, Each: time.Millisecond, Valid: g.adviceValid}
+	g.run(100 * time.Millisecond)
+	return g
+}
+
+func only(id string) func(string) bool { return func(other string) bool { return other == id } }
+
+// Guards against tasks that start where the policy of the queue does not allow it, or that
+// never start because no ticket was asked for.
+func TestTasksRunWhereTheAdviceAllows(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %t", gang), func(t *testing.T) {
+			g := newAdvised(4, only("w2"))
+			g.submit("j", job.Step{Count: 3, Need: small, Gang: gang}, job.Step{Count: 2, Need: small, After: []int{0}})
+			g.run(2 * stageStep)
+			qt.Assert(t, len(g.workers["w2"].runs), qt.Equals, 3)
+			g.run(3 * time.Second)
+			assertNothingBroken(t, g)
+			assertState(t, g, "j", progress.Succeeded)
+			qt.Assert(t, g.advised, qt.HasLen, 2)
+		})
+	}
+}
+
+// Guards against starts with a ticket that has ended, and against a step that is stuck
+// because its tickets have.
+func TestTicketsAreRenewed(t *testing.T) {
+	g := newAdvised(1, only("w0"))
+	g.duration = 1500 * time.Millisecond
+	g.submit("j", job.Step{Count: 6, Need: resource.Amount{CPU: 3000}})
+	g.run(12 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "j", progress.Succeeded)
+	qt.Assert(t, len(g.advised) >= 3, qt.IsTrue)
+	qt.Assert(t, g.ticketless, qt.Equals, 0)
+}
+
+// Guards against a ticket of an earlier life of a worker.
+func TestRestartedWorkerNeedsANewTicket(t *testing.T) {
+	g := newAdvised(1, only("w0"))
+	g.submit("j", job.Step{Count: 4, Need: resource.Amount{CPU: 3000}})
+	g.run(100 * time.Millisecond)
+	g.restart("w0")
+	g.run(6 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "j", progress.Succeeded)
+	qt.Assert(t, g.ticketless, qt.Equals, 0)
+}
+
+// Guards against a step that is never asked for again when the service did not answer.
+func TestAdviceThatIsNotAnswered(t *testing.T) {
+	g := newAdvised(2, only("w1"))
+	calls := 0
+	g.fault = func(kind string) fate {
+		if kind == "advice" {
+			if calls++; calls < 4 {
+				return lostBefore
+			}
+		}
+		return answered
+	}
+	g.submit("j", job.Step{Count: 1, Need: small})
+	g.run(3 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "j", progress.Succeeded)
+}
+
+// It answers the pattern of a burst of jobs in a queue that needs advice: questions name
+// few workers, and few of them are on their way, so that the first job is not held up by
+// those behind it.
+func TestBurstAsksInOrder(t *testing.T) {
+	g := newAdvised(60, func(string) bool { return true })
+	var asked int
+	g.fault = func(kind string) fate {
+		if kind == "advice" {
+			asked++
+		}
+		return answered
+	}
+	for n := range 30 {
+		g.submit(fmt.Sprintf("j%02d", n), job.Step{Count: 3, Need: small})
+	}
+	g.step()
+	qt.Assert(t, asked <= adviceInFlight*2, qt.IsTrue, qt.Commentf("%d questions in one pass", asked))
+	g.run(8 * time.Second)
+	assertNothingBroken(t, g)
+	for n := range 30 {
+		assertState(t, g, fmt.Sprintf("j%02d", n), progress.Succeeded)
+	}
+	for _, q := range g.advised {
+		qt.Assert(t, len(q.Workers) <= maxAdvised, qt.IsTrue)
+	}
+}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -281,6 +281,9 @@
 		if h.born != 0 && h.known {
 			s.newLife(h, 0)
 		}
+	case StartWithoutTicket:
+		delete(r.part.tickets, h.entry.ID)
+		s.drop(r, "ticket has ended")
 	default:
 		if result == StartUnhealthy {
 			h.pausedUntil = now.Add(unhealthyPause)
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -57,6 +57,11 @@
 	queued    time.Time
 	reason    string
 	explained bool
+	// tickets has what the advice said of workers, by ID. asking is set while a question is
+	// on its way; the next one is sent after askAfter.
+	tickets  map[string]*ticket
+	asking   bool
+	askAfter time.Time
 	// detached parts belong to runs that are not wanted; their tasks are not started.
 	detached bool
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -38,9 +38,9 @@
 			case !p.step.Reserved().Within(room):
 				p.reason = "no room in the pool"
 			case p.step.Gang:
-				s.placeGang(p, s.together(p, hosts))
+				s.placeGang(p, s.together(p, s.advised(p, hosts)))
 			default:
-				s.placePart(p, s.together(p, hosts))
+				s.placePart(p, s.together(p, s.advised(p, hosts)))
 			}
 			s.explain(p, before)
 		}
@@ -244,7 +244,7 @@
 	if !h.used.Add(need.Times(extra + 1)).Within(h.entry.Capacity) {
 		return false
 	}
-	if !h.entry.Labels.Have(p.step.Label) {
+	if !h.entry.Labels.Have(p.step.Label) || p.refusedBy(h) {
 		return false
 	}
 	if p.step.Background && h.serving > 0 {
@@ -322,6 +322,6 @@
 	}
 	s.actions.Starts = append(s.actions.Starts, Start{
 		Worker: h.entry, Task: p.name(index), Run: number, Spec: p.entry.job.Spec,
-		Deadline: s.grant(h), Fence: h.fence, Checkpoint: checkpoint,
+		Deadline: s.grant(h), Fence: h.fence, Checkpoint: checkpoint, Ticket: p.ticketFor(h),
 	})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 	expected      map[string]bool
 	machinesKnown bool
 
+	// asking counts the questions for advice on their way.
+	asking int
+
 	actions Actions
 }
 
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -33,7 +33,7 @@
 }
 
 func (h *host) silence() Silence {
-	v := Silence{Worker: h.entry.ID, Born: max(h.born, h.entry.Born)}
+	v := Silence{Worker: h.entry.ID, Born: h.life()}
 	for name, r := range h.runs {
 		v.Runs = append(v.Runs, SilentRun{name, r.number})
 	}
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -76,6 +76,14 @@
 	// silences is the durable record of silent workers, silenceWrites what is on its way.
 	silences      map[string]Silence
 	silenceWrites []func()
+	// adviser says which workers may run a step; nil if the queue asks nobody. tickets are
+	// those that it gave, advised its questions, and adviceValid how long a ticket holds.
+	adviser     func(workerID string) bool
+	tickets     map[string]time.Time
+	advised     []Advise
+	adviceValid time.Duration
+	// ticketless counts starts that were rejected for want of a ticket.
+	ticketless int
 	// storeDown loses the states of waves.
 	storeDown bool
 	// fault decides the fate of a call; nil answers everything.
@@ -123,7 +131,7 @@
 		added: make(map[string]int64), stored: make(map[string]*progress.Record), cancels: make(map[string]time.Time),
 		failures: make(map[job.Task]int), ends: make(map[job.Task][]*fakeEnd), snapshots: make(map[job.Task][][]*fakeEnd),
 		done: make(map[job.Task]bool), noted: make(map[job.Task]bool), duration: 500 * time.Millisecond,
-		silences: make(map[string]Silence), waves: make(map[int64]fakeWave), waveStates: make(map[int64]WaveState),
+		silences: make(map[string]Silence), tickets: make(map[string]time.Time), adviceValid: 2 * time.Second, waves: make(map[int64]fakeWave), waveStates: make(map[int64]WaveState),
 	}
 	g.catalog = catalog.New(1,
 		[]*catalog.Queue{{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: 600 * time.Millisecond}},
@@ -296,6 +304,9 @@
 	for _, o := range a.Orders {
 		g.orders(o)
 	}
+	for _, q := range a.Advice {
+		g.advise(q)
+	}
 	for _, v := range a.Silences {
 		g.silenceWrites = append(g.silenceWrites, func() { g.silences[v.Worker] = v })
 	}
@@ -353,6 +364,28 @@
 	g.core.Started(a, result, "", g.now)
 }
 
+// ticket is the permission to run a step on a life of a worker.
+func (g *stage) ticket(t job.Task, e worker.Entry) string {
+	return fmt.Sprintf("%s on %s/%d", t.StepName(), e.ID, e.Born)
+}
+
+// advise answers a question at once.
+func (g *stage) advise(q Advise) {
+	g.advised = append(g.advised, q)
+	if g.decide("advice") != answered {
+		g.core.Advised(q, nil, false, g.now)
+		return
+	}
+	good := make(map[string]string)
+	for _, id := range q.Workers {
+		if g.adviser(id) {
+			good[id] = g.ticket(q.Step, g.workers[id].entry)
+			g.tickets[good[id]] = g.now.Add(g.adviceValid)
+		}
+	}
+	g.core.Advised(q, good, true, g.now)
+}
+
 // begin is a worker's handling of a start.
 func (g *stage) begin(w *fakeWorker, a Start) StartResult {
 	if a.Fence < w.fence {
@@ -369,6 +402,10 @@
 	if r := w.runs[a.Task]; r != nil && r.number == a.Run {
 		return StartAccepted
 	}
+	if until, given := g.tickets[a.Ticket]; g.adviser != nil && (!given || a.Ticket != g.ticket(a.Task, w.entry) || g.now.After(until)) {
+		g.ticketless++
+		return StartWithoutTicket
+	}
 	if a.Run <= w.highest[a.Task] || w.runs[a.Task] != nil {
 		return StartRejected
 	}
