Pace background tasks by the latencies of the tasks beside them

Background tasks were kept off workers with tasks that serve users, so that they never ran where those were everywhere, and were not slowed down when such a task came later. They begin at 30 percent beside one; above nine tenths of a latency target they fall to half, above 1.3 times they are halted, below seven tenths they rise by a tenth, each half second.

--- a/command/platform.go
+++ b/command/platform.go
@@ -108,7 +108,7 @@
 		Limits:      func() scheduler.Limits { return schedulerLimits(h.present.Load()) },
 		KeepResults: func() time.Duration { return h.present.Load().KeepResults },
 		Calls: dispatch.Calls{
-			Start: client.Start, Stop: client.Stop, Look: client.Look,
+			Start: client.Start, Stop: client.Stop, Pace: client.Pace, Look: client.Look,
 			Advise:       (&platform.Advice{Client: client, At: s.Advice}).Ask,
 			ListMachines: machines.List, Order: machines.Order,
 			DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix,
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -35,6 +35,9 @@
 	for _, s := range a.Stops {
 		go o.stopRun(s)
 	}
+	for _, p := range a.Paces {
+		go o.pace(p)
+	}
 	for _, s := range a.Starts {
 		go o.start(s, o.slot(s.Worker.ID))
 	}
@@ -98,6 +101,19 @@
 	o.post(func(now time.Time) { o.core.StopAnswered(a, ok, now) })
 }
 
+func (o *Owner) pace(a scheduler.Pace) {
+	if !o.term.Valid() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	ok := o.Calls.Pace(ctx, a)
+	if !ok {
+		wait.For(o.ctx, stopRetry)
+	}
+	o.post(func(now time.Time) { o.core.Paced(a, ok, now) })
+}
+
 func (o *Owner) look(a scheduler.Look) {
 	if !o.term.Valid() {
 		return
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -55,8 +55,10 @@
 
 // Calls are the calls to workers and machines, and the formats of the platform.
 type Calls struct {
-	Start        func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string)
-	Stop         func(ctx context.Context, a scheduler.Stop) bool
+	Start func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string)
+	Stop  func(ctx context.Context, a scheduler.Stop) bool
+	// Pace limits the speed of a background task and reports whether the worker answered.
+	Pace         func(ctx context.Context, a scheduler.Pace) bool
 	Look         func(ctx context.Context, a scheduler.Look) (*worker.Listing, bool, error)
 	ListMachines func(ctx context.Context) ([]worker.Machine, error)
 	Order        func(ctx context.Context, o scheduler.Order) (accepted, impossible bool, err error)
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -17,6 +17,7 @@
 	Orders []Order
 	Notes  []Note
 	Advice []Advise
+	Paces  []Pace
 	// Silences lists workers that have stopped answering, SilenceEnds those that answer again
 	// or are gone; report an end by SilenceEnded once it is durable.
 	Silences    []Silence
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -52,6 +52,7 @@
 		h.doubt = false
 	}
 	h.known = true
+	s.pace(h)
 }
 
 // applyListing applies the lists of a worker.
@@ -271,6 +272,9 @@
 		if r.present.IsZero() {
 			r.present = now
 		}
+		if r.part.step.Background && h.serving > 0 && r.state == present {
+			s.setPace(r, paceBeside)
+		}
 	case StartUnanswered:
 		s.note(Note{Event: "start-unanswered", Job: a.Task.Job, Task: a.Task, Worker: h.entry.ID, Run: a.Run})
 		if r.present.IsZero() {
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -62,6 +62,7 @@
 	pausedUntil time.Time
 	// serving and background count runs of the kinds that disturb each other.
 	serving, background, lasting int
+	pacedAt                      time.Time
 	// speed is the average speed of its runs against equal ones; suspectUntil is set
 	// while it is too low.
 	speed        float64
@@ -92,6 +93,10 @@
 	stopped time.Time
 	percent int
 	load    int
+	// percentAllowed is the pace of a background task; it is not known of one that another
+	// owner has started.
+	percentAllowed int
+	paceKnown      bool
 	// recorded runs are known from the record of a silent worker only.
 	recorded bool
 	save     string
@@ -302,6 +307,9 @@
 		if h.startsUp() {
 			l.Wait = startupWait
 		}
+		if h.serving > 0 && h.background > 0 {
+			l.Wait = min(l.Wait, paceInterval)
+		}
 	}
 	s.look(h, l)
 }
--- /dev/null
+++ b/scheduler/pace.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/worker"
+)
+
+// Pace tells a worker to let a background task work at a share of its speed; report it by
+// Paced.
+type Pace struct {
+	Worker  worker.Entry
+	Task    job.Task
+	Run     int64
+	Percent int
+	Fence   int64
+}
+
+const (
+	// paceInterval is the time between two decisions for a worker; it lists figures of the
+	// last half second.
+	paceInterval = 500 * time.Millisecond
+	// paceBeside is the percent at which a background task begins beside a task that serves
+	// users: how much it disturbs is not known before.
+	paceBeside = 30
+	// paceStep is by how much percent it rises while the tail latency is below tailLow of
+	// its target. Above tailHigh, it falls to half, and above tailOver it is halted.
+	paceStep = 10
+	tailLow  = 0.7
+	tailHigh = 0.9
+	tailOver = 1.3
+	// leastPace is the lowest percent besides zero.
+	leastPace = 10
+)
+
+// pace adjusts the background tasks of a worker to the latencies of those that serve users.
+func (s *Scheduler) pace(h *host) {
+	if h.background == 0 || s.now.Sub(h.pacedAt) < paceInterval {
+		return
+	}
+	h.pacedAt = s.now
+	tail := h.worstTail()
+	for _, r := range h.runs {
+		if !r.part.step.Background || r.state != present {
+			continue
+		}
+		percent := nextPace(r.percentAllowed, tail)
+		if h.serving == 0 {
+			percent = 100
+		}
+		s.setPace(r, percent)
+	}
+}
+
+// nextPace returns the percent that follows on an allowed one at a tail latency, which is
+// given as a share of its target.
+func nextPace(percent int, tail float64) int {
+	switch {
+	case tail > tailOver:
+		return 0
+	case tail > tailHigh && percent/2 < leastPace:
+		return 0
+	case tail > tailHigh:
+		return percent / 2
+	case tail < tailLow:
+		return min(100, percent+paceStep)
+	}
+	return percent
+}
+
+// worstTail is the highest tail latency on the worker as a share of its target.
+func (h *host) worstTail() float64 {
+	worst := 0.0
+	for _, r := range h.runs {
+		if target := r.part.step.LatencyTarget; target > 0 {
+			worst = max(worst, float64(r.load)/float64(target.Milliseconds()))
+		}
+	}
+	return worst
+}
+
+// setPace orders a percent unless the worker has it already.
+func (s *Scheduler) setPace(r *run, percent int) {
+	if percent == r.percentAllowed && r.paceKnown {
+		return
+	}
+	s.note(Note{Event: "task-paced", Job: r.part.entry.job.ID, Task: r.part.name(r.index), Worker: r.host.entry.ID, Run: r.number, Reason: fmt.Sprintf("%d percent", percent)})
+	r.percentAllowed, r.paceKnown = percent, true
+	s.sendPace(r)
+}
+
+func (s *Scheduler) sendPace(r *run) {
+	s.actions.Paces = append(s.actions.Paces, Pace{Worker: r.host.entry, Task: r.part.name(r.index), Run: r.number, Percent: r.percentAllowed, Fence: r.host.fence})
+}
+
+// Paced reports whether an order to pace was answered; one that was not is sent again.
+func (s *Scheduler) Paced(a Pace, ok bool, now time.Time) {
+	s.now = now
+	h := s.hosts[a.Worker.ID]
+	if ok || h == nil {
+		return
+	}
+	if r := h.runs[a.Task]; r != nil && r.number == a.Run && r.state == present && r.percentAllowed == a.Percent {
+		s.sendPace(r)
+	}
+}
--- /dev/null
+++ b/scheduler/pace_test.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/resource"
+)
+
+// newShared has one worker with a task that serves users and one in the background, which
+// disturbs by the given share of the latency target at full speed.
+func newShared(disturbance float64) *stage {
+	g := newStage(1)
+	g.workers["w0"].disturbance = disturbance
+	g.run(100 * time.Millisecond)
+	g.submit("serving", job.Step{Count: 1, Need: small, LongRunning: true, LatencyTarget: 100 * time.Millisecond})
+	g.run(time.Second)
+	g.submit("background", job.Step{Count: 1, Need: resource.Amount{CPU: 4500, Memory: 100}, LongRunning: true, Background: true})
+	return g
+}
+
+// background returns the background run of the stage, nil if there is none.
+func (g *stage) background() *fakeRun {
+	for _, r := range g.workers["w0"].runs {
+		if r.step.Background {
+			return r
+		}
+	}
+	return nil
+}
+
+// longestOver lets time pass and returns how long the latency was over its target on end.
+func (g *stage) longestOver(d time.Duration) time.Duration {
+	var since time.Time
+	longest := time.Duration(0)
+	for end := g.now.Add(d); g.now.Before(end); {
+		g.step()
+		over := false
+		for _, r := range g.workers["w0"].runs {
+			over = over || (r.step.LatencyTarget > 0 && g.workers["w0"].load(r) > int(r.step.LatencyTarget.Milliseconds()))
+		}
+		switch {
+		case !over:
+			since = time.Time{}
+		case since.IsZero():
+			since = g.now
+		}
+		if !since.IsZero() {
+			longest = max(longest, g.now.Sub(since))
+		}
+	}
+	return longest
+}
+
+// It answers the pattern of background work beside work that serves users: it runs on the
+// same worker, and is slowed down well before the 4 s that the users allow, in which it
+// may harm.
+func TestBackgroundWorkIsPacedBeforeItHarms(t *testing.T) {
+	for _, disturbance := range []float64{0.4, 1.2, 4, 20} {
+		g := newShared(disturbance)
+		over := g.longestOver(20 * time.Second)
+		qt.Assert(t, over < 2*time.Second, qt.IsTrue, qt.Commentf("%v over the target at a disturbance of %v", over, disturbance))
+		qt.Assert(t, g.background(), qt.Not(qt.IsNil))
+	}
+}
+
+// Guards against background work that stays slow after what it disturbed has ended, or
+// although it disturbs little.
+func TestBackgroundWorkSpeedsUpAgain(t *testing.T) {
+	g := newShared(0.2)
+	g.run(8 * time.Second)
+	qt.Assert(t, g.background().pace, qt.Equals, 100)
+	g = newShared(4)
+	g.run(5 * time.Second)
+	qt.Assert(t, g.background().pace < 50, qt.IsTrue)
+	g.cancel("serving")
+	g.run(3 * time.Second)
+	qt.Assert(t, g.background().pace, qt.Equals, 100)
+}
+
+// Guards against an order to pace that is lost and never given again.
+func TestPaceAfterLostOrders(t *testing.T) {
+	for lost := range 4 {
+		g := newShared(20)
+		calls := 0
+		g.fault = func(kind string) fate {
+			if kind == "pace" {
+				if calls++; calls == lost {
+					return lostBefore
+				}
+			}
+			return answered
+		}
+		over := g.longestOver(10 * time.Second)
+		qt.Assert(t, over < 2*time.Second, qt.IsTrue, qt.Commentf("%v with order %d lost", over, lost))
+	}
+}
+
+// Guards against a new owner that takes the pace of a task for one that it has ordered.
+func TestNewOwnerPacesAgain(t *testing.T) {
+	g := newShared(20)
+	g.fault = func(kind string) fate {
+		if kind == "pace" {
+			return lostBefore
+		}
+		return answered
+	}
+	g.run(100 * time.Millisecond)
+	qt.Assert(t, g.background().pace, qt.Equals, 100)
+	g.fault = nil
+	g.replaceOwner()
+	over := g.longestOver(10 * time.Second)
+	qt.Assert(t, over < 2*time.Second, qt.IsTrue, qt.Commentf("%v", over))
+	g.cancel("serving")
+	g.run(4 * time.Second)
+	qt.Assert(t, g.background().pace, qt.Equals, 100)
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -247,9 +247,6 @@
 	if !h.entry.Labels.Have(p.step.Label) || p.refusedBy(h) {
 		return false
 	}
-	if p.step.Background && h.serving > 0 {
-		return false
-	}
 	return p.step.MaxPerWorker == 0 || s.siblings(p, h)+extra < p.step.MaxPerWorker
 }
 
@@ -297,7 +294,7 @@
 			score -= avoidDue
 		}
 	}
-	if p.step.LatencyTarget > 0 && h.background > 0 {
+	if (p.step.LatencyTarget > 0 && h.background > 0) || (p.step.Background && h.serving > 0) {
 		score -= avoidServing
 	}
 	return score
@@ -313,7 +310,7 @@
 // start books a run and orders it.
 func (s *Scheduler) start(p *part, index int, h *host, number int64) {
 	t := &p.tasks[index]
-	r := &run{part: p, index: index, number: number, host: h, fence: h.fence, sent: s.now, need: p.step.Reserved()}
+	r := &run{part: p, index: index, number: number, host: h, fence: h.fence, sent: s.now, need: p.step.Reserved(), percentAllowed: 100, paceKnown: true}
 	s.hold(r)
 	s.begun(p.entry)
 	checkpoint := t.checkpoint
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -30,6 +30,8 @@
 	lease    time.Time
 	// void has ends that were listed before the lease ran out; noting them counts nothing.
 	void map[int64]bool
+	// disturbance is by what share of its target a background task raises a tail latency.
+	disturbance float64
 }
 
 type fakeRun struct {
@@ -40,6 +42,9 @@
 	lasting bool
 	// stopAt is set once the run was told to stop.
 	stopAt time.Time
+	// step is that of the task; pace is the percent at which a background task works.
+	step *job.Step
+	pace int
 }
 
 // stage plays workers, the store and owners in turn on a clock of its own, and notes
@@ -304,6 +309,9 @@
 	for _, o := range a.Orders {
 		g.orders(o)
 	}
+	for _, p := range a.Paces {
+		g.pace(p)
+	}
 	for _, q := range a.Advice {
 		g.advise(q)
 	}
@@ -410,7 +418,7 @@
 		return StartRejected
 	}
 	g.judgeStart(w, a)
-	w.runs[a.Task] = &fakeRun{number: a.Run, sent: g.now, doneAt: g.now.Add(g.duration * time.Duration(max(1, w.slowness))), lasting: g.step0(a.Task).LongRunning, need: g.step0(a.Task).Reserved()}
+	w.runs[a.Task] = &fakeRun{number: a.Run, sent: g.now, doneAt: g.now.Add(g.duration * time.Duration(max(1, w.slowness))), lasting: g.step0(a.Task).LongRunning, need: g.step0(a.Task).Reserved(), step: g.step0(a.Task), pace: 100}
 	return StartAccepted
 }
 
@@ -542,11 +550,36 @@
 func (w *fakeWorker) listing(now time.Time) *worker.Listing {
 	l := &worker.Listing{Born: w.entry.Born, Clock: now.Sub(time.UnixMilli(0)), Ended: slices.Clone(w.ended)}
 	for name, r := range w.runs {
-		l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: r.percent(now)})
+		l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: r.percent(now), Load: w.load(r)})
 	}
 	return l
 }
 
+// load is the tail latency of a task that serves users: a third of its target, and more by
+// what the background tasks beside it disturb.
+func (w *fakeWorker) load(r *fakeRun) int {
+	if r.step.LatencyTarget == 0 {
+		return 0
+	}
+	share := 0.33
+	for _, other := range w.runs {
+		if other.step.Background {
+			share += w.disturbance * float64(other.pace) / 100
+		}
+	}
+	return int(share * float64(r.step.LatencyTarget.Milliseconds()))
+}
+
+func (g *stage) pace(a Pace) {
+	w := g.workers[a.Worker.ID]
+	ok := g.deliver("pace", w, func() {
+		if r := w.runs[a.Task]; r != nil && r.number == a.Run && a.Fence >= w.fence {
+			r.pace = a.Percent
+		}
+	})
+	g.core.Paced(a, ok, g.now)
+}
+
 func (g *stage) breaks(format string, args ...any) {
 	g.broken = append(g.broken, fmt.Sprintf("%v: ", g.now.Sub(time.UnixMilli(1_700_000_000_000)))+fmt.Sprintf(format, args...))
 }
