Add egretdrum job, an HTTP interface for jobs, and a demo step that kills their owner

The parts of an entry host for jobs are put together in jobhost, which the platform host and the demo share; workerfake stands in for workers.

--- a/command/app.go
+++ b/command/app.go
@@ -29,6 +29,7 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			platformHostCommand(),
+			jobCommand(),
 			explainJobCommand(),
 			checkConfigCommand(),
 			contractCommand(),
--- a/command/platform.go
+++ b/command/platform.go
@@ -16,17 +16,14 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
-	"egretdrum.example/boottime"
 	"egretdrum.example/callerlimit"
-	"egretdrum.example/desk"
 	"egretdrum.example/dispatch"
 	"egretdrum.example/eventlog"
+	"egretdrum.example/jobapi"
+	"egretdrum.example/jobhost"
 	"egretdrum.example/meter"
-	"egretdrum.example/ownerlink"
 	"egretdrum.example/platform"
 	"egretdrum.example/scheduler"
-	"egretdrum.example/subscription"
-	"egretdrum.example/tenure"
 	"egretdrum.example/wait"
 )
 
@@ -83,11 +80,7 @@
 	logEnd   <-chan struct{}
 	closeLog context.CancelFunc
 	meter    *meter.Meter
-	config   *subscription.Subscription
-	desk     *desk.Desk
-	tenure   *tenure.Tenure
-	link     *ownerlink.Link
-	owners   *ownerlink.Server
+	jobs     *jobhost.Host
 	draining atomic.Bool
 	// settingsFault is the last fault of the settings file, which is reported once.
 	settingsFault string
@@ -99,14 +92,10 @@
 	h := &platformHost{settings: s, log: eventlog.New(out), logEnd: out.Done(), closeLog: closeLog, meter: meter.New()}
 	h.apply(s)
 	client := platform.NewClient(s.Host)
-	store := client.Store(s.Store)
-	h.config = subscription.New(store, platform.OperatorPrefix, platform.ConfigKey, platform.DecodeOperator, h.log)
-	h.desk = &desk.Desk{Store: store, Config: h.config, RevokeWithin: func() time.Duration { return h.present.Load().RevokeWithin }, Log: h.log, Meter: h.meter}
 	machines := &platform.Machines{Client: client, At: s.Machines}
-	owner := &dispatch.Owner{
-		Store: store, Config: h.config, Log: h.log, Meter: h.meter,
-		Limits:      func() scheduler.Limits { return schedulerLimits(h.present.Load()) },
-		KeepResults: func() time.Duration { return h.present.Load().KeepResults },
+	h.jobs = jobhost.New(&jobhost.Config{
+		Name: s.Host, Store: client.Store(s.Store),
+		OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey, DecodeOperator: platform.DecodeOperator,
 		Calls: dispatch.Calls{
 			Start: client.Start, Stop: client.Stop, Pace: client.Pace, Look: client.Look,
 			Advise:       (&platform.Advice{Client: client, At: s.Advice}).Ask,
@@ -114,14 +103,13 @@
 			DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix,
 			WaveStatus: platform.EncodeWaveStatus, WaveStatusPrefix: platform.WaveStatusPrefix,
 		},
-	}
-	h.link = ownerlink.New(h.log)
-	h.desk.Tell, h.desk.Ask = h.link.Tell, h.link.Ask
-	h.owners = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: h.log}
-	h.tenure = &tenure.Tenure{
-		Store: store, Host: s.Host, Work: owner.Run, Log: h.log, Now: boottime.Now, Link: s.Link, Followed: h.link.Follow,
-		Delay: ownershipDelay(s.CPU, time.Now()),
-	}
+		Link:         s.Link,
+		RevokeWithin: func() time.Duration { return h.present.Load().RevokeWithin },
+		KeepResults:  func() time.Duration { return h.present.Load().KeepResults },
+		Limits:       func() scheduler.Limits { return schedulerLimits(h.present.Load()) },
+		Delay:        ownershipDelay(s.CPU, time.Now()),
+		Log:          h.log, Meter: h.meter,
+	})
 	return h
 }
 
@@ -152,19 +140,21 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	h.log.Info("host-started", zap.String("host", h.settings.Host), zap.String("version", Version), zap.String("availability-zone", h.settings.AvailabilityZone))
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	callers := &http.Server{
-		Handler:           &platform.Callers{Desk: h.desk, Log: h.log, Draining: &h.draining},
+		Handler:           &platform.Callers{Desk: h.jobs.Desk, Log: h.log, Draining: &h.draining},
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 	}
 	limit := &callerlimit.Limit{Most: maxCallers(h.settings), Refuse: platform.Busy()}
 	limit.Set(callers)
-	ready := func() bool { return !h.draining.Load() && h.desk.Ready() }
+	ready := func() bool { return !h.draining.Load() && h.jobs.Desk.Ready() }
 	readiness := &http.Server{Handler: platform.Readiness(ready), ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: h.meter.Handler(), ReadHeaderTimeout: headerTimeout}
-	links := &http.Server{Handler: h.owners, ReadHeaderTimeout: headerTimeout}
+	links := &http.Server{Handler: h.jobs.Links, ReadHeaderTimeout: headerTimeout}
+	jobs := &http.Server{Handler: jobapi.New(h.jobs.Desk, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
 	servers := map[*http.Server]netip.AddrPort{
 		callers: h.settings.Callers, readiness: h.settings.Readiness, metrics: h.settings.Metrics, links: h.settings.Link,
+		jobs: h.settings.Jobs,
 	}
 	for server, at := range servers {
 		if err := serve(ctx, server, at, failed); err != nil {
@@ -173,10 +163,8 @@
 	}
 	duty, resign := context.WithCancel(ctx)
 	defer resign()
-	ended := make(chan struct{}, 3)
-	go func() { h.config.Run(ctx); ended <- struct{}{} }()
-	go func() { h.tenure.Run(duty); ended <- struct{}{} }()
-	go func() { h.link.Run(ctx); ended <- struct{}{} }()
+	ended := make(chan struct{})
+	go func() { defer close(ended); h.jobs.Run(ctx, duty) }()
 	poll := time.NewTicker(settingsInterval)
 	defer poll.Stop()
 	for {
@@ -191,9 +179,7 @@
 		case <-stop.Done():
 			h.drain(resign, callers)
 			cancel()
-			for range cap(ended) {
-				<-ended
-			}
+			<-ended
 			h.log.Info("host-stopped", zap.String("host", h.settings.Host))
 			return nil
 		}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -92,7 +92,7 @@
 		return &StepError{Step: s.name, Err: err}
 	}
 	sent, answered := d.load.progress()
-	d.printf("%-34s took %-8s sent %6d  answered %6d\n", s.name, time.Since(started).Round(time.Millisecond), sent, answered)
+	d.printf("%-36s took %-8s sent %6d  answered %6d\n", s.name, time.Since(started).Round(time.Millisecond), sent, answered)
 	return nil
 }
 
@@ -107,6 +107,7 @@
 		{"replace it", time.Second, d.replaceEntry},
 		{"fill one pool", time.Second, d.fill},
 		{"measure shares", fillTime, d.measureShares},
+		{"run jobs while their owner is killed", 0, d.runJobs},
 	}
 }
 
--- /dev/null
+++ b/demo/jobs.go
@@ -0,0 +1,269 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/jobapi"
+	"egretdrum.example/jobclient"
+	"egretdrum.example/jobhost"
+	"egretdrum.example/kv"
+	"egretdrum.example/kvfake"
+	"egretdrum.example/layout"
+	"egretdrum.example/meter"
+	"egretdrum.example/resource"
+	"egretdrum.example/scheduler"
+	"egretdrum.example/subscription"
+	"egretdrum.example/tenure"
+	"egretdrum.example/wait"
+	"egretdrum.example/workerfake"
+)
+
+const (
+	jobHosts    = 3
+	jobWorkers  = 4
+	jobCount    = 12
+	jobTaskTime = 150 * time.Millisecond
+	jobQueue    = "rounds"
+	jobConfig   = "operators/config"
+	// jobsTimeout covers the lease of a killed owner, the recovery and the tasks.
+	jobsTimeout = 20 * time.Second
+	pollPause   = 20 * time.Millisecond
+	// jobText has two steps of tasks, the second one after the first.
+	jobText  = `{"spec":"round","steps":[{"count":4,"cpu":500,"estimate":"150ms"},{"count":1,"cpu":500,"after":[0]}]}`
+	jobTasks = 5
+)
+
+// jobHost is one entry host for jobs in this process.
+type jobHost struct {
+	name  string
+	api   *httpServer
+	links *httpServer
+	// cut makes the store unreachable for this host.
+	cut    func()
+	cancel context.CancelFunc
+	done   chan struct{}
+	meter  *meter.Meter
+}
+
+// runJobs hands in jobs at several entry hosts, kills the one that schedules, and checks
+// that each task ran once.
+func (d *Demo) runJobs(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, jobsTimeout)
+	defer cancel()
+	store := kvfake.New()
+	store.Put(jobConfig, nil)
+	fleet := workerfake.New(store, "desk", jobWorkers, resource.Amount{CPU: 4000, Memory: 4000}, jobTaskTime)
+	var hosts []*jobHost
+	defer func() {
+		for _, h := range hosts {
+			d.stopJobHost(h)
+		}
+	}()
+	for n := range jobHosts {
+		h, err := startJobHost(ctx, n, store, fleet)
+		if err != nil {
+			return err
+		}
+		hosts = append(hosts, h)
+	}
+	for n := range jobCount {
+		if n == jobCount/2 {
+			if err := killOwner(ctx, store, hosts); err != nil {
+				return err
+			}
+		}
+		if err := submit(ctx, hosts, n); err != nil {
+			return err
+		}
+	}
+	for n := range jobCount {
+		if err := succeeded(ctx, hosts, n); err != nil {
+			return err
+		}
+	}
+	runs, twice := fleet.Runs()
+	if len(runs) != jobCount*jobTasks || len(twice) > 0 {
+		d.report.broken = append(d.report.broken, fmt.Sprintf("jobs: %d tasks ran, %d wanted, %d ran twice at the same time", len(runs), jobCount*jobTasks, len(twice)))
+	}
+	for t, n := range runs {
+		if n != 1 {
+			d.report.broken = append(d.report.broken, fmt.Sprintf("jobs: task %s was started %d times", t, n))
+		}
+	}
+	return nil
+}
+
+func startJobHost(ctx context.Context, n int, store *kvfake.Fake, fleet *workerfake.Fleet) (*jobHost, error) {
+	h := &jobHost{name: entryName(n), done: make(chan struct{}), meter: meter.New()}
+	links := new(lateHandler)
+	var err error
+	if h.links, err = serve(ctx, links); err != nil {
+		return nil, err
+	}
+	calls, cut := cuttable(store.Store())
+	h.cut = cut
+	host := jobhost.New(&jobhost.Config{
+		Name: h.name, Store: calls, OperatorPrefix: "operators/", ConfigKey: jobConfig, DecodeOperator: decodeJobQueue,
+		Calls: fleet.Calls(), Link: h.links.address, Log: zap.NewNop(), Meter: h.meter,
+		RevokeWithin: func() time.Duration { return time.Minute },
+		KeepResults:  func() time.Duration { return time.Minute },
+		Limits:       scheduler.DefaultLimits,
+		Delay:        func() time.Duration { return time.Duration(n) * 10 * time.Millisecond },
+	})
+	links.Handler = host.Links
+	if h.api, err = serve(ctx, jobapi.New(host.Desk, zap.NewNop())); err != nil {
+		return nil, err
+	}
+	var run context.Context
+	run, h.cancel = context.WithCancel(ctx)
+	go func() { defer close(h.done); host.Run(run, run) }()
+	for !host.Desk.Ready() {
+		if !wait.For(ctx, pollPause) {
+			return nil, fmt.Errorf("%s is not ready: %w", h.name, ctx.Err())
+		}
+	}
+	return h, nil
+}
+
+// lateHandler is filled in before the first connection comes.
+type lateHandler struct{ http.Handler }
+
+func decodeJobQueue(item kv.Item) (subscription.Directive, error) {
+	if item.Key != jobConfig {
+		return subscription.Directive{}, nil
+	}
+	queue := &catalog.Queue{Name: jobQueue, Pool: "desk", Open: true, MaxAttempts: 3, Stretch: 1.6, Allowance: time.Second}
+	return subscription.Directive{Catalog: catalog.New(1, []*catalog.Queue{queue}, []*catalog.Pool{{Name: "desk"}}, nil, 0)}, nil
+}
+
+func (d *Demo) stopJobHost(h *jobHost) {
+	h.cancel()
+	<-h.done
+	for _, s := range []*httpServer{h.api, h.links} {
+		// The host is gone; an error of its listeners changes nothing.
+		_ = s.http.Close()
+		<-s.done
+	}
+	if err := h.meter.Close(); err != nil {
+		d.printf("%s: metrics were not closed: %v\n", h.name, err)
+	}
+}
+
+// killOwner cuts the host that schedules off from the store and ends it, so that its
+// lease lapses as after a crash.
+func killOwner(ctx context.Context, store *kvfake.Fake, hosts []*jobHost) error {
+	for {
+		name, err := tenure.Holder(store.Item(layout.Owner))
+		if err != nil {
+			return err
+		}
+		for _, h := range hosts {
+			if h.name == name {
+				h.cut()
+				h.cancel()
+				return nil
+			}
+		}
+		if !wait.For(ctx, pollPause) {
+			return fmt.Errorf("no host schedules: %w", ctx.Err())
+		}
+	}
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n+1) }
+
+// client returns a client of the nth host that is alive.
+func client(hosts []*jobHost, n int) *jobclient.Client {
+	var alive []*jobHost
+	for _, h := range hosts {
+		select {
+		case <-h.done:
+		default:
+			alive = append(alive, h)
+		}
+	}
+	h := alive[n%len(alive)]
+	return &jobclient.Client{Server: "http://" + h.api.address.String(), Queue: jobQueue, HTTP: http.DefaultClient}
+}
+
+// submit hands a job in, at another host after each failure.
+func submit(ctx context.Context, hosts []*jobHost, n int) error {
+	for try := n; ; try++ {
+		err := client(hosts, try).Submit(ctx, jobID(n), []byte(jobText))
+		if err == nil {
+			return nil
+		}
+		if !wait.For(ctx, pollPause) {
+			return errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+func succeeded(ctx context.Context, hosts []*jobHost, n int) error {
+	for try := n; ; try++ {
+		state, err := client(hosts, try).State(ctx, jobID(n))
+		if err == nil && state == "succeeded" {
+			return nil
+		}
+		if !wait.For(ctx, pollPause) {
+			return fmt.Errorf("job %s is %s: %w", jobID(n), state, errors.Join(err, ctx.Err()))
+		}
+	}
+}
+
+// cuttable returns the store with a switch that ends its calls without an answer.
+func cuttable(s kv.Store) (kv.Store, func()) {
+	ctx, cut := context.WithCancelCause(context.Background())
+	failed := func() error { return context.Cause(ctx) }
+	c := s
+	c.Get = func(call context.Context, key string) (kv.Item, error) {
+		if err := failed(); err != nil {
+			return kv.Item{}, err
+		}
+		return s.Get(call, key)
+	}
+	c.Range = func(call context.Context, prefix string) ([]kv.Item, int64, error) {
+		if err := failed(); err != nil {
+			return nil, 0, err
+		}
+		return s.Range(call, prefix)
+	}
+	c.Watch = func(call context.Context, prefix string, after int64, d time.Duration) ([]kv.Event, int64, error) {
+		if err := failed(); err != nil {
+			return nil, 0, err
+		}
+		return s.Watch(call, prefix, after, d)
+	}
+	c.Commit = func(call context.Context, change kv.Change) (int64, error) {
+		if err := failed(); err != nil {
+			return 0, err
+		}
+		return s.Commit(call, change)
+	}
+	c.Grant = func(call context.Context, ttl time.Duration) (int64, time.Duration, error) {
+		if err := failed(); err != nil {
+			return 0, 0, err
+		}
+		return s.Grant(call, ttl)
+	}
+	c.Renew = func(call context.Context, lease int64) (time.Duration, error) {
+		if err := failed(); err != nil {
+			return 0, err
+		}
+		return s.Renew(call, lease)
+	}
+	c.Revoke = func(call context.Context, lease int64) error {
+		if err := failed(); err != nil {
+			return err
+		}
+		return s.Revoke(call, lease)
+	}
+	return c, func() { cut(errors.New("the host is cut off from the store")) }
+}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -61,7 +61,9 @@
 
 // Call is one call of a caller.
 type Call struct {
+	// Host and Path select the queue and the job, unless Queue and ID name them.
 	Host, Path string
+	Queue, ID  string
 	// Key is empty if the call has none.
 	Key string
 	// Timeout is how long the caller waits.
@@ -101,11 +103,16 @@
 	if c == nil {
 		return nil, d.refuse("no configuration was read yet")
 	}
-	q := c.Find(call.Host, call.Path)
+	q, id := c.Queues[call.Queue], call.ID
+	if call.Queue == "" {
+		if q = c.Find(call.Host, call.Path); q != nil {
+			id = call.Path[len(q.Prefix):]
+		}
+	}
 	if q == nil {
 		return nil, d.denied(Answer{Outcome: NoQueue, Reason: "no queue has this address"}, age)
 	}
-	t := &Target{Queue: q, ID: call.Path[len(q.Prefix):], revision: revision, age: age}
+	t := &Target{Queue: q, ID: id, revision: revision, age: age}
 	if q.Open {
 		return t, Answer{}
 	}
--- /dev/null
+++ b/desk/list.go
@@ -0,0 +1,66 @@
+package desk
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"egretdrum.example/job"
+	"egretdrum.example/layout"
+	"egretdrum.example/progress"
+)
+
+// Listed is a job in a list.
+type Listed struct {
+	ID    string
+	State progress.State
+}
+
+// List returns the jobs of the queue and the account of a target, by ID. It reads all jobs
+// that the store holds, so it is meant for people and not for polling.
+func (d *Desk) List(ctx context.Context, call *Call, t *Target) ([]Listed, Answer) {
+	ctx, cancel := context.WithTimeout(ctx, d.timeout(call))
+	defer cancel()
+	submissions, _, err := d.Store.Range(ctx, layout.Submissions)
+	if err != nil {
+		return nil, d.refuse(err.Error())
+	}
+	results, _, err := d.Store.Range(ctx, layout.Results)
+	if err != nil {
+		return nil, d.refuse(err.Error())
+	}
+	states := make(map[string]progress.State)
+	for _, item := range submissions {
+		id, cancelled := layout.ParseSubmission(item.Key)
+		if cancelled {
+			if _, ours := states[id]; ours {
+				states[id] = progress.Cancelled
+			}
+			continue
+		}
+		j, err := job.Decode(item.Value)
+		if err != nil {
+			return nil, Answer{Outcome: Unknown, Reason: "job " + id + ": " + err.Error()}
+		}
+		if j.Queue == t.Queue.Name && j.Account == t.Account {
+			states[id] = progress.Pending
+		}
+	}
+	for _, item := range results {
+		id := strings.TrimPrefix(item.Key, layout.Results)
+		r, err := progress.Decode(item.Value)
+		if err != nil {
+			return nil, Answer{Outcome: Unknown, Reason: "result of " + id + ": " + err.Error()}
+		}
+		cancelled := states[id] == progress.Cancelled && !r.State.Final()
+		if r.Queue == t.Queue.Name && r.Account == t.Account && !cancelled {
+			states[id] = r.State
+		}
+	}
+	var jobs []Listed
+	for id, state := range states {
+		jobs = append(jobs, Listed{id, state})
+	}
+	slices.SortFunc(jobs, func(a, b Listed) int { return strings.Compare(a.ID, b.ID) })
+	return jobs, Answer{Outcome: Shown}
+}
--- /dev/null
+++ b/jobapi/api.go
@@ -0,0 +1,126 @@
+// Package jobapi is egretdrum's own HTTP interface for jobs, beside that of a platform. It
+// speaks the words of the project; docs/jobs.md lists its calls.
+package jobapi
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/desk"
+	"egretdrum.example/jobfile"
+)
+
+// API serves the interface. New makes one.
+type API struct {
+	desk *desk.Desk
+	log  *zap.Logger
+	mux  *http.ServeMux
+}
+
+// keyScheme precedes the key of an account in the header Authorization.
+const keyScheme = "Bearer "
+
+// New returns the interface of a desk.
+func New(d *desk.Desk, log *zap.Logger) *API {
+	a := &API{desk: d, log: log, mux: http.NewServeMux()}
+	a.mux.HandleFunc("GET /v1/queues/{queue}/jobs", a.list)
+	a.mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", a.handle(a.submit))
+	a.mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", a.handle(func(r *http.Request, c *desk.Call, t *desk.Target) desk.Answer {
+		return a.desk.State(r.Context(), c, t)
+	}))
+	a.mux.HandleFunc("DELETE /v1/queues/{queue}/jobs/{id}", a.handle(func(r *http.Request, c *desk.Call, t *desk.Target) desk.Answer {
+		return a.desk.Cancel(r.Context(), c, t)
+	}))
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+
+func call(r *http.Request) *desk.Call {
+	return &desk.Call{
+		Queue: r.PathValue("queue"), ID: r.PathValue("id"), Received: time.Now(),
+		Key: strings.TrimPrefix(r.Header.Get("Authorization"), keyScheme),
+	}
+}
+
+// handle resolves the queue and the account of a call, and answers it.
+func (a *API) handle(serve func(*http.Request, *desk.Call, *desk.Target) desk.Answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := call(r)
+		t, answer := a.desk.Resolve(c)
+		if t != nil {
+			answer = serve(r, c, t)
+		}
+		a.log.Info("api-answered", zap.String("request", c.ID), zap.String("queue", c.Queue), zap.String("method", r.Method),
+			zap.String("outcome", string(answer.Outcome)), zap.String("reason", answer.Reason), zap.Duration("took", time.Since(c.Received)))
+		a.write(w, answer, nil)
+	}
+}
+
+func (a *API) submit(r *http.Request, c *desk.Call, _ *desk.Target) desk.Answer {
+	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, a.desk.MaxBodyBytes()))
+	if err != nil {
+		return desk.Answer{Outcome: desk.Invalid, Reason: err.Error()}
+	}
+	j, err := jobfile.Decode(c.ID, b)
+	if err != nil {
+		return desk.Answer{Outcome: desk.Invalid, Reason: err.Error()}
+	}
+	return a.desk.Submit(r.Context(), c, j)
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	c := call(r)
+	t, answer := a.desk.Resolve(c)
+	var jobs []desk.Listed
+	if t != nil {
+		jobs, answer = a.desk.List(r.Context(), c, t)
+	}
+	a.write(w, answer, jobs)
+}
+
+var statuses = map[desk.Outcome]int{
+	desk.Accepted: http.StatusOK, desk.Shown: http.StatusOK,
+	desk.Refused: http.StatusServiceUnavailable, desk.Unknown: http.StatusGatewayTimeout,
+	desk.NoQueue: http.StatusNotFound, desk.NoJob: http.StatusGone, desk.BadKey: http.StatusUnauthorized,
+	desk.Invalid: http.StatusBadRequest,
+}
+
+// reply is the body of each answer. Jobs is set for lists, State for a single job.
+type reply struct {
+	Outcome string       `json:"outcome"`
+	State   string       `json:"state,omitempty"`
+	Reason  string       `json:"reason,omitempty"`
+	Jobs    []replyEntry `json:"jobs,omitempty"`
+}
+
+type replyEntry struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+func (a *API) write(w http.ResponseWriter, answer desk.Answer, jobs []desk.Listed) {
+	body := reply{Outcome: string(answer.Outcome), State: string(answer.State), Reason: answer.Reason}
+	for _, j := range jobs {
+		body.Jobs = append(body.Jobs, replyEntry{j.ID, string(j.State)})
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if answer.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((answer.RetryAfter+time.Second-1)/time.Second)))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(statuses[answer.Outcome])
+	// The caller may have gone; net/http notices by itself.
+	_, _ = w.Write(append(b, '\n'))
+}
--- /dev/null
+++ b/jobhost/host.go
@@ -0,0 +1,94 @@
+// Package jobhost puts together the parts of an entry host that take, schedule and answer
+// for jobs. What differs between platforms is passed in.
+package jobhost
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/boottime"
+	"egretdrum.example/desk"
+	"egretdrum.example/dispatch"
+	"egretdrum.example/kv"
+	"egretdrum.example/meter"
+	"egretdrum.example/ownerlink"
+	"egretdrum.example/scheduler"
+	"egretdrum.example/subscription"
+	"egretdrum.example/tenure"
+)
+
+// Config is what a host needs of its platform.
+type Config struct {
+	// Name is that of the entry host.
+	Name  string
+	Store kv.Store
+	// OperatorPrefix and ConfigKey say where operators write, DecodeOperator reads it.
+	OperatorPrefix, ConfigKey string
+	DecodeOperator            func(kv.Item) (subscription.Directive, error)
+	Calls                     dispatch.Calls
+	// Link is where the host takes links of others while it is the owner.
+	Link netip.AddrPort
+	// RevokeWithin, KeepResults and Limits are asked for when they are needed, as settings
+	// may change.
+	RevokeWithin, KeepResults func() time.Duration
+	Limits                    func() scheduler.Limits
+	// Delay is how long the host leaves the duty to schedule to others.
+	Delay func() time.Duration
+	Log   *zap.Logger
+	Meter *meter.Meter
+}
+
+// Host is one entry host.
+type Host struct {
+	// Desk answers callers.
+	Desk *desk.Desk
+	// Links serves the links of other hosts.
+	Links http.Handler
+
+	config *subscription.Subscription
+	link   *ownerlink.Link
+	tenure *tenure.Tenure
+}
+
+// New returns a host. Run must be called for it to work.
+func New(cfg *Config) *Host {
+	h := &Host{
+		config: subscription.New(cfg.Store, cfg.OperatorPrefix, cfg.ConfigKey, cfg.DecodeOperator, cfg.Log),
+		link:   ownerlink.New(cfg.Log),
+	}
+	h.Desk = &desk.Desk{
+		Store: cfg.Store, Config: h.config, RevokeWithin: cfg.RevokeWithin, Log: cfg.Log, Meter: cfg.Meter,
+		Tell: h.link.Tell, Ask: h.link.Ask,
+	}
+	owner := &dispatch.Owner{
+		Store: cfg.Store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults,
+		Log: cfg.Log, Meter: cfg.Meter,
+	}
+	h.Links = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: cfg.Log}
+	h.tenure = &tenure.Tenure{
+		Store: cfg.Store, Host: cfg.Name, Work: owner.Run, Log: cfg.Log, Now: boottime.Now, Delay: cfg.Delay,
+		Link: cfg.Link, Followed: h.link.Follow,
+	}
+	return h
+}
+
+// Run works until ctx ends. The host gives up and leaves the duty to schedule when duty
+// ends, which comes first in a planned stop.
+func (h *Host) Run(ctx, duty context.Context) {
+	parts := []func(){
+		func() { h.config.Run(ctx) },
+		func() { h.link.Run(ctx) },
+		func() { h.tenure.Run(duty) },
+	}
+	ended := make(chan struct{}, len(parts))
+	for _, part := range parts {
+		go func() { part(); ended <- struct{}{} }()
+	}
+	for range parts {
+		<-ended
+	}
+}
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -92,6 +92,16 @@
 	Token []byte `cbor:"4,keyasint,omitempty"`
 }
 
+// Holder returns the name of the host in the owner's key, empty if the item does not exist.
+func Holder(item kv.Item) (string, error) {
+	var h holder
+	if item.Revision == 0 {
+		return "", nil
+	}
+	err := cbor.Unmarshal(item.Value, &h)
+	return h.Host, err
+}
+
 // Run competes until ctx ends. A host that stops gives its right back at once.
 func (t *Tenure) Run(ctx context.Context) {
 	if t.Now == nil {
