Let a silent worker hold up only the queues that have used its pool

Ruled out: the records of silent workers, as nobody had looked at that worker.

The store says which pools each queue has used, before a task of the queue starts there, so that changes of the configuration are safe. A worker at whose address another one answers has ended. The property test, which now changes the pool of a queue, found that a waiting task could start in the pool that its queue had when it arrived; mended.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/layout"
 	"egretdrum.example/scheduler"
 	"egretdrum.example/wait"
 )
@@ -48,10 +49,13 @@
 		go o.advise(q)
 	}
 	for _, v := range a.Silences {
-		o.silences.set(v)
+		o.keys.encode(layout.Silence(v.Worker), v)
 	}
 	for _, id := range a.SilenceEnds {
-		o.silences.end(id)
+		o.keys.set(layout.Silence(id), nil)
+	}
+	if a.PoolUse != nil {
+		o.keys.encode(layout.PoolUse, a.PoolUse)
 	}
 	for _, w := range a.WaveStates {
 		o.saveWave(w)
--- /dev/null
+++ b/dispatch/keywriter.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"egretdrum.example/kv"
+	"egretdrum.example/layout"
+	"egretdrum.example/scheduler"
+	"egretdrum.example/wait"
+)
+
+// keyWriter writes the newest values of some keys. Each change requires that the owner is
+// the same, so that an earlier owner never replaces a value of a later one.
+type keyWriter struct {
+	store   kv.Store
+	term    int64
+	log     *zap.Logger
+	changed chan struct{}
+
+	mu sync.Mutex
+	// waiting has the values that are to be written; a nil value is to be removed.
+	waiting map[string][]byte
+}
+
+func newKeyWriter(store kv.Store, term int64, log *zap.Logger) *keyWriter {
+	return &keyWriter{store: store, term: term, log: log, changed: make(chan struct{}, 1), waiting: make(map[string][]byte)}
+}
+
+// set queues a value, nil to remove the key, in place of an earlier one that waits.
+func (v *keyWriter) set(key string, value []byte) {
+	v.mu.Lock()
+	v.waiting[key] = value
+	v.mu.Unlock()
+	select {
+	case v.changed <- struct{}{}:
+	default:
+		// The writer has not yet seen the change before.
+	}
+}
+
+// encode queues the encoded form of a value.
+func (v *keyWriter) encode(key string, value any) {
+	b, err := cbor.Marshal(value)
+	if err != nil {
+		v.log.Error("value-not-encoded", zap.String("key", key), zap.Error(err))
+		return
+	}
+	v.set(key, b)
+}
+
+// run writes until ctx ends, one change after the other, so that the last value of a key
+// is the one that is stored. It calls lost if another host is the owner, and written for
+// each value that is durable.
+func (v *keyWriter) run(ctx context.Context, lost func(), written func(key string, value []byte)) {
+	for {
+		select {
+		case <-v.changed:
+		case <-ctx.Done():
+			return
+		}
+		for batch := v.take(); len(batch) > 0 && ctx.Err() == nil; batch = v.take() {
+			if !v.write(ctx, batch) {
+				lost()
+				return
+			}
+			for key, value := range batch {
+				written(key, value)
+			}
+		}
+	}
+}
+
+// take removes up to a change's worth of values from those that wait.
+func (v *keyWriter) take() map[string][]byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	batch := make(map[string][]byte)
+	for _, key := range slices.Sorted(maps.Keys(v.waiting)) {
+		if len(batch) == kv.MaxEntries-1 {
+			break
+		}
+		batch[key] = v.waiting[key]
+		delete(v.waiting, key)
+	}
+	return batch
+}
+
+// write repeats a change until it is stored. It reports false if the right is lost.
+func (v *keyWriter) write(ctx context.Context, batch map[string][]byte) bool {
+	c := kv.Change{Conditions: []kv.Condition{{Key: layout.Owner, Revision: v.term}}}
+	for key, value := range batch {
+		if value == nil {
+			c.Deletes = append(c.Deletes, key)
+			continue
+		}
+		c.Puts = append(c.Puts, kv.Put{Key: key, Value: value})
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, saveTimeout)
+		_, err := v.store.Commit(call, c)
+		cancel()
+		var conflict *kv.ConflictError
+		switch {
+		case err == nil:
+			v.log.Info("keys-stored", zap.Strings("written", keysOf(c.Puts)), zap.Strings("removed", c.Deletes))
+			return true
+		case errors.As(err, &conflict):
+			return false
+		}
+		wait.For(ctx, saveRetry)
+	}
+	return false
+}
+
+func keysOf(puts []kv.Put) []string {
+	var keys []string
+	for _, p := range puts {
+		keys = append(keys, p.Key)
+	}
+	return keys
+}
+
+// keyWritten reports to the scheduler what has become durable.
+func (o *Owner) keyWritten(key string, value []byte) {
+	if id, silence := strings.CutPrefix(key, layout.Silences); silence {
+		if value == nil {
+			o.post(func(now time.Time) { o.core.SilenceEnded(id, now) })
+		}
+		return
+	}
+	var pools scheduler.PoolUse
+	if err := cbor.Unmarshal(value, &pools); err != nil {
+		o.Log.Error("value-not-decoded", zap.String("key", key), zap.Error(err))
+		return
+	}
+	o.post(func(now time.Time) { o.core.PoolUseStored(pools, now) })
+}
+
+func (o *Owner) loadSilences(items []kv.Item, now time.Time) {
+	for _, item := range items {
+		var v scheduler.Silence
+		if err := cbor.Unmarshal(item.Value, &v); err != nil {
+			o.Log.Warn("silence-not-decoded", zap.String("key", item.Key), zap.Error(err))
+			continue
+		}
+		o.core.SetSilence(v, now)
+	}
+}
+
+// loadPoolUse hands over which pools the queues have used. Without it, recovery holds the
+// tasks of all queues.
+func (o *Owner) loadPoolUse(items []kv.Item, now time.Time) {
+	pools := scheduler.PoolUse{}
+	for _, item := range items {
+		if err := cbor.Unmarshal(item.Value, &pools); err != nil {
+			o.Log.Warn("pool-use-not-decoded", zap.String("key", item.Key), zap.Error(err))
+			return
+		}
+	}
+	o.core.PoolUseStored(pools, now)
+}
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -39,12 +39,12 @@
 	events chan func(now time.Time)
 	slots  map[string]chan struct{}
 	saver  *saver
-	// silences has the records of workers that do not answer.
-	silences *silences
-	ctx      context.Context
-	stop     context.CancelFunc
-	waves    map[int64]waveRecord
-	asks     chan func()
+	// keys writes what the scheduler needs besides the progress of jobs.
+	keys  *keyWriter
+	ctx   context.Context
+	stop  context.CancelFunc
+	waves map[int64]waveRecord
+	asks  chan func()
 	// live is the term that other hosts may use, nil while there is none.
 	live atomic.Pointer[liveTerm]
 	// changedWaves has the numbers of waves whose progress is to be stored; wavesChanged
@@ -99,7 +99,7 @@
 	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
 	o.core = scheduler.New(o.Limits(), term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log)
-	o.silences = newSilences(o.Store, term.Number, o.Log)
+	o.keys = newKeyWriter(o.Store, term.Number, o.Log)
 	// Items that arrive during the load wait for the loop; questions go to the store.
 	o.live.Store(&liveTerm{term: term, events: o.events, done: o.ctx.Done()})
 	defer o.live.Store(nil)
@@ -121,7 +121,7 @@
 		o.background(func() { o.saver.run(o.ctx, o.stop, o.saved) }),
 		o.background(func() { o.follow(o.Calls.WorkerPrefix, feeds.workers, o.workerEvent, o.reloadWorkers) }),
 		o.background(func() { o.follow(layout.Submissions, feeds.submissions, o.submissionEvent, o.reloadSubmissions) }),
-		o.background(func() { o.silences.run(o.ctx, o.stop, o.silenceEnded) }),
+		o.background(func() { o.keys.run(o.ctx, o.stop, o.keyWritten) }),
 		o.background(o.pollMachines),
 		o.background(o.writeCounts),
 		o.background(o.writeWaves),
@@ -215,7 +215,7 @@
 func (o *Owner) load() (feeds, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
-	var workers, submissions, results, waves, silences []kv.Item
+	var workers, submissions, results, waves, silences, pools []kv.Item
 	var from feeds
 	reads := []<-chan error{
 		o.read(ctx, o.Calls.WorkerPrefix, &workers, &from.workers),
@@ -223,6 +223,7 @@
 		o.read(ctx, layout.Results, &results, nil),
 		o.read(ctx, layout.Waves, &waves, nil),
 		o.read(ctx, layout.Silences, &silences, nil),
+		o.read(ctx, layout.PoolUse, &pools, nil),
 	}
 	for _, done := range reads {
 		if err := <-done; err != nil {
@@ -248,6 +249,7 @@
 		o.submission(item, records, now)
 	}
 	o.loadSilences(silences, now)
+	o.loadPoolUse(pools, now)
 	return from, nil
 }
 
--- a/layout/keys.go
+++ b/layout/keys.go
@@ -17,6 +17,8 @@
 	Results = "egretdrum/out/"
 	// Waves is the prefix of the progress of maintenance waves.
 	Waves = "egretdrum/wave/"
+	// PoolUse holds the pools that each queue has used.
+	PoolUse = "egretdrum/pools"
 	// Silences is the prefix of the records of workers that do not answer.
 	Silences = "egretdrum/silent/"
 
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -16,8 +16,10 @@
 	Saves  []Save
 	Orders []Order
 	Notes  []Note
-	Advice []Advise
-	Paces  []Pace
+	// PoolUse is to be stored unless it is nil; report it by PoolUseStored.
+	PoolUse PoolUse
+	Advice  []Advise
+	Paces   []Pace
 	// Silences lists workers that have stopped answering, SilenceEnds those that answer again
 	// or are gone; report an end by SilenceEnded once it is durable.
 	Silences    []Silence
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -29,6 +29,8 @@
 		}
 		if otherLife {
 			s.newLife(h, 0)
+			// The address has passed to another worker, so this one has ended.
+			delete(s.expected, h.entry.ID)
 			h.nextLook = now.Add(lookRetry)
 		}
 		return
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -169,7 +169,7 @@
 	g.core.SetWave(machines, g.waves[1].deadline, limit, WaveState{Wave: 1})
 }
 
-func (g *machinery) submitTo(queue, account, id string, steps ...job.Step) {
+func (g *machinery) submitFor(queue, account, id string, steps ...job.Step) {
 	j := &job.Job{ID: id, Queue: queue, Account: account, Steps: steps}
 	g.jobs[id], g.added[id] = j, g.owner
 	g.core.AddJob(j, nil, false, g.now)
@@ -179,7 +179,7 @@
 // may miss only one, ends late, or is said to be done too early.
 func TestWaveKeepsLimitAndAvailability(t *testing.T) {
 	g := newMachinery(map[string]int{"desk": 6})
-	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 4, Need: small, LongRunning: true, MayMiss: 1})
+	g.submitFor("rounds", "arbiters", "desk", job.Step{Count: 4, Need: small, LongRunning: true, MayMiss: 1})
 	g.pass(2 * time.Second)
 	g.wave(25*time.Second, 2, "desk-0", "desk-1", "desk-2", "desk-3", "desk-4")
 	g.pass(25 * time.Second)
@@ -194,7 +194,7 @@
 // predecessor told to stop is still listed as at work.
 func TestNewOwnerWaitsForStopsOfItsPredecessor(t *testing.T) {
 	g := newMachinery(map[string]int{"desk": 4})
-	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 3, Need: small, LongRunning: true, MayMiss: 1})
+	g.submitFor("rounds", "arbiters", "desk", job.Step{Count: 3, Need: small, LongRunning: true, MayMiss: 1})
 	g.pass(2 * time.Second)
 	host, _ := g.core.Task(job.Task{Job: "desk"})
 	due := g.workers[host].entry.Machine
@@ -245,7 +245,7 @@
 	var held []Order
 	g.orders = func(o Order) { held = append(held, o) }
 	// The machines of these tasks come last for this owner, and first for the next one.
-	g.submitTo("rounds", "arbiters", "brief", job.Step{Count: 4, Need: resource.Amount{CPU: 1500}, MaxPerWorker: 1})
+	g.submitFor("rounds", "arbiters", "brief", job.Step{Count: 4, Need: resource.Amount{CPU: 1500}, MaxPerWorker: 1})
 	g.pass(100 * time.Millisecond)
 	g.wave(20*time.Second, 2, deskMachines(8)...)
 	for len(held) < 2 {
@@ -283,7 +283,7 @@
 	g.pass(20 * time.Second)
 	qt.Assert(t, g.finished[1], qt.IsTrue)
 	for n := range 12 {
-		g.submitTo("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 1, Need: resource.Amount{CPU: 4000}})
+		g.submitFor("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 1, Need: resource.Amount{CPU: 4000}})
 	}
 	g.pass(stageStep)
 	g.pass(stageStep)
@@ -308,7 +308,7 @@
 // task had nowhere to go, and its siblings could not be moved either.
 func TestWaveLeavesMachinesForThePool(t *testing.T) {
 	g := newMachinery(map[string]int{"desk": 3})
-	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 3, Need: small, LongRunning: true, MayMiss: 1, MaxPerWorker: 1})
+	g.submitFor("rounds", "arbiters", "desk", job.Step{Count: 3, Need: small, LongRunning: true, MayMiss: 1, MaxPerWorker: 1})
 	g.pass(2 * time.Second)
 	g.wave(20*time.Second, 3, "desk-0", "desk-1", "desk-2")
 	g.pass(3 * time.Second)
@@ -321,7 +321,7 @@
 func TestBurstBorrowsMachines(t *testing.T) {
 	g := newMachinery(map[string]int{"desk": 2, "league": homeMachines + 1, "spare": 1})
 	for n := range 20 {
-		g.submitTo("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 4, Need: small})
+		g.submitFor("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 4, Need: small})
 	}
 	g.pass(5 * time.Second)
 	assertNothingBroken(t, g.stage)
@@ -343,7 +343,7 @@
 func TestBurstForALabelBorrowsMachinesWithIt(t *testing.T) {
 	g := newMachinery(map[string]int{"desk": 1, "spare": 4})
 	g.machines["spare-2"].Labels = worker.Labels{"large"}
-	g.submitTo("rounds", "arbiters", "need", job.Step{Count: 2, Need: small, Label: "large"})
+	g.submitFor("rounds", "arbiters", "need", job.Step{Count: 2, Need: small, Label: "large"})
 	g.pass(5 * time.Second)
 	assertNothingBroken(t, g.stage)
 	qt.Assert(t, g.machines["spare-2"].Pool, qt.Equals, "desk")
@@ -361,7 +361,7 @@
 		}
 	}
 	g.relabel()
-	g.submitTo("rounds", "arbiters", "desk", job.Step{Count: 2, Need: small, LongRunning: true, MayMiss: 1, MaxPerWorker: 1, Label: "large"})
+	g.submitFor("rounds", "arbiters", "desk", job.Step{Count: 2, Need: small, LongRunning: true, MayMiss: 1, MaxPerWorker: 1, Label: "large"})
 	g.pass(2 * time.Second)
 	g.wave(15*time.Second, 2, "desk-0", "desk-1")
 	g.pass(15 * time.Second)
@@ -376,10 +376,10 @@
 func TestAccountWithinShareDoesNotWait(t *testing.T) {
 	g := newMachinery(map[string]int{"desk": 2})
 	for n := range 40 {
-		g.submitTo("rounds", "small", fmt.Sprintf("hot%02d", n), job.Step{Count: 2, Need: small})
+		g.submitFor("rounds", "small", fmt.Sprintf("hot%02d", n), job.Step{Count: 2, Need: small})
 	}
 	g.pass(700 * time.Millisecond)
-	g.submitTo("rounds", "large", "other", job.Step{Count: 4, Need: small})
+	g.submitFor("rounds", "large", "other", job.Step{Count: 4, Need: small})
 	g.pass(1500 * time.Millisecond)
 	assertNothingBroken(t, g.stage)
 	assertState(t, g.stage, "other", progress.Succeeded)
@@ -390,10 +390,10 @@
 func TestHopefulJobsGoFirst(t *testing.T) {
 	g := newMachinery(map[string]int{"desk": 1})
 	for n := range 8 {
-		g.submitTo("rounds", "arbiters", fmt.Sprintf("early%d", n), job.Step{Count: 8, Need: small})
+		g.submitFor("rounds", "arbiters", fmt.Sprintf("early%d", n), job.Step{Count: 8, Need: small})
 	}
 	g.pass(8 * time.Second)
-	g.submitTo("rounds", "arbiters", "fresh", job.Step{Count: 4, Need: small})
+	g.submitFor("rounds", "arbiters", "fresh", job.Step{Count: 4, Need: small})
 	g.pass(1600 * time.Millisecond)
 	assertNothingBroken(t, g.stage)
 	assertState(t, g.stage, "fresh", progress.Succeeded)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -35,6 +35,10 @@
 			switch {
 			case s.held(p):
 				p.reason = s.holdReason(p)
+			case s.catalog.Queues[p.entry.job.Queue].Pool != pool:
+				p.reason = "its queue has changed to another pool"
+			case !s.poolStored(p):
+				p.reason = "the use of the pool is being stored"
 			case !p.step.Reserved().Within(room):
 				p.reason = "no room in the pool"
 			case p.step.Gang:
@@ -92,7 +96,7 @@
 // its queue is not configured any more.
 func (s *Scheduler) held(p *part) bool {
 	// Steps that may have several runs need not wait for the runs of a predecessor.
-	unknown := p.entry.inherited && !s.settled && !p.step.Speculative
+	unknown := p.entry.inherited && !p.step.Speculative && s.mayHaveRun(p.entry.job.Queue)
 	return p.blocked > 0 || unknown || s.catalog.Queues[p.entry.job.Queue] == nil
 }
 
--- /dev/null
+++ b/scheduler/pooluse.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// PoolUse has the pools in which tasks of each queue may have been started. During a
+// recovery, a worker that does not answer holds up only the queues that have used its
+// pool. It is stored before a queue uses a pool for the first time, so that changes of the
+// configuration do not make it wrong.
+type PoolUse map[string][]string
+
+// has reports whether the queue may have used the pool.
+func (u PoolUse) has(queue, pool string) bool { return slices.Contains(u[queue], pool) }
+
+// with returns a copy in which the queue uses the pool as well.
+func (u PoolUse) with(queue, pool string) PoolUse {
+	if u.has(queue, pool) {
+		return u
+	}
+	next := maps.Clone(u)
+	if next == nil {
+		next = make(PoolUse)
+	}
+	next[queue] = append(slices.Clone(u[queue]), pool)
+	slices.Sort(next[queue])
+	return next
+}
+
+// PoolUseStored reports which use of pools is durable.
+func (s *Scheduler) PoolUseStored(u PoolUse, now time.Time) {
+	s.now = now
+	s.poolUse = u
+	s.changeAll()
+}
+
+// poolStored reports whether tasks of the part may start: the store says that its queue
+// uses the pool. Otherwise it has that stored.
+func (s *Scheduler) poolStored(p *part) bool {
+	q := s.catalog.Queues[p.entry.job.Queue]
+	if q == nil || s.poolUse.has(q.Name, q.Pool) {
+		return true
+	}
+	wanted := s.poolUse
+	for queue, pools := range s.poolWanted {
+		for _, pool := range pools {
+			wanted = wanted.with(queue, pool)
+		}
+	}
+	if !wanted.has(q.Name, q.Pool) {
+		s.poolWanted = wanted.with(q.Name, q.Pool)
+		s.actions.PoolUse = s.poolWanted
+	}
+	return false
+}
+
+// mayHaveRun reports whether unknown runs of a predecessor may be those of the queue.
+func (s *Scheduler) mayHaveRun(queue string) bool {
+	if s.settled {
+		return false
+	}
+	if s.unreached == nil {
+		return true
+	}
+	for _, pool := range s.poolUse[queue] {
+		if s.unreached[pool] {
+			return true
+		}
+	}
+	return false
+}
+
+// findUnreached notes the pools with workers on which runs of a predecessor may be
+// unknown; nil stands for all pools.
+func (s *Scheduler) findUnreached() {
+	s.unreached = nil
+	if !s.machinesKnown || len(s.hosts) == 0 {
+		return
+	}
+	pools := make(map[string]bool)
+	for id := range s.expected {
+		h := s.hosts[id]
+		switch {
+		case h == nil:
+			pool, found := s.poolOfWorker(id)
+			if !found {
+				return
+			}
+			pools[pool] = true
+		case !h.known && !h.accounted:
+			pools[h.entry.Pool] = true
+		}
+	}
+	s.unreached = pools
+}
+
+// poolOfWorker finds the pool of a worker that is not registered by its machine.
+func (s *Scheduler) poolOfWorker(id string) (string, bool) {
+	for _, m := range s.machines {
+		if m.Worker == id {
+			return m.Pool, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/scheduler/pooluse_test.go
@@ -0,0 +1,128 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/catalog"
+	"egretdrum.example/job"
+	"egretdrum.example/resource"
+)
+
+// newPools has a worker w0 in the pool of queue "rounds" and w1 and w2 in that of "teams".
+func newPools() *stage {
+	g := newStage(3)
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	g.catalog.Pools["league"] = &catalog.Pool{Name: "league"}
+	g.catalog.Queues["teams"] = &catalog.Queue{Name: "teams", Pool: "league", MaxAttempts: 3, Stretch: 1.6, Allowance: 600 * time.Millisecond}
+	for _, id := range []string{"w1", "w2"} {
+		w := g.workers[id]
+		w.entry.Pool = "league"
+		g.core.SetWorker(w.entry, g.now)
+	}
+	g.run(100 * time.Millisecond)
+	return g
+}
+
+func (g *stage) submitTo(queue, id string, steps ...job.Step) {
+	j := &job.Job{ID: id, Queue: queue, Account: "arbiters", Steps: steps}
+	g.jobs[id], g.added[id] = j, g.owner
+	g.core.AddJob(j, nil, false, g.now)
+}
+
+// started reports whether a task of the job runs.
+func (g *stage) started(id string) bool {
+	for _, w := range g.workers {
+		for name := range w.runs {
+			if name.Job == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// It answers the pattern of a worker that dies together with the owner: only the queues of
+// its pool wait for its lease, in place of the whole fleet.
+func TestSilentWorkerHoldsUpItsPoolOnly(t *testing.T) {
+	g := newPools()
+	// All room is taken, so that these jobs wait when the owner is lost.
+	g.duration = time.Second
+	g.submitTo("rounds", "full0", job.Step{Count: 1, Need: resource.Amount{CPU: 4000}})
+	g.submitTo("teams", "full1", job.Step{Count: 2, Need: resource.Amount{CPU: 4000}})
+	g.run(100 * time.Millisecond)
+	g.submitTo("rounds", "waits", job.Step{Count: 1, Need: resource.Amount{CPU: 4000}})
+	g.submitTo("teams", "goes-on", job.Step{Count: 1, Need: resource.Amount{CPU: 4000}})
+	g.workers["w0"].cut = true
+	g.replaceOwner()
+	g.run(1500 * time.Millisecond)
+	qt.Assert(t, g.started("goes-on"), qt.IsTrue)
+	qt.Assert(t, g.started("waits"), qt.IsFalse)
+	assertNothingBroken(t, g)
+}
+
+// Guards against a task that is started a second time because its queue has changed to
+// another pool since, whose workers all answer.
+func TestQueueThatChangedItsPoolWaitsForBoth(t *testing.T) {
+	g := newPools()
+	g.duration = 10 * time.Second
+	g.submitTo("rounds", "runs", job.Step{Count: 1, Need: small})
+	g.run(100 * time.Millisecond)
+	g.workers["w0"].cut = true
+	g.catalog.Queues["rounds"].Pool = "league"
+	g.replaceOwner()
+	g.run(2 * time.Second)
+	assertNothingBroken(t, g)
+	g.run(5 * time.Second)
+	assertNothingBroken(t, g)
+	qt.Assert(t, g.poolUse["rounds"], qt.DeepEquals, []string{"desk", "league"})
+}
+
+// Guards against a task on a worker of a pool of which a new owner would not know that the
+// queue uses it.
+func TestNoTaskBeforeThePoolIsStored(t *testing.T) {
+	g := newPools()
+	g.storeDown = true
+	g.catalog.Queues["rounds"].Pool = "league"
+	g.submitTo("rounds", "new", job.Step{Count: 1, Need: small})
+	g.run(time.Second)
+	qt.Assert(t, g.started("new"), qt.IsFalse)
+	g.storeDown = false
+	g.run(100 * time.Millisecond)
+	qt.Assert(t, g.started("new"), qt.IsTrue)
+	assertNothingBroken(t, g)
+}
+
+// Guards against a task that starts on a worker of the pool that its queue had when it
+// arrived. Found by the property test.
+func TestWaitingTaskFollowsItsQueue(t *testing.T) {
+	g := newPools()
+	// The next full pass, which lists the task with its new pool, is not due yet.
+	for !g.core.lastPass.Equal(g.now) {
+		g.step()
+	}
+	g.submitTo("rounds", "moved", job.Step{Count: 1, Need: small})
+	g.catalog.Queues["rounds"].Pool = "league"
+	g.run(300 * time.Millisecond)
+	for id, w := range g.workers {
+		if len(w.runs) > 0 {
+			qt.Assert(t, id, qt.Not(qt.Equals), "w0")
+		}
+	}
+	qt.Assert(t, g.started("moved"), qt.IsTrue)
+}
+
+// Guards against a recovery that waits for workers whose addresses have passed to others.
+func TestAddressOfAnotherWorkerEndsTheWait(t *testing.T) {
+	g := newPools()
+	g.duration = 10 * time.Second
+	g.submitTo("rounds", "held", job.Step{Count: 1, Need: small})
+	g.run(100 * time.Millisecond)
+	g.workers["w0"].down, g.workers["w0"].otherLife = true, true
+	g.replaceOwner()
+	g.run(500 * time.Millisecond)
+	qt.Assert(t, g.core.Settled(), qt.IsTrue)
+	assertNothingBroken(t, g)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -54,6 +54,10 @@
 	settleAt      time.Time
 	expected      map[string]bool
 	machinesKnown bool
+	// poolUse is the durable use of pools, poolWanted the one that is being stored.
+	poolUse, poolWanted PoolUse
+	// unreached has the pools with workers that are not reached yet, nil for all.
+	unreached map[string]bool
 
 	// asking counts the questions for advice on their way.
 	asking int
@@ -114,7 +118,12 @@
 }
 
 // SetCatalog replaces the configuration.
-func (s *Scheduler) SetCatalog(c *catalog.Catalog) { s.catalog = c }
+func (s *Scheduler) SetCatalog(c *catalog.Catalog) {
+	s.catalog = c
+	if c != nil {
+		s.relist()
+	}
+}
 
 // Tick lets time pass: it starts what is due and plans looks, stops and moves.
 func (s *Scheduler) Tick(now time.Time) {
@@ -138,6 +147,10 @@
 	if s.settled {
 		return
 	}
+	before := len(s.unreached)
+	if s.findUnreached(); len(s.unreached) != before {
+		s.changeAll()
+	}
 	if s.now.Before(s.settleAt) {
 		if !s.machinesKnown || len(s.hosts) == 0 {
 			return
@@ -154,9 +167,17 @@
 		}
 	}
 	s.settled = true
+	s.changeAll()
 	s.actions.Notes = append(s.actions.Notes, Note{Event: "recovery-finished", Workers: len(s.expected), Late: !s.now.Before(s.settleAt)})
 }
 
+// changeAll has all waiting tasks looked at in the next pass.
+func (s *Scheduler) changeAll() {
+	for pool := range s.waiting {
+		s.changed[pool] = true
+	}
+}
+
 // silence says why a worker has not answered during the recovery.
 func (s *Scheduler) silence(id string) string {
 	h := s.hosts[id]
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"egretdrum.example/catalog"
 	"egretdrum.example/job"
 	"egretdrum.example/progress"
 	"egretdrum.example/property"
@@ -390,6 +391,15 @@
 
 func playPromises(t *rapid.T) {
 	g := newStage(4)
+	// Half of the workers are in another pool, which the queue may change to.
+	g.catalog.Pools["league"] = &catalog.Pool{Name: "league"}
+	for _, id := range []string{"w2", "w3"} {
+		w := g.workers[id]
+		w.entry.Pool = "league"
+		g.core.SetWorker(w.entry, g.now)
+	}
+	g.poolUse = nil
+	g.replaceOwner()
 	fates := rapid.SliceOfN(rapid.SampledFrom([]fate{answered, answered, answered, answered, answered, lostBefore, lostAfter, carriedOutLate}), 64, 64).Draw(t, "fates")
 	calls := 0
 	g.fault = func(string) fate {
@@ -416,6 +426,14 @@
 			}
 		},
 		"owner": func(*rapid.T) { g.replaceOwner() },
+		"reroute": func(*rapid.T) {
+			q := g.catalog.Queues["rounds"]
+			if q.Pool == "desk" {
+				q.Pool = "league"
+			} else {
+				q.Pool = "desk"
+			}
+		},
 		"cut": func(t *rapid.T) {
 			w := g.workers[drawWorker(t)]
 			w.cut = !w.cut
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -30,6 +30,8 @@
 	lease    time.Time
 	// void has ends that were listed before the lease ran out; noting them counts nothing.
 	void map[int64]bool
+	// otherLife is set if another worker answers at the address.
+	otherLife bool
 	// disturbance is by what share of its target a background task raises a tail latency.
 	disturbance float64
 }
@@ -78,9 +80,11 @@
 	waves        map[int64]fakeWave
 	// waveStates is the durable state of the waves.
 	waveStates map[int64]WaveState
-	// silences is the durable record of silent workers, silenceWrites what is on its way.
-	silences      map[string]Silence
-	silenceWrites []func()
+	// silences is the durable record of silent workers, silenceWrites writes what is on its way.
+	silences map[string]Silence
+	// poolUse is the durable use of pools.
+	poolUse PoolUse
+	writes  []func()
 	// adviser says which workers may run a step; nil if the queue asks nobody. tickets are
 	// those that it gave, advised its questions, and adviceValid how long a ticket holds.
 	adviser     func(workerID string) bool
@@ -136,7 +140,7 @@
 		added: make(map[string]int64), stored: make(map[string]*progress.Record), cancels: make(map[string]time.Time),
 		failures: make(map[job.Task]int), ends: make(map[job.Task][]*fakeEnd), snapshots: make(map[job.Task][][]*fakeEnd),
 		done: make(map[job.Task]bool), noted: make(map[job.Task]bool), duration: 500 * time.Millisecond,
-		silences: make(map[string]Silence), tickets: make(map[string]time.Time), adviceValid: 2 * time.Second, waves: make(map[int64]fakeWave), waveStates: make(map[int64]WaveState),
+		poolUse: PoolUse{"rounds": {"desk"}, "teams": {"league"}}, silences: make(map[string]Silence), tickets: make(map[string]time.Time), adviceValid: 2 * time.Second, waves: make(map[int64]fakeWave), waveStates: make(map[int64]WaveState),
 	}
 	g.catalog = catalog.New(1,
 		[]*catalog.Queue{{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: 600 * time.Millisecond}},
@@ -164,7 +168,7 @@
 // replaceOwner starts a new owner that knows what is stored, as after a crash.
 func (g *stage) replaceOwner() {
 	g.owner++
-	g.looks, g.silenceWrites = nil, nil
+	g.looks, g.writes = nil, nil
 	g.core = New(DefaultLimits(), g.owner, g.now)
 	g.core.SetCatalog(g.catalog)
 	for _, id := range slices.Sorted(maps.Keys(g.workers)) {
@@ -177,6 +181,7 @@
 	for id := range g.cancels {
 		g.core.Cancel(id, g.now)
 	}
+	g.core.PoolUseStored(g.poolUse, g.now)
 	for _, id := range slices.Sorted(maps.Keys(g.silences)) {
 		g.core.SetSilence(g.silences[id], g.now)
 	}
@@ -316,16 +321,19 @@
 		g.advise(q)
 	}
 	for _, v := range a.Silences {
-		g.silenceWrites = append(g.silenceWrites, func() { g.silences[v.Worker] = v })
+		g.writes = append(g.writes, func() { g.silences[v.Worker] = v })
 	}
 	for _, id := range a.SilenceEnds {
-		g.silenceWrites = append(g.silenceWrites, func() { delete(g.silences, id); g.core.SilenceEnded(id, g.now) })
+		g.writes = append(g.writes, func() { delete(g.silences, id); g.core.SilenceEnded(id, g.now) })
 	}
-	if len(g.silenceWrites) > 0 && !g.storeDown && g.decide("save") == answered {
-		for _, write := range g.silenceWrites {
+	if u := a.PoolUse; u != nil {
+		g.writes = append(g.writes, func() { g.poolUse = u; g.core.PoolUseStored(u, g.now) })
+	}
+	if len(g.writes) > 0 && !g.storeDown && g.decide("save") == answered {
+		for _, write := range g.writes {
 			write()
 		}
-		g.silenceWrites = nil
+		g.writes = nil
 	}
 	for _, w := range a.WaveStates {
 		if g.storeDown {
@@ -506,7 +514,7 @@
 	if !ok {
 		listing = nil
 	}
-	g.core.Looked(a, listing, false, g.now)
+	g.core.Looked(a, listing, w.otherLife, g.now)
 }
 
 // note handles an end that a worker may forget, and judges the starts after it.
