--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -338,6 +338,25 @@
 	}
 }
 
+// Guards against long-running tasks that a new owner starts on a machine which is due: they
+// leave one after the other, and the wave ends late. Seen in incident inc-fec7.
+func TestNewOwnerKeepsLongRunningTasksOffDueMachines(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 4})
+	g.wave(25*time.Second, 1, "desk-0", "desk-1")
+	// A worker that does not answer keeps the recovery going, during which no machine is
+	// planned.
+	g.workers[g.machines["desk-3"].Worker].cut = true
+	g.replaceOwner()
+	g.submitFor("rounds", "arbiters", "desk", job.Step{Count: 4, Need: small, LongRunning: true, MayMiss: 1})
+	g.pass(500 * time.Millisecond)
+	for id, w := range g.workers {
+		if m := w.entry.Machine; len(w.runs) > 0 {
+			qt.Assert(t, m == "desk-2" || m == "desk-3", qt.IsTrue, qt.Commentf("%s on %s", id, m))
+		}
+	}
+	qt.Assert(t, g.starts, qt.Equals, 4)
+}
+
 // It answers the pattern of a burst of tasks that need one kind of worker: machines of
 // another kind are not borrowed for them.
 func TestBurstForALabelBorrowsMachinesWithIt(t *testing.T) {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -97,7 +97,12 @@
 func (s *Scheduler) held(p *part) bool {
 	// Steps that may have several runs need not wait for the runs of a predecessor.
 	unknown := p.entry.inherited && !p.step.Speculative && s.mayHaveRun(p.entry.job.Queue)
-	return p.blocked > 0 || unknown || s.catalog.Queues[p.entry.job.Queue] == nil
+	return p.blocked > 0 || unknown || s.catalog.Queues[p.entry.job.Queue] == nil || s.awaitsMachines(p)
+}
+
+// awaitsMachines reports whether a long-running task waits for the list of machines.
+func (s *Scheduler) awaitsMachines(p *part) bool {
+	return p.step.LongRunning && !s.machinesKnown && s.now.Sub(s.started) < machinesPatience
 }
 
 func (s *Scheduler) holdReason(p *part) string {
@@ -106,6 +111,8 @@
 		return "earlier steps are not done"
 	case s.catalog.Queues[p.entry.job.Queue] == nil:
 		return "queue is not configured"
+	case s.awaitsMachines(p):
+		return "the machines are not known yet"
 	}
 	return "recovery: runs of the earlier owner may be unknown"
 }
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -70,6 +70,10 @@
 	// lastingMove is how long it takes to stop a long-running task and to have it at work on
 	// another worker; those of one step go one after the other.
 	lastingMove = 2 * time.Second
+	// machinesPatience is how long a new owner holds long-running tasks back until it knows
+	// which machines are due: those that start on one of them have to move again, one after
+	// the other.
+	machinesPatience = time.Second
 	// unchangedAfter is how long after an accepted order the list may still show the
 	// machine as before; later it shows that the order had been carried out earlier.
 	unchangedAfter = 500 * time.Millisecond
@@ -104,6 +108,7 @@
 		}
 	}
 	s.machinesKnown = true
+	s.markDue()
 	for _, h := range s.ordered {
 		m := s.machines[h.entry.Machine]
 		// A list that was asked for earlier may be older than the registration.
@@ -164,6 +169,7 @@
 		number: state.Wave, machines: machines, deadline: deadline, limit: max(1, limit), finished: state.Finished,
 		done: setOf(state.Done), begun: setOf(state.Begun), stored: setOf(state.Begun),
 	}
+	s.markDue()
 }
 
 // WaveStored reports that the state of a wave is durable.
