--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -107,7 +107,7 @@
 	if h.links, err = serve(ctx, links); err != nil {
 		return nil, err
 	}
-	calls, cut := cuttable(store.Store())
+	calls, cut := store.Cuttable()
 	h.cut = cut
 	host := jobhost.New(&jobhost.Config{
 		Name: h.name, Store: calls, OperatorPrefix: "operators/", ConfigKey: jobConfig, DecodeOperator: decodeJobQueue,
@@ -217,53 +217,3 @@
 		}
 	}
 }
-
-// cuttable returns the store with a switch that ends its calls without an answer.
-func cuttable(s kv.Store) (kv.Store, func()) {
-	ctx, cut := context.WithCancelCause(context.Background())
-	failed := func() error { return context.Cause(ctx) }
-	c := s
-	c.Get = func(call context.Context, key string) (kv.Item, error) {
-		if err := failed(); err != nil {
-			return kv.Item{}, err
-		}
-		return s.Get(call, key)
-	}
-	c.Range = func(call context.Context, prefix string) ([]kv.Item, int64, error) {
-		if err := failed(); err != nil {
-			return nil, 0, err
-		}
-		return s.Range(call, prefix)
-	}
-	c.Watch = func(call context.Context, prefix string, after int64, d time.Duration) ([]kv.Event, int64, error) {
-		if err := failed(); err != nil {
-			return nil, 0, err
-		}
-		return s.Watch(call, prefix, after, d)
-	}
-	c.Commit = func(call context.Context, change kv.Change) (int64, error) {
-		if err := failed(); err != nil {
-			return 0, err
-		}
-		return s.Commit(call, change)
-	}
-	c.Grant = func(call context.Context, ttl time.Duration) (int64, time.Duration, error) {
-		if err := failed(); err != nil {
-			return 0, 0, err
-		}
-		return s.Grant(call, ttl)
-	}
-	c.Renew = func(call context.Context, lease int64) (time.Duration, error) {
-		if err := failed(); err != nil {
-			return 0, err
-		}
-		return s.Renew(call, lease)
-	}
-	c.Revoke = func(call context.Context, lease int64) error {
-		if err := failed(); err != nil {
-			return err
-		}
-		return s.Revoke(call, lease)
-	}
-	return c, func() { cut(errors.New("the host is cut off from the store")) }
-}
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -38,6 +38,9 @@
 	Limits                    func() scheduler.Limits
 	// Delay is how long the host leaves the duty to schedule to others.
 	Delay func() time.Duration
+	// Now is the clock for leases and confirmations; nil stands for one that counts the time
+	// in which the machine is suspended.
+	Now   func() time.Duration
 	Log   *zap.Logger
 	Meter *meter.Meter
 }
@@ -56,10 +59,15 @@
 
 // New returns a host. Run must be called for it to work.
 func New(cfg *Config) *Host {
+	now := cfg.Now
+	if now == nil {
+		now = boottime.Now
+	}
 	h := &Host{
 		config: subscription.New(cfg.Store, cfg.OperatorPrefix, cfg.ConfigKey, cfg.DecodeOperator, cfg.Log),
 		link:   ownerlink.New(cfg.Log),
 	}
+	h.config.Now = now
 	h.Desk = &desk.Desk{
 		Store: cfg.Store, Config: h.config, RevokeWithin: cfg.RevokeWithin, Log: cfg.Log, Meter: cfg.Meter,
 		Tell: h.link.Tell, Ask: h.link.Ask,
@@ -70,7 +78,7 @@
 	}
 	h.Links = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: cfg.Log}
 	h.tenure = &tenure.Tenure{
-		Store: cfg.Store, Host: cfg.Name, Work: owner.Run, Log: cfg.Log, Now: boottime.Now, Delay: cfg.Delay,
+		Store: cfg.Store, Host: cfg.Name, Work: owner.Run, Log: cfg.Log, Now: now, Delay: cfg.Delay,
 		Link: cfg.Link, Followed: h.link.Follow,
 	}
 	return h
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -181,7 +181,10 @@
 		wait.For(ctx, retryPause)
 		return
 	}
-	own := holder{Host: t.Host, Nonce: int64(sent), Link: t.Link.String(), Token: []byte(rand.Text())}
+	own := holder{Host: t.Host, Nonce: int64(sent), Token: []byte(rand.Text())}
+	if t.Link.IsValid() {
+		own.Link = t.Link.String()
+	}
 	value, err := cbor.Marshal(own)
 	if err != nil {
 		t.Log.Error("owner-not-encoded", zap.Error(err))
--- a/workerfake/fleet.go
+++ b/workerfake/fleet.go
@@ -131,6 +131,11 @@
 	delete(m.running, t)
 }
 
+// percent is how much of a run is done.
+func (f *Fleet) percent(r *run) int {
+	return int(100 * (f.taskTime - time.Until(r.until)) / f.taskTime)
+}
+
 // look waits for an end, as workers do.
 func (f *Fleet) look(ctx context.Context, a scheduler.Look) (*worker.Listing, bool, error) {
 	tick := time.NewTicker(lookStep)
@@ -156,7 +161,7 @@
 	l := &worker.Listing{Born: 1, Clock: time.Since(f.started)}
 	for name, r := range m.running {
 		if time.Now().Before(r.until) {
-			l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: 50})
+			l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: f.percent(r)})
 			continue
 		}
 		m.end(name, worker.Done)
