Note an end only once the results of its job are stored, and test the loss of each rule

Cause: a second copy of a speculative task may end after the first one, whose result is not stored yet; its end changes nothing, so that the worker was told at once that it may forget it. A new owner then knew of no end and started the task again. Found by the property test once its store could be away for longer and its late orders came within the lease.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		confirmed := r.state != starting && !r.present.IsZero() && r.present.Before(h.lookSent)
-		fenced := r.fence < h.lookFence
+		fenced := r.fence < h.lookFence || broken.keepFence
 		stopped := r.state == stopping && !r.stopped.IsZero() && r.stopped.Before(h.lookSent)
 		if confirmed || fenced || stopped {
 			s.drop(r, "not listed")
@@ -170,17 +170,12 @@
 	}
 	u := unsavedEnd{number: e.Number}
 	defer func() { h.unsaved = append(h.unsaved, u) }()
-	if p == nil {
-		if known := s.jobs[e.Task.Job]; known != nil && known.version > known.saved {
-			u.entry, u.version = known, known.version
-		}
-		return
+	if p != nil {
+		s.applyEnd(h, p, e)
 	}
-	entry := p.entry
-	version := entry.version
-	s.applyEnd(h, p, e)
-	if entry.version != version {
-		u.entry, u.version = entry, entry.version
+	// An end that changes nothing may say what an earlier one said that is not durable yet.
+	if known := s.jobs[e.Task.Job]; known != nil && known.version > known.saved {
+		u.entry, u.version = known, known.version
 	}
 }
 
--- /dev/null
+++ b/scheduler/gang_test.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+)
+
+// gangRuns returns the run numbers of the members of a gang that are present.
+func (g *stage) gangRuns(id string) []int64 {
+	var runs []int64
+	for _, w := range g.workers {
+		for name, r := range w.runs {
+			if name.Job == id && r.stopAt.IsZero() {
+				runs = append(runs, r.number)
+			}
+		}
+	}
+	return runs
+}
+
+// Guards against members of a gang that wait for each other on workers while there is no
+// room for all, and against members with different run numbers.
+func TestGangStartsWhole(t *testing.T) {
+	g := newStage(2)
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	g.run(100 * time.Millisecond)
+	g.submit("single", job.Step{Count: 1, Need: resource.Amount{CPU: 3000}})
+	g.run(stageStep)
+	g.submit("gang", job.Step{Count: 4, Need: resource.Amount{CPU: 1500}, Gang: true})
+	g.run(200 * time.Millisecond)
+	qt.Assert(t, g.gangRuns("gang"), qt.HasLen, 0)
+	g.run(600 * time.Millisecond)
+	runs := g.gangRuns("gang")
+	qt.Assert(t, runs, qt.HasLen, 4)
+	for _, n := range runs {
+		qt.Assert(t, n, qt.Equals, runs[0])
+	}
+	g.run(2 * time.Second)
+	assertNothingBroken(t, g)
+	assertState(t, g, "gang", progress.Succeeded)
+}
+
+// Guards against a gang of which a part runs on after a member has failed, or starts again
+// before the others have ended.
+func TestGangRestartsTogether(t *testing.T) {
+	g := newStage(2)
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	failed := false
+	g.fails = func(task job.Task, _ string) bool {
+		first := !failed && task.Index == 0
+		failed = failed || first
+		return first
+	}
+	g.run(100 * time.Millisecond)
+	g.submit("gang", job.Step{Count: 3, Need: small, Gang: true})
+	g.run(100 * time.Millisecond)
+	first := g.gangRuns("gang")
+	qt.Assert(t, first, qt.HasLen, 3)
+	for end := g.now.Add(4 * time.Second); g.now.Before(end) && g.state("gang") != progress.Succeeded; {
+		g.step()
+		runs := g.gangRuns("gang")
+		for _, n := range runs {
+			qt.Assert(t, n, qt.Equals, runs[0])
+		}
+	}
+	assertNothingBroken(t, g)
+	assertState(t, g, "gang", progress.Succeeded)
+	qt.Assert(t, failed, qt.IsTrue)
+}
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -299,7 +299,7 @@
 	l.Fence = h.fence
 	// A worker that does not answer gets no longer lease, or its tasks could never be
 	// started elsewhere.
-	if !h.clockRead.IsZero() && len(h.runs) > 0 && h.failures == 0 {
+	if !h.clockRead.IsZero() && len(h.runs) > 0 && (h.failures == 0 || broken.extendSilent) {
 		l.Deadline = s.grant(h)
 	}
 	if !unknown && len(h.runs) > 0 && len(h.unsaved) == 0 && h.failures == 0 {
@@ -347,7 +347,7 @@
 func (h *host) advance() {
 	for len(h.unsaved) > 0 {
 		u := h.unsaved[0]
-		if u.entry != nil && u.entry.saved < u.version {
+		if u.entry != nil && u.entry.saved < u.version && !broken.noteEarly {
 			return
 		}
 		h.noted = u.number
@@ -359,7 +359,9 @@
 // was never started and never will be. The answer to an earlier look says nothing of that.
 func (s *Scheduler) inDoubt(h *host) {
 	h.doubt = true
-	h.fence++
+	if !broken.keepFence {
+		h.fence++
+	}
 	h.sequence++
 	h.looking, h.nextLook = false, s.now
 }
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -131,7 +131,7 @@
 func (s *Scheduler) Cancel(id string, now time.Time) {
 	s.now = now
 	e := s.jobs[id]
-	if e == nil || e.state.Final() {
+	if e == nil || e.state.Final() || broken.ignoreCancel {
 		return
 	}
 	e.cancelled = true
@@ -192,7 +192,7 @@
 				p.blocked++
 			}
 		}
-		if p.blocked == 0 {
+		if p.blocked == 0 || broken.ignoreOrder {
 			s.enqueueAll(p)
 		}
 	}
@@ -357,7 +357,7 @@
 // before it has the configuration.
 func (s *Scheduler) failExhausted(p *part, t *task) bool {
 	q, _ := s.pool(p.entry.job.Queue)
-	if q == nil || q.MaxAttempts <= 0 || len(t.failed) < q.MaxAttempts || p.entry.state.Final() {
+	if q == nil || broken.ignoreAttempts || q.MaxAttempts <= 0 || len(t.failed) < q.MaxAttempts || p.entry.state.Final() {
 		return false
 	}
 	s.finish(p.entry, progress.Failed)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -96,8 +96,8 @@
 // its queue is not configured any more.
 func (s *Scheduler) held(p *part) bool {
 	// Steps that may have several runs need not wait for the runs of a predecessor.
-	unknown := p.entry.inherited && !p.step.Speculative && s.mayHaveRun(p.entry.job.Queue)
-	return p.blocked > 0 || unknown || s.catalog.Queues[p.entry.job.Queue] == nil || s.awaitsMachines(p)
+	unknown := p.entry.inherited && !p.step.Speculative && s.mayHaveRun(p.entry.job.Queue) && !broken.ignoreUnknown
+	return (p.blocked > 0 && !broken.ignoreOrder) || unknown || s.catalog.Queues[p.entry.job.Queue] == nil || s.awaitsMachines(p)
 }
 
 // awaitsMachines reports whether a long-running task waits for the list of machines.
@@ -199,7 +199,7 @@
 func (s *Scheduler) accountAllows(p *part, n int) bool {
 	name := p.entry.job.Account
 	a := s.catalog.Accounts[name]
-	if name == "" || a == nil {
+	if name == "" || a == nil || broken.ignoreLimit {
 		return true
 	}
 	if !s.settled && !s.machinesKnown {
@@ -252,7 +252,7 @@
 }
 
 func (s *Scheduler) fits(p *part, h *host, need resource.Amount, extra int) bool {
-	if !h.used.Add(need.Times(extra + 1)).Within(h.entry.Capacity) {
+	if !h.used.Add(need.Times(extra+1)).Within(h.entry.Capacity) && !broken.ignoreCapacity {
 		return false
 	}
 	if !h.entry.Labels.Have(p.step.Label) || p.refusedBy(h) {
--- a/scheduler/pooluse.go
+++ b/scheduler/pooluse.go
@@ -40,7 +40,7 @@
 // uses the pool. Otherwise it has that stored.
 func (s *Scheduler) poolStored(p *part) bool {
 	q := s.catalog.Queues[p.entry.job.Queue]
-	if q == nil || s.poolUse.has(q.Name, q.Pool) {
+	if q == nil || s.poolUse.has(q.Name, q.Pool) || broken.ignorePoolUse {
 		return true
 	}
 	wanted := s.poolUse
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -108,6 +108,9 @@
 		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave), refuges: make(map[refuge]bool),
 		expected: make(map[string]bool), changed: make(map[string]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
 	}
+	if broken.restartRuns {
+		s.lastRun = 0
+	}
 	s.settleAt = now.Add(s.leaseBound(limits.Lease))
 	return s
 }
@@ -251,7 +254,7 @@
 
 // usable reports whether a worker takes new tasks.
 func (s *Scheduler) usable(h *host) bool {
-	if !h.known || h.foreign || h.failures > 0 || h.doubt || h.recorded || h.entry.Leaving || h.orderedAway || s.now.Before(h.pausedUntil) {
+	if !h.known || h.foreign || h.failures > 0 || h.doubt || (h.recorded && !broken.useRecorded) || h.entry.Leaving || h.orderedAway || s.now.Before(h.pausedUntil) {
 		return false
 	}
 	return h.listed || s.now.Sub(h.unlistedAt) < s.limits.Absence
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -17,7 +17,7 @@
 	for _, h := range s.ordered {
 		// Until a recovery is over, runs of a predecessor may be on a worker that has not
 		// answered.
-		complete := s.settled || h.known
+		complete := s.settled || h.known || broken.recordUnknown
 		lapsed := h.recorded && !h.ending && !h.emptied && h.failures > 0 && len(h.runs) == 0
 		switch {
 		case complete && h.failures >= silentAfter && !h.recorded, lapsed:
