Go through workers with news after an event, and through all at intervals

Now the leases, silences and looks of all workers are gone through every 25 ms, those with news at once, and the workers of a pool come from an index.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -19,6 +19,7 @@
 		return
 	}
 	h.looking = false
+	s.touched[h] = true
 	if answer == nil {
 		h.failures++
 		h.nextLook = now.Add(lookRetry)
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -143,6 +143,7 @@
 		s.hosts[e.ID] = h
 		at, _ := slices.BinarySearchFunc(s.ordered, e.ID, func(h *host, id string) int { return cmp.Compare(h.entry.ID, id) })
 		s.ordered = slices.Insert(s.ordered, at, h)
+		s.byPool = nil
 		if !s.settled {
 			s.expected[e.ID] = true
 			h.leaseEnd = s.settleAt
@@ -154,7 +155,11 @@
 	if h.born != 0 && e.Born > h.born {
 		s.newLife(h, e.Born)
 	}
+	if h.entry.Pool != e.Pool {
+		s.byPool = nil
+	}
 	h.entry, h.listed = e, true
+	s.touched[h] = true
 	if e.Leaving {
 		s.evacuate(h)
 	}
@@ -232,6 +237,7 @@
 // hold books what a run takes.
 func (s *Scheduler) hold(r *run) {
 	h := r.host
+	s.touched[h] = true
 	h.runs[r.part.name(r.index)] = r
 	h.used = h.used.Add(r.need)
 	h.count(r, 1)
@@ -272,6 +278,7 @@
 		}
 		delete(s.hosts, h.entry.ID)
 		s.ordered = slices.DeleteFunc(s.ordered, func(other *host) bool { return other == h })
+		s.byPool = nil
 	}
 }
 
@@ -358,6 +365,7 @@
 // inDoubt makes the next look follow at once, with a higher fence: what it does not list
 // was never started and never will be. The answer to an earlier look says nothing of that.
 func (s *Scheduler) inDoubt(h *host) {
+	s.touched[h] = true
 	h.doubt = true
 	if !broken.keepFence {
 		h.fence++
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -136,10 +136,21 @@
 	})
 }
 
+// hostsOf returns the workers of a pool by ID.
+func (s *Scheduler) hostsOf(pool string) []*host {
+	if s.byPool == nil {
+		s.byPool = make(map[string][]*host)
+		for _, h := range s.ordered {
+			s.byPool[h.entry.Pool] = append(s.byPool[h.entry.Pool], h)
+		}
+	}
+	return s.byPool[pool]
+}
+
 func (s *Scheduler) candidates(pool string) []*host {
 	var hosts []*host
-	for _, h := range s.ordered {
-		if h.entry.Pool == pool && s.usable(h) && !s.cordoned(h) {
+	for _, h := range s.hostsOf(pool) {
+		if s.usable(h) && !s.cordoned(h) {
 			hosts = append(hosts, h)
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,7 +29,9 @@
 	jobs  map[string]*entry
 	hosts map[string]*host
 	// ordered has the hosts by ID, so that equal events have equal results.
-	ordered  []*host
+	ordered []*host
+	// byPool has the hosts of each pool by ID; nil has to be made again.
+	byPool   map[string][]*host
 	accounts map[string]resource.Amount
 	waiting  map[string][]*part // by pool
 	timed    []*entry
@@ -45,6 +49,10 @@
 	// the time of the last pass over all pools.
 	changed  map[string]bool
 	lastPass time.Time
+	// touched has the workers with news since the last Tick, lastSweep the time at which all
+	// were gone through.
+	touched   map[*host]bool
+	lastSweep time.Time
 
 	// lastRun numbers the runs. The first one of an owner is above all of its predecessors.
 	lastRun int64
@@ -106,7 +114,7 @@
 		limits: limits, started: now, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
 		jobs: make(map[string]*entry), hosts: make(map[string]*host), accounts: make(map[string]resource.Amount),
 		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave), refuges: make(map[refuge]bool),
-		expected: make(map[string]bool), changed: make(map[string]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
+		expected: make(map[string]bool), changed: make(map[string]bool), touched: make(map[*host]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
 	}
 	if broken.restartRuns {
 		s.lastRun = 0
@@ -133,17 +141,34 @@
 	s.now = now
 	s.settle()
 	s.startDue()
-	for _, h := range slices.Clone(s.ordered) {
-		s.expire(h)
+	sweep := now.Sub(s.lastSweep) >= sweepInterval
+	if sweep {
+		s.lastSweep = now
+		for _, h := range slices.Clone(s.ordered) {
+			s.expire(h)
+		}
+		s.recordSilences()
 	}
-	s.recordSilences()
 	s.planMachines()
 	s.place()
-	for _, h := range s.ordered {
-		s.planLook(h)
+	if sweep {
+		for _, h := range s.ordered {
+			s.planLook(h)
+		}
+	} else {
+		// Equal events have equal results whatever the order of the map.
+		for _, h := range slices.SortedFunc(maps.Keys(s.touched), func(a, b *host) int { return cmp.Compare(a.entry.ID, b.entry.ID) }) {
+			s.planLook(h)
+		}
 	}
+	clear(s.touched)
 }
 
+// sweepInterval is how often all workers are gone through for leases, silences and looks
+// that are due; in between, only those with news are. With 3,000 workers, going through all
+// of them after each event took most of a strong host's core.
+const sweepInterval = 25 * time.Millisecond
+
 // settle ends the recovery once every worker that may hold runs of a predecessor has
 // answered, or once their leases have ended.
 func (s *Scheduler) settle() {
