Hold all queues in a recovery without a record of the pools that they use

Found by reading: after an upgrade, or when the record could not be read, a queue without an entry counted as one that had used no pool, so that its tasks could be started beside runs on silent workers of its former pool. Runs that a new owner finds now enter their pool in the record as well.

--- a/dispatch/keywriter.go
+++ b/dispatch/keywriter.go
@@ -159,12 +159,12 @@
 // loadPoolUse hands over which pools the queues have used. Without it, recovery holds the
 // tasks of all queues.
 func (o *Owner) loadPoolUse(items []kv.Item, now time.Time) {
-	pools := scheduler.PoolUse{}
 	for _, item := range items {
+		var pools scheduler.PoolUse
 		if err := cbor.Unmarshal(item.Value, &pools); err != nil {
 			o.Log.Warn("pool-use-not-decoded", zap.String("key", item.Key), zap.Error(err))
-			return
+			continue
 		}
+		o.core.SetPoolUse(pools, now)
 	}
-	o.core.PoolUseStored(pools, now)
 }
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -149,6 +149,7 @@
 		percent: listed.Percent, load: listed.Load, save: listed.Checkpoint, need: p.step.Reserved(),
 	}
 	s.hold(r)
+	s.wantPool(p.entry.job.Queue, h.entry.Pool)
 	if h.leaseEnd.Before(s.now) {
 		h.leaseEnd = s.now.Add(s.leaseBound(s.limits.Lease))
 	}
--- a/scheduler/pooluse.go
+++ b/scheduler/pooluse.go
@@ -29,6 +29,13 @@
 	return next
 }
 
+// SetPoolUse takes over the use of pools that the predecessor has stored. Without it, a
+// recovery holds up all queues.
+func (s *Scheduler) SetPoolUse(u PoolUse, now time.Time) {
+	s.poolUseKnown = true
+	s.PoolUseStored(u, now)
+}
+
 // PoolUseStored reports which use of pools is durable.
 func (s *Scheduler) PoolUseStored(u PoolUse, now time.Time) {
 	s.now = now
@@ -43,17 +50,25 @@
 	if q == nil || s.poolUse.has(q.Name, q.Pool) || broken.ignorePoolUse {
 		return true
 	}
+	s.wantPool(q.Name, q.Pool)
+	return false
+}
+
+// wantPool has it stored that a queue uses a pool.
+func (s *Scheduler) wantPool(queue, pool string) {
+	if s.poolUse.has(queue, pool) {
+		return
+	}
 	wanted := s.poolUse
-	for queue, pools := range s.poolWanted {
-		for _, pool := range pools {
-			wanted = wanted.with(queue, pool)
+	for q, pools := range s.poolWanted {
+		for _, p := range pools {
+			wanted = wanted.with(q, p)
 		}
 	}
-	if !wanted.has(q.Name, q.Pool) {
-		s.poolWanted = wanted.with(q.Name, q.Pool)
+	if !wanted.has(queue, pool) {
+		s.poolWanted = wanted.with(queue, pool)
 		s.actions.PoolUse = s.poolWanted
 	}
-	return false
 }
 
 // mayHaveRun reports whether unknown runs of a predecessor may be those of the queue.
@@ -61,7 +76,7 @@
 	if s.settled {
 		return false
 	}
-	if s.unreached == nil {
+	if s.unreached == nil || !s.poolUseKnown {
 		return true
 	}
 	for _, pool := range s.poolUse[queue] {
--- a/scheduler/pooluse_test.go
+++ b/scheduler/pooluse_test.go
@@ -80,6 +80,28 @@
 	qt.Assert(t, g.poolUse["rounds"], qt.DeepEquals, []string{"desk", "league"})
 }
 
+// Guards against an owner that takes a missing record for one that names no pool: after an
+// upgrade, or when the record cannot be read, all queues wait for silent workers.
+func TestMissingPoolUseHoldsAllQueues(t *testing.T) {
+	g := newPools()
+	g.duration = 10 * time.Second
+	g.submitTo("teams", "runs", job.Step{Count: 1, Need: small})
+	g.run(100 * time.Millisecond)
+	for id, w := range g.workers {
+		w.cut = len(w.runs) > 0
+		qt.Assert(t, w.cut && id == "w0", qt.IsFalse)
+	}
+	// The queue has changed to a pool whose workers all answer.
+	g.catalog.Queues["teams"].Pool = "desk"
+	g.poolUse = nil
+	g.replaceOwner()
+	g.run(2 * time.Second)
+	assertNothingBroken(t, g)
+	qt.Assert(t, g.starts, qt.Equals, 1)
+	g.run(6 * time.Second)
+	assertNothingBroken(t, g)
+}
+
 // Guards against a task on a worker of a pool of which a new owner would not know that the
 // queue uses it.
 func TestNoTaskBeforeThePoolIsStored(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -64,6 +64,8 @@
 	machinesKnown bool
 	// poolUse is the durable use of pools, poolWanted the one that is being stored.
 	poolUse, poolWanted PoolUse
+	// poolUseKnown is set once the use that the predecessor has stored was taken over.
+	poolUseKnown bool
 	// unreached has the pools with workers that are not reached yet, nil for all.
 	unreached map[string]bool
 
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -188,7 +188,9 @@
 	for id := range g.cancels {
 		g.core.Cancel(id, g.now)
 	}
-	g.core.PoolUseStored(g.poolUse, g.now)
+	if g.poolUse != nil {
+		g.core.SetPoolUse(g.poolUse, g.now)
+	}
 	for _, id := range slices.Sorted(maps.Keys(g.silences)) {
 		g.core.SetSilence(g.silences[id], g.now)
 	}
