Keep what runs when the owner is behind, and contain unexpected failures

Cause: with 300 hosts and 3,000 workers the owner runs out of processor time. Its own late looks counted as the silence of workers, it started hundreds of tasks at once as soon as it had caught up, and passes over the backlog after each end took what time was left. In a stage with a bounded number of calls a step, runs lapsed. Change: the loop measures how late it takes events. While it is behind, it waits longer for looks, gathers ends, plans machines less often and bounds the starts without an answer by a window that halves and grows; above 0.3 s it starts nothing. Pools take turns. Passes over a pool are spaced by their cost, and what needs no less than a part that did not fit is not tried again. Lists of machines take a bounded share of time.

A panic in any background part is logged with its cause; a failed part of the owner ends its term, a job on which the scheduler fails is set aside by the process.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -20,8 +20,11 @@
 	// at all workers at once; with thousands of them, a host with a fifth of a core would
 	// take answers that came in time for missing.
 	quickLooks = 64
-	// ordersPerWorker keeps the number of connections to a worker low.
+	// ordersPerWorker keeps the number of connections to a worker low. Beyond manyWorkers, a
+	// worker gets one order at a time, as an owner of 3,000 workers with a look and two orders
+	// for each has been seen to use all of its 8,192 descriptors.
 	ordersPerWorker = 2
+	manyWorkers     = 500
 	// machineTimeout bounds an order to the platform.
 	machineTimeout = 1500 * time.Millisecond
 )
@@ -35,22 +38,23 @@
 		o.saver.add(s)
 	}
 	for _, l := range a.Looks {
-		go o.look(l)
+		o.inBackground("look", func() { o.look(l) })
 	}
 	for _, s := range a.Stops {
-		go o.stopRun(s)
+		o.inBackground("stop", func() { o.stopRun(s) })
 	}
 	for _, p := range a.Paces {
-		go o.pace(p)
+		o.inBackground("pace", func() { o.pace(p) })
 	}
 	for _, s := range a.Starts {
-		go o.start(s, o.slot(s.Worker.ID))
+		slot := o.slot(s.Worker.ID)
+		o.inBackground("start", func() { o.start(s, slot) })
 	}
 	for _, order := range a.Orders {
-		go o.order(order)
+		o.inBackground("order", func() { o.order(order) })
 	}
 	for _, q := range a.Advice {
-		go o.advise(q)
+		o.inBackground("advice", func() { o.advise(q) })
 	}
 	for _, v := range a.Silences {
 		o.keys.encode(layout.Silence(v.Worker), v)
@@ -69,7 +73,11 @@
 func (o *Owner) slot(worker string) chan struct{} {
 	s := o.slots[worker]
 	if s == nil {
-		s = make(chan struct{}, ordersPerWorker)
+		orders := ordersPerWorker
+		if len(o.slots) >= manyWorkers {
+			orders = 1
+		}
+		s = make(chan struct{}, orders)
 		o.slots[worker] = s
 	}
 	return s
--- a/dispatch/feeds.go
+++ b/dispatch/feeds.go
@@ -121,7 +121,7 @@
 			change.Deletes = append(change.Deletes, layout.Job(id), layout.Cancel(id), layout.Result(id))
 		}
 		ids = ids[n:]
-		o.background(func() {
+		o.inBackground("clean", func() {
 			ctx, cancel := context.WithTimeout(o.ctx, saveTimeout)
 			defer cancel()
 			if _, err := o.Store.Commit(ctx, change); err != nil {
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -11,7 +11,7 @@
 // liveTerm is what links of other hosts use of a term.
 type liveTerm struct {
 	term   *tenure.Term
-	events chan<- func(time.Time)
+	events chan<- event
 	asks   chan<- func()
 	done   <-chan struct{}
 }
@@ -32,7 +32,7 @@
 		return
 	}
 	select {
-	case l.events <- func(now time.Time) { o.submission(item, nil, now) }:
+	case l.events <- event{time.Now(), func(now time.Time) { o.submission(item, nil, now) }}:
 	case <-l.done:
 	}
 }
--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -22,6 +22,10 @@
 const (
 	// machineInterval is how often machines are listed while some are on their way.
 	machineInterval = 400 * time.Millisecond
+	// machineListShare is the part of the time of the owner, at most, that listing takes, at
+	// listTime for each machine: 3,000 machines every 400 ms took a tenth of a core.
+	machineListShare = 0.03
+	listTime         = 12 * time.Microsecond
 	// idleMachineInterval is how often they are listed otherwise.
 	idleMachineInterval = 2 * time.Second
 )
@@ -44,7 +48,7 @@
 		asked := time.Now()
 		list, err := o.Calls.ListMachines(ctx)
 		cancel()
-		pause := machineInterval
+		pause := max(machineInterval, time.Duration(float64(time.Duration(len(list))*listTime)/machineListShare))
 		if err == nil {
 			wants := make(chan bool, 1)
 			o.post(func(now time.Time) {
@@ -181,6 +185,7 @@
 		o.post(func(time.Time) {
 			answer <- o.core.Pending()
 			sum := o.core.Summary()
+			o.Meter.Gauge("owner_delay_seconds", o.behind.late.Seconds())
 			o.Meter.Gauge("jobs", float64(sum.Jobs))
 			o.Meter.Gauge("waiting_tasks", float64(sum.Waiting))
 			o.Meter.Gauge("running_tasks", float64(sum.Running))
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -17,6 +17,7 @@
 	"egretdrum.example/progress"
 	"egretdrum.example/scheduler"
 	"egretdrum.example/subscription"
+	"egretdrum.example/supervision"
 	"egretdrum.example/tenure"
 	"egretdrum.example/wait"
 	"egretdrum.example/worker"
@@ -33,11 +34,18 @@
 	KeepResults func() time.Duration
 	Log         *zap.Logger
 	Meter       *meter.Meter
+	// Parts contains unexpected failures; a failure ends the term.
+	Parts *supervision.Supervisor
 
 	term   *tenure.Term
 	core   *scheduler.Scheduler
-	events chan func(now time.Time)
-	slots  map[string]chan struct{}
+	events chan event
+	// behind is how late events are taken, measured in the loop.
+	behind delay
+	// handled is the job that is being taken over, setAside has those that made it fail.
+	handled  string
+	setAside map[string]bool
+	slots    map[string]chan struct{}
 	// quick has a place for each quick look on its way.
 	quick chan struct{}
 	saver *saver
@@ -90,18 +98,36 @@
 	cleanInterval = 10 * time.Second
 )
 
-// Run schedules until ctx ends or the right is lost.
+// Run schedules until ctx ends or the right is lost. After an unexpected failure it ends the
+// term, so that the next owner begins with what is durable; a job on which the loop has failed
+// is set aside by this process.
 func (o *Owner) Run(ctx context.Context, term *tenure.Term) {
+	if !o.Parts.Run("schedule", func() { o.schedule(ctx, term) }) {
+		return
+	}
+	o.stop()
+	if o.handled != "" {
+		o.setAside[o.handled] = true
+		o.Log.Error("job-set-aside", zap.String("request", o.handled))
+	}
+}
+
+func (o *Owner) schedule(ctx context.Context, term *tenure.Term) {
 	o.ctx, o.stop = context.WithCancel(ctx)
 	defer o.stop()
+	o.handled = ""
+	if o.setAside == nil {
+		o.setAside = make(map[string]bool)
+	}
 	o.term = term
-	o.events, o.asks = make(chan func(time.Time), eventBuffer), make(chan func(), eventBuffer)
+	o.events, o.asks = make(chan event, eventBuffer), make(chan func(), eventBuffer)
+	o.behind = delay{}
 	o.slots = make(map[string]chan struct{})
 	o.quick = make(chan struct{}, quickLooks)
 	o.waves = make(map[int64]waveRecord)
 	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
 	o.core = scheduler.New(o.Limits(), term.Number, time.Now())
-	o.saver = newSaver(o.Store, term.Number, o.Log)
+	o.saver = newSaver(o.Store, term.Number, o.Log, o.Parts)
 	o.keys = newKeyWriter(o.Store, term.Number, o.Log)
 	// Items that arrive during the load wait for the loop; questions go to the store.
 	o.live.Store(&liveTerm{term: term, events: o.events, done: o.ctx.Done()})
@@ -121,35 +147,47 @@
 	o.Log.Info("state-loaded", zap.Int64("term", term.Number), zap.Duration("took", time.Since(started)), zap.Int("jobs", o.core.Summary().Jobs), zap.Int("workers", o.core.Summary().Workers))
 	o.live.Store(&liveTerm{term: term, events: o.events, asks: o.asks, done: o.ctx.Done()})
 	ends := []<-chan struct{}{
-		o.background(func() { o.saver.run(o.ctx, o.stop, o.saved) }),
-		o.background(func() { o.follow(o.Calls.WorkerPrefix, feeds.workers, o.workerEvent, o.reloadWorkers) }),
-		o.background(func() { o.follow(layout.Submissions, feeds.submissions, o.submissionEvent, o.reloadSubmissions) }),
-		o.background(func() { o.keys.run(o.ctx, o.stop, o.keyWritten) }),
-		o.background(o.pollMachines),
-		o.background(o.writeCounts),
-		o.background(o.writeWaves),
+		o.inBackground("saver", func() { o.saver.run(o.ctx, o.stop, o.saved) }),
+		o.inBackground("workers", func() { o.follow(o.Calls.WorkerPrefix, feeds.workers, o.workerEvent, o.reloadWorkers) }),
+		o.inBackground("submissions", func() { o.follow(layout.Submissions, feeds.submissions, o.submissionEvent, o.reloadSubmissions) }),
+		o.inBackground("keys", func() { o.keys.run(o.ctx, o.stop, o.keyWritten) }),
+		o.inBackground("machines", o.pollMachines),
+		o.inBackground("counts", o.writeCounts),
+		o.inBackground("waves", o.writeWaves),
 	}
+	defer func() {
+		o.stop()
+		for _, end := range ends {
+			<-end
+		}
+	}()
 	o.loop()
-	o.stop()
-	for _, end := range ends {
-		<-end
-	}
 }
 
-// background runs f and returns the channel on which its end is reported.
-func (o *Owner) background(f func()) <-chan struct{} {
+// inBackground runs a part and returns the channel on which its end is reported. A part that
+// fails ends the term: what it has left undone is not known.
+func (o *Owner) inBackground(part string, f func()) <-chan struct{} {
 	end := make(chan struct{})
+	stop := o.stop
 	go func() {
 		defer close(end)
-		f()
+		if o.Parts.Run(part, f) {
+			stop()
+		}
 	}()
 	return end
 }
 
+// event is something that happened, with the time at which it was handed to the loop.
+type event struct {
+	at    time.Time
+	apply func(now time.Time)
+}
+
 // post hands an event to the loop; it is dropped if the term is over.
-func (o *Owner) post(event func(now time.Time)) {
+func (o *Owner) post(apply func(now time.Time)) {
 	select {
-	case o.events <- event:
+	case o.events <- event{time.Now(), apply}:
 	case <-o.ctx.Done():
 	}
 }
@@ -163,6 +201,7 @@
 	changed := o.Config.Changed()
 	o.takeConfig(time.Now())
 	for {
+		o.keepUp(time.Now())
 		o.core.Tick(time.Now())
 		o.execute(o.core.Take())
 		for asked := true; asked; {
@@ -174,8 +213,8 @@
 				// Questions change nothing, so that no pass of the scheduler is needed.
 				ask()
 				asked = true
-			case event := <-o.events:
-				event(time.Now())
+			case e := <-o.events:
+				o.take(e)
 			case <-changed:
 				changed = o.Config.Changed()
 				o.takeConfig(time.Now())
@@ -192,14 +231,21 @@
 func (o *Owner) drain() {
 	for range eventBuffer {
 		select {
-		case event := <-o.events:
-			event(time.Now())
+		case e := <-o.events:
+			o.take(e)
 		default:
 			return
 		}
 	}
 }
 
+// take applies an event.
+func (o *Owner) take(e event) {
+	now := time.Now()
+	o.behind.saw(now.Sub(e.at), now)
+	e.apply(now)
+}
+
 func (o *Owner) takeConfig(now time.Time) {
 	c, _, _ := o.Config.Current()
 	if c != nil {
@@ -280,8 +326,14 @@
 		o.core.Cancel(id, now)
 		return
 	}
+	if o.setAside[id] {
+		return
+	}
+	// It stays set if the scheduler fails on the job.
+	o.handled = id
 	j, err := job.Decode(item.Value)
 	if err != nil {
+		o.handled = ""
 		o.Log.Warn("job-not-decoded", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
@@ -290,6 +342,7 @@
 	if o.core.AddJob(j, records[layout.Result(id)], inherited, now) {
 		o.Log.Info("job-scheduled", zap.String("request", id), zap.String("queue", j.Queue), zap.String("account", j.Account), zap.Int("steps", len(j.Steps)), zap.Bool("inherited", inherited), zap.Int64("revision", item.Revision))
 	}
+	o.handled = ""
 }
 
 func (o *Owner) setWorker(item kv.Item, now time.Time) {
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net/netip"
 	"slices"
@@ -14,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"egretdrum.example/catalog"
 	"egretdrum.example/job"
@@ -25,6 +27,7 @@
 	"egretdrum.example/resource"
 	"egretdrum.example/scheduler"
 	"egretdrum.example/subscription"
+	"egretdrum.example/supervision"
 	"egretdrum.example/tenure"
 	"egretdrum.example/worker"
 )
@@ -104,20 +107,29 @@
 
 // own runs an owner; the returned function kills it.
 func (p *plant) own() (kill func()) {
-	term := tenure.NewTerm(p.store.Put(layout.Owner, nil), p.now, time.Hour)
-	o := &Owner{
-		Store: p.store.Store(), Config: p.config, Limits: scheduler.DefaultLimits, KeepResults: func() time.Duration { return time.Minute }, Log: zap.NewNop(), Meter: p.meter,
+	kill, _ = p.run(p.newOwner())
+	return kill
+}
+
+func (p *plant) newOwner() *Owner {
+	return &Owner{
+		Store: p.store.Store(), Config: p.config, Limits: scheduler.DefaultLimits, KeepResults: func() time.Duration { return time.Minute }, Log: zap.NewNop(), Meter: p.meter, Parts: &supervision.Supervisor{Log: zap.NewNop()},
 		Calls: Calls{
 			Start: p.start, Stop: func(context.Context, scheduler.Stop) bool { return true }, Look: p.look,
 			ListMachines: p.list, Order: p.order,
 			DecodeWorker: decodeWorker, WorkerPrefix: workerPrefix, WaveStatus: status, WaveStatusPrefix: statusPrefix,
 		},
 	}
+}
+
+// run has an owner begin a term; ended is closed when the term is over.
+func (p *plant) run(o *Owner) (kill func(), ended <-chan struct{}) {
+	term := tenure.NewTerm(p.store.Put(layout.Owner, nil), p.now, time.Hour)
 	p.owner = o
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); o.Run(ctx, term) }()
-	return func() { cancel(); <-done }
+	return func() { cancel(); <-done }, done
 }
 
 func status(finished bool) ([]byte, error) { return fmt.Append(nil, finished), nil }
@@ -305,3 +317,82 @@
 		qt.Assert(t, p.orders, qt.HasLen, 2)
 	})
 }
+
+// Guards against an unexpected failure that ends the process, or leaves an owner without a
+// part: the term ends, and the next one takes over what is durable.
+func TestFailureOfAPartEndsTheTerm(t *testing.T) {
+	for part, breakPart := range map[string]func(*Calls){
+		"look": func(c *Calls) {
+			c.Look = func(context.Context, scheduler.Look) (*worker.Listing, bool, error) { panic("look") }
+		},
+		"start": func(c *Calls) {
+			c.Start = func(context.Context, scheduler.Start) (scheduler.StartResult, string) { panic("start") }
+		},
+		"machines": func(c *Calls) {
+			c.ListMachines = func(context.Context) ([]worker.Machine, error) { panic("machines") }
+		},
+		"registration": func(c *Calls) { c.DecodeWorker = func(kv.Item) (worker.Entry, error) { panic("registration") } },
+	} {
+		t.Run(part, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlant(t, 2)
+				defer p.end()
+				p.submit(t, "a", job.Step{Count: 2, Need: task})
+				broken := p.newOwner()
+				breakPart(&broken.Calls)
+				kill, ended := p.run(broken)
+				defer kill()
+				select {
+				case <-ended:
+				case <-time.After(10 * time.Second):
+					t.Fatal("the term did not end")
+				}
+				defer p.own()()
+				time.Sleep(6 * time.Second)
+				assertStored(t, p, "a", progress.Succeeded)
+			})
+		})
+	}
+}
+
+// Guards against a stored job on which the scheduler fails, and with it each owner.
+func TestJobThatFailsTheSchedulerIsSetAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 1)
+		defer p.end()
+		p.submit(t, "a", job.Step{Count: 1, Need: task})
+		p.submit(t, "b", job.Step{Count: 1, Need: task})
+		o := p.newOwner()
+		failed := false
+		o.Log = zap.New(zapcore.NewNopCore()).WithOptions(zap.WrapCore(func(zapcore.Core) zapcore.Core {
+			return zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.InfoLevel), func(e zapcore.Entry) error {
+				if e.Message == "job-scheduled" && !failed {
+					failed = true
+					panic("scheduler")
+				}
+				return nil
+			})
+		}))
+		_, ended := p.run(o)
+		<-ended
+		qt.Assert(t, o.setAside, qt.DeepEquals, map[string]bool{"a": true})
+		kill, _ := p.run(o)
+		defer kill()
+		time.Sleep(6 * time.Second)
+		assertStored(t, p, "b", progress.Succeeded)
+		qt.Assert(t, p.store.Item(layout.Result("a")).Revision, qt.Equals, int64(0))
+	})
+}
+
+// Guards against an owner that does not notice that it takes events late.
+func TestDelayOfEvents(t *testing.T) {
+	now := time.Now()
+	var d delay
+	d.saw(400*time.Millisecond, now)
+	d.fall(now.Add(100 * time.Millisecond))
+	qt.Assert(t, d.late, qt.Equals, 300*time.Millisecond)
+	d.saw(50*time.Millisecond, now.Add(200*time.Millisecond))
+	qt.Assert(t, d.late, qt.Equals, 200*time.Millisecond)
+	d.fall(now.Add(time.Second))
+	qt.Assert(t, d.late, qt.Equals, time.Duration(0))
+}
--- a/dispatch/saver.go
+++ b/dispatch/saver.go
@@ -12,6 +12,7 @@
 	"egretdrum.example/kv"
 	"egretdrum.example/layout"
 	"egretdrum.example/scheduler"
+	"egretdrum.example/supervision"
 	"egretdrum.example/wait"
 )
 
@@ -22,6 +23,7 @@
 	store kv.Store
 	term  int64
 	log   *zap.Logger
+	parts *supervision.Supervisor
 	// changed tells the writer that a save came or that a batch was written.
 	changed chan struct{}
 
@@ -57,9 +59,9 @@
 	partialInFlight = 2
 )
 
-func newSaver(store kv.Store, term int64, log *zap.Logger) *saver {
+func newSaver(store kv.Store, term int64, log *zap.Logger, parts *supervision.Supervisor) *saver {
 	return &saver{
-		store: store, term: term, log: log, changed: make(chan struct{}, 1), revisions: make(map[string]int64),
+		store: store, term: term, log: log, parts: parts, changed: make(chan struct{}, 1), revisions: make(map[string]int64),
 		waiting: make(map[string]scheduler.Save), writing: make(map[string]bool),
 	}
 }
@@ -113,13 +115,18 @@
 		done := make(chan struct{})
 		writing.Go(func() {
 			defer close(done)
-			if !v.write(ctx, batch) {
+			failed := v.parts.Run("saver-write", func() {
+				if !v.write(ctx, batch) {
+					lost()
+					return
+				}
+				v.written(batch, partial)
+				for _, s := range batch {
+					saved(s.Job, s.Version, true)
+				}
+			})
+			if failed {
 				lost()
-				return
-			}
-			v.written(batch, partial)
-			for _, s := range batch {
-				saved(s.Job, s.Version, true)
 			}
 		})
 		select {
--- a/dispatch/saver_test.go
+++ b/dispatch/saver_test.go
@@ -14,6 +14,7 @@
 	"egretdrum.example/kvfake"
 	"egretdrum.example/layout"
 	"egretdrum.example/scheduler"
+	"egretdrum.example/supervision"
 )
 
 // saving runs a saver on a store whose owner is the given term.
@@ -27,7 +28,7 @@
 func newSaving() *saving {
 	g := &saving{store: kvfake.New(), saved: make(map[string]int)}
 	term := g.store.Put(layout.Owner, nil)
-	g.saver = newSaver(g.store.Store(), term, zap.NewNop())
+	g.saver = newSaver(g.store.Store(), term, zap.NewNop(), &supervision.Supervisor{Log: zap.NewNop()})
 	return g
 }
 
--- a/job/codec.go
+++ b/job/codec.go
@@ -27,5 +27,10 @@
 	if err := cbor.Unmarshal(b, j); err != nil {
 		return nil, err
 	}
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i); err != nil {
+			return nil, err
+		}
+	}
 	return j, nil
 }
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -18,6 +18,7 @@
 	"egretdrum.example/ownerlink"
 	"egretdrum.example/scheduler"
 	"egretdrum.example/subscription"
+	"egretdrum.example/supervision"
 	"egretdrum.example/tenure"
 )
 
@@ -55,6 +56,7 @@
 	config *subscription.Subscription
 	link   *ownerlink.Link
 	tenure *tenure.Tenure
+	parts  *supervision.Supervisor
 }
 
 // New returns a host. Run must be called for it to work.
@@ -63,7 +65,9 @@
 	if now == nil {
 		now = boottime.Now
 	}
+	parts := &supervision.Supervisor{Log: cfg.Log, Count: func(part string) { cfg.Meter.Count("part_failures", "part", part) }}
 	h := &Host{
+		parts:  parts,
 		config: subscription.New(cfg.Store, cfg.OperatorPrefix, cfg.ConfigKey, cfg.DecodeOperator, cfg.Log),
 		link:   ownerlink.New(cfg.Log),
 	}
@@ -74,7 +78,7 @@
 	}
 	owner := &dispatch.Owner{
 		Store: cfg.Store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults,
-		Log: cfg.Log, Meter: cfg.Meter,
+		Log: cfg.Log, Meter: cfg.Meter, Parts: parts,
 	}
 	h.Links = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: cfg.Log}
 	h.tenure = &tenure.Tenure{
@@ -84,13 +88,13 @@
 	return h
 }
 
-// Run works until ctx ends. The host gives up and leaves the duty to schedule when duty
+// Run works until ctx ends. A part that fails unexpectedly is started again. The host gives up and leaves the duty to schedule when duty
 // ends, which comes first in a planned stop.
 func (h *Host) Run(ctx, duty context.Context) {
 	parts := []func(){
-		func() { h.config.Run(ctx) },
-		func() { h.link.Run(ctx) },
-		func() { h.tenure.Run(duty) },
+		func() { h.parts.Keep(ctx, "configuration", h.config.Run) },
+		func() { h.parts.Keep(ctx, "owner-link", h.link.Run) },
+		func() { h.parts.Keep(duty, "tenure", h.tenure.Run) },
 	}
 	ended := make(chan struct{}, len(parts))
 	for _, part := range parts {
--- a/progress/record.go
+++ b/progress/record.go
@@ -2,6 +2,8 @@
 package progress
 
 import (
+	"fmt"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -75,5 +77,23 @@
 	if err := cbor.Unmarshal(b, r); err != nil {
 		return nil, err
 	}
+	for i := range r.Parts {
+		if err := r.Parts[i].check(); err != nil {
+			return nil, err
+		}
+	}
 	return r, nil
 }
+
+// check returns an error for numbers that no task can have.
+func (p *Part) check() error {
+	if p.Occurrence < 0 || p.Step < 0 {
+		return fmt.Errorf("progress of step %d of occurrence %d", p.Step, p.Occurrence)
+	}
+	for _, f := range p.Failures {
+		if f.Index < 0 {
+			return fmt.Errorf("failures of task %d of step %d", f.Index, p.Step)
+		}
+	}
+	return nil
+}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -24,7 +24,7 @@
 	if l.sequence != h.sequence {
 		return
 	}
-	h.looking = false
+	h.looking, h.nextLook = false, now.Add(s.gather())
 	h.heard = l.sequence
 	s.touched[h] = true
 	if h.failures > 0 {
@@ -270,6 +270,7 @@
 // Started reports the answer to a start.
 func (s *Scheduler) Started(a Start, result StartResult, reason string, now time.Time) {
 	s.now = now
+	s.unansweredStarts--
 	h := s.hosts[a.Worker.ID]
 	if h == nil {
 		return
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -34,3 +34,26 @@
 		})
 	}
 }
+
+// BenchmarkTickWithMachines measures a pass with the machines of four pools, one of which has a
+// backlog, and the planning of loans every 50 ms.
+func BenchmarkTickWithMachines(b *testing.B) {
+	for _, machines := range []int{100, 600} {
+		b.Run(fmt.Sprintf("%d machines a pool", machines), func(b *testing.B) {
+			g := newMachinery(map[string]int{"desk": machines, "league": machines, "spare": machines})
+			g.duration = time.Hour
+			for n := range 2 * machines {
+				g.submitFor("rounds", "small", fmt.Sprintf("j%05d", n), job.Step{Count: 8, Need: small, Estimate: time.Second})
+			}
+			g.core.Tick(g.now)
+			g.core.Take()
+			b.ResetTimer()
+			for b.Loop() {
+				g.now = g.now.Add(10 * time.Millisecond)
+				g.core.changed["desk"] = true
+				g.core.Tick(g.now)
+				g.core.Take()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scheduler/fuzz_test.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/worker"
+)
+
+// Guards against what a worker lists, or what the store has, that ends the owner: tasks of
+// unknown jobs, steps, occurrences and numbers.
+func FuzzListedTasks(f *testing.F) {
+	for _, name := range []string{"a.0.0.0", "a.0.0.7", "a.0.9.0", "a.5.0.0", "b.0.0.0", "a.0.1.0", "x.1.1.1"} {
+		f.Add(name, int64(1), int64(0), "done", 3, 1)
+		f.Add(name, int64(-1), int64(-5), "unknown", -1, 1000)
+	}
+	f.Fuzz(func(t *testing.T, name string, run, number int64, how string, failed, step int) {
+		task, ok := job.ParseTask(name)
+		if !ok || failed < 0 || step < 0 {
+			return
+		}
+		g := newStage(2)
+		r := &progress.Record{State: progress.Running, Parts: []progress.Part{{Step: step, Failures: []progress.Failure{{Index: failed, Runs: []int64{run}}}}}}
+		j := &job.Job{ID: "a", Queue: "rounds", Steps: []job.Step{{Count: 2, Need: small, Gang: number%2 == 0}, {Count: 1, Need: small, After: []int{0}, LongRunning: true}}}
+		g.jobs["a"], g.stored["a"] = j, r
+		g.replaceOwner()
+		g.core.SetSilence(Silence{Worker: "w1", Born: 1, Runs: []SilentRun{{task, run}}}, g.now)
+		g.core.Tick(g.now)
+		for _, l := range g.core.Take().Looks {
+			g.core.Looked(l, &worker.Listing{
+				Born: 1, Clock: time.Second, Running: []worker.Run{{Task: task, Run: run, Percent: failed}, {Task: task, Run: run + 1}},
+				Ended: []worker.End{{Number: number, Task: task, Run: run, How: worker.How(how)}},
+			}, false, g.now)
+		}
+		g.core.Tick(g.now.Add(time.Second))
+		qt.Assert(t, g.core.Known("a"), qt.IsTrue)
+	})
+}
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -330,6 +330,7 @@
 	if h.failures == 1 {
 		l.Patience = secondPatience
 	}
+	l.Patience = s.patience(l.Patience)
 	l.Fence = h.fence
 	// A worker that does not answer gets no longer lease, or its tasks could never be
 	// started elsewhere.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -33,6 +33,8 @@
 // rank says when a part is served; lower ranks go first.
 type rank struct {
 	at time.Time
+	// priority is that of the queue, zero comes first.
+	priority int
 	// excess is set for jobs beyond the share of their account.
 	excess bool
 	// hope is 0 while the occurrence can end in time, 1 while it can end late, 2 afterwards.
@@ -117,7 +119,7 @@
 	slices.SortStableFunc(parts, func(a, b *part) int {
 		return cmp.Or(
 			-boolCompare(a.step.LongRunning, b.step.LongRunning),
-			cmp.Compare(s.priority(a), s.priority(b)),
+			cmp.Compare(a.rank.priority, b.rank.priority),
 			boolCompare(a.rank.excess, b.rank.excess),
 			cmp.Compare(a.rank.hope, b.rank.hope),
 			cmp.Compare(a.rank.work, b.rank.work),
@@ -134,6 +136,7 @@
 	if q == nil {
 		return r
 	}
+	r.priority = q.Priority
 	objective := objective(q, chain)
 	switch end := s.now.Sub(o.due) + left; {
 	case end > lateFactor*objective:
@@ -159,13 +162,6 @@
 	return -1
 }
 
-func (s *Scheduler) priority(p *part) int {
-	if q := s.catalog.Queues[p.entry.job.Queue]; q != nil {
-		return q.Priority
-	}
-	return 0
-}
-
 // allowance is the part of an account's share that is not used yet.
 type allowance struct {
 	jobs float64
--- /dev/null
+++ b/scheduler/overload.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import "time"
+
+// An owner without enough processor time takes answers late and sends orders late. It must
+// not take that for the silence of workers: their runs would lapse and be started elsewhere,
+// which costs still more time. While it is behind, it gives up work in this order: new starts,
+// planning of machines, and looks that only bring ends sooner.
+// Looks renew the leases of what runs, so they go on, with more patience.
+const (
+	// behindFrom is the delay up to which an owner counts as keeping up; a host whose
+	// processor time comes in slices of a tenth of a second is late by less.
+	behindFrom = 120 * time.Millisecond
+	// noStartsFrom is the delay from which on no task is started. An answer that is late by
+	// that on its way out and back still renews a lease in time.
+	noStartsFrom = 300 * time.Millisecond
+	// leastWindow and mostWindow bound the starts without an answer that an owner may have
+	// once it was behind. The window is halved when it is behind, at most once in windowPause,
+	// and grows by windowGrowth in that time while it is used up and the owner keeps up.
+	leastWindow  = 32
+	mostWindow   = 4096
+	windowPause  = 250 * time.Millisecond
+	windowGrowth = 1.5
+	// mostGather bounds the pause before the next look, in which more ends come together. The
+	// lease of a worker lasts several times as long.
+	mostGather = 600 * time.Millisecond
+	// patienceFactor times the delay is added to the patience for a look: the call and its
+	// answer are both late. mostPatience keeps the answer to a look within the lease.
+	patienceFactor = 2
+	mostPatience   = 1200 * time.Millisecond
+)
+
+// SetBehind reports how late the owner takes events, zero if it keeps up. It is called before
+// each Tick.
+func (s *Scheduler) SetBehind(d time.Duration, now time.Time) {
+	if d < behindFrom {
+		d = 0
+	}
+	s.behind = d
+	if now.Sub(s.windowChanged) < windowPause {
+		return
+	}
+	switch {
+	case d > 0:
+		s.startWindow = max(leastWindow, min(s.startWindow, s.unansweredStarts)/2)
+	case s.startWindow < mostWindow && s.windowFull:
+		s.startWindow = min(mostWindow, int(windowGrowth*float64(s.startWindow))+1)
+	default:
+		return
+	}
+	s.windowChanged, s.windowFull = now, false
+}
+
+// gather is the pause after an answered look.
+func (s *Scheduler) gather() time.Duration { return min(s.behind, mostGather) }
+
+// patience is how late the answer to a look may be.
+func (s *Scheduler) patience(usual time.Duration) time.Duration {
+	return usual + min(patienceFactor*s.behind, mostPatience)
+}
+
+// startsHeld reports whether no further task is started for now.
+func (s *Scheduler) startsHeld() bool {
+	if s.behind >= noStartsFrom {
+		return true
+	}
+	full := s.unansweredStarts >= s.startWindow
+	s.windowFull = s.windowFull || full
+	return full
+}
--- /dev/null
+++ b/scheduler/overload_test.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+)
+
+const (
+	busyWorkers = 160
+	busyJobs    = 240
+	// busyCalls is what a step of 20 ms has the time for. Each task takes a start, its answer and
+	// about two looks with theirs, so the load is twice as much.
+	busyCalls = 8
+)
+
+// playOverload has an owner that is given a fraction of the processor time that it needs.
+func playOverload(t testing.TB, unaware bool) *stage {
+	g := newStage(busyWorkers)
+	g.slowSilence, g.unaware = true, unaware
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	g.duration = 400 * time.Millisecond
+	g.run(time.Second)
+	g.submit("ledger", job.Step{Count: 8, Need: small, LongRunning: true})
+	g.run(time.Second)
+	g.callsPerStep = busyCalls
+	for n := range busyJobs {
+		g.submit(fmt.Sprintf("j%02d", n), job.Step{Count: 8, Need: small}, job.Step{Count: 4, Need: small, After: []int{0}})
+		g.run(40 * time.Millisecond)
+	}
+	g.run(10 * time.Second)
+	g.callsPerStep = 0
+	for _, o := range g.backlog {
+		o.apply()
+	}
+	g.backlog = nil
+	g.core.SetBehind(0, g.now)
+	g.run(30 * time.Second)
+	for n := range busyJobs {
+		assertState(t, g, fmt.Sprintf("j%02d", n), progress.Succeeded)
+	}
+	return g
+}
+
+// Guards against an owner that takes its own delay for the silence of workers: the leases of
+// what runs are not renewed, the tasks are started again elsewhere, and the delay grows. It
+// answers the pattern of a fleet that has outgrown the processor time of its owner.
+func TestOverloadedOwnerKeepsWhatRuns(t *testing.T) {
+	g := playOverload(t, false)
+	assertNothingBroken(t, g)
+	qt.Assert(t, g.lapses, qt.Equals, 0)
+}
+
+// Guards against second runs by an owner that is behind and does not know it: its runs lapse,
+// and are started again only then.
+func TestOverloadNeverRunsTwice(t *testing.T) {
+	g := playOverload(t, true)
+	assertNothingBroken(t, g)
+	qt.Assert(t, g.lapses > 0, qt.IsTrue, qt.Commentf("the load is too low for an overload"))
+}
+
+// Guards against pools that get no starts while those of others are held back: the one that
+// has waited for the longest comes first.
+func TestHeldStartsGoToPoolsInTurn(t *testing.T) {
+	g := newStage(1)
+	for _, pool := range []string{"desk", "league", "portal"} {
+		g.core.changed[pool] = true
+	}
+	g.core.nextPass["desk"], g.core.nextPass["portal"] = g.now.Add(2*time.Second), g.now.Add(time.Second)
+	qt.Assert(t, g.core.passOrder(), qt.DeepEquals, []string{"league", "portal", "desk"})
+}
+
+// Guards against passes over thousands of waiting tasks after each end, which leave the owner
+// no time to start any. It answers the pattern of a backlog after an outage.
+func TestPassesOverABacklogAreSpaced(t *testing.T) {
+	g := newStage(4)
+	g.duration = 60 * time.Millisecond
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	g.run(time.Second)
+	const backlog = 2000
+	for n := range backlog {
+		g.submit(fmt.Sprintf("j%04d", n), job.Step{Count: 1, Need: small})
+	}
+	g.run(stageStep)
+	passes, before := 0, g.core.nextPass["desk"]
+	for range 100 {
+		g.step()
+		if next := g.core.nextPass["desk"]; next != before {
+			passes, before = passes+1, next
+		}
+	}
+	qt.Assert(t, passes > 10, qt.IsTrue, qt.Commentf("%d passes", passes))
+	qt.Assert(t, passes < 60, qt.IsTrue, qt.Commentf("%d passes", passes))
+	assertNothingBroken(t, g)
+	qt.Assert(t, g.starts > 4*passes, qt.IsTrue)
+}
+
+// Guards against a part that is taken for one that does not fit although it needs less, and
+// against attempts to place what cannot fit.
+func TestMisfits(t *testing.T) {
+	fits := func(need resource.Amount) *part {
+		return &part{step: &job.Step{Need: need}, queue: []int{0}, reason: noRoom}
+	}
+	var m misfits
+	m.note(fits(resource.Amount{CPU: 2000, Memory: 100}))
+	m.note(&part{step: &job.Step{Need: small, Label: "gpu"}, queue: []int{0}, reason: noRoom})
+	m.note(&part{step: &job.Step{Need: small}, queue: []int{0}, reason: "limit of the account"})
+	qt.Assert(t, m.have(fits(resource.Amount{CPU: 2000, Memory: 100})), qt.IsTrue)
+	qt.Assert(t, m.have(fits(resource.Amount{CPU: 3000, Memory: 200})), qt.IsTrue)
+	qt.Assert(t, m.have(fits(resource.Amount{CPU: 1900, Memory: 200})), qt.IsFalse)
+	qt.Assert(t, m.have(fits(small)), qt.IsFalse)
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -11,7 +12,7 @@
 
 // place starts waiting tasks on workers that have room.
 func (s *Scheduler) place() {
-	if s.catalog == nil {
+	if s.catalog == nil || s.startsHeld() {
 		return
 	}
 	if s.now.Sub(s.lastPass) > passInterval {
@@ -21,7 +22,10 @@
 			s.changed[pool] = true
 		}
 	}
-	for _, pool := range slices.Sorted(maps.Keys(s.changed)) {
+	for _, pool := range s.passOrder() {
+		if s.now.Before(s.nextPass[pool]) {
+			continue
+		}
 		delete(s.changed, pool)
 		parts := s.waiting[pool]
 		if len(parts) == 0 {
@@ -30,21 +34,30 @@
 		hosts := s.candidates(pool)
 		room := largestRoom(hosts)
 		s.order(parts)
+		s.nextPass[pool] = s.now.Add(passPause(len(parts), len(hosts)))
+		var misfits misfits
 		for _, p := range parts {
 			before := s.lastRun
 			switch {
+			case s.startsHeld():
+				p.reason = "the owner is behind"
+				s.changed[pool] = true
 			case s.held(p):
 				p.reason = s.holdReason(p)
 			case s.catalog.Queues[p.entry.job.Queue].Pool != pool:
 				p.reason = "its queue has changed to another pool"
 			case !s.poolStored(p):
 				p.reason = "the use of the pool is being stored"
-			case !p.step.Reserved().Within(room):
-				p.reason = "no room in the pool"
+			case !p.step.Reserved().Within(room), misfits.have(p):
+				p.reason = noRoom
 			case p.step.Gang:
 				s.placeGang(p, s.together(p, s.advised(p, hosts)))
 			default:
-				s.placePart(p, s.together(p, s.advised(p, hosts)))
+				allowed := s.together(p, s.advised(p, hosts))
+				s.placePart(p, allowed)
+				if len(allowed) == len(hosts) {
+					misfits.note(p)
+				}
 			}
 			s.explain(p, before)
 		}
@@ -62,6 +75,58 @@
 // at when a task came to it or a worker of it became free.
 const passInterval = 100 * time.Millisecond
 
+// passOrder has the pools with changes, the one that has waited for its pass for the longest
+// first: where starts are held back, no pool takes those of the others.
+func (s *Scheduler) passOrder() []string {
+	return slices.SortedFunc(maps.Keys(s.changed), func(a, b string) int {
+		return cmp.Or(s.nextPass[a].Compare(s.nextPass[b]), cmp.Compare(a, b))
+	})
+}
+
+const (
+	// partTime and hostTime are about what a pass takes for each waiting step and each worker.
+	partTime = 2 * time.Microsecond
+	hostTime = 200 * time.Nanosecond
+	// passShare of the time of an owner, at most, goes to passes over one pool.
+	passShare = 0.1
+)
+
+// passPause is the time between two passes over a pool. Each end frees room for a waiting
+// task, and an owner that passed over thousands of them after each had no time left to start
+// any.
+func passPause(parts, hosts int) time.Duration {
+	return time.Duration(float64(time.Duration(parts)*partTime+time.Duration(hosts)*hostTime) / passShare)
+}
+
+// misfits has what did not fit on any worker in this pass. Room only gets less during a pass,
+// so what needs at least as much does not fit either.
+type misfits []resource.Amount
+
+// note takes a part after an attempt to place it on any worker.
+func (m *misfits) note(p *part) {
+	picky := p.step.Label != "" || p.step.MaxPerWorker > 0 || p.step.Speculative
+	if len(p.queue) == 0 || p.reason != noRoom || picky {
+		return
+	}
+	*m = append(*m, p.step.Reserved())
+}
+
+// have reports whether a part needs as much as one that did not fit.
+func (m *misfits) have(p *part) bool {
+	if p.step.Gang {
+		return false
+	}
+	for _, need := range *m {
+		if need.Within(p.step.Reserved()) {
+			return true
+		}
+	}
+	return false
+}
+
+// noRoom is the reason of parts that fit on no worker.
+const noRoom = "no room in the pool"
+
 // largestRoom is an upper bound of what a single worker has free; most waiting tasks of a
 // full pool need not be compared with each of its workers.
 func largestRoom(hosts []*host) resource.Amount {
@@ -160,7 +225,7 @@
 // placePart starts as many tasks of the part as fit. All tasks of a part are equal, so
 // the first one that does not fit ends the attempt.
 func (s *Scheduler) placePart(p *part, hosts []*host) {
-	for len(p.queue) > 0 {
+	for len(p.queue) > 0 && !s.startsHeld() {
 		index := p.queue[0]
 		if s.failExhausted(p, &p.tasks[index]) {
 			return
@@ -171,7 +236,7 @@
 		}
 		h := s.choose(p, index, hosts)
 		if h == nil {
-			p.reason = "no room in the pool"
+			p.reason = noRoom
 			return
 		}
 		p.queue = p.queue[1:]
@@ -334,6 +399,7 @@
 	t := &p.tasks[index]
 	r := &run{part: p, index: index, number: number, host: h, fence: h.fence, sent: s.now, need: p.step.Reserved(), percentAllowed: 100, paceKnown: true}
 	s.hold(r)
+	s.unansweredStarts++
 	s.begun(p.entry)
 	checkpoint := t.checkpoint
 	if p.step.Gang {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -49,10 +49,20 @@
 	// the time of the last pass over all pools.
 	changed  map[string]bool
 	lastPass time.Time
+	// nextPass is the earliest time of the next pass over a pool.
+	nextPass map[string]time.Time
 	// touched has the workers with news since the last Tick, lastSweep the time at which all
 	// were gone through.
 	touched   map[*host]bool
 	lastSweep time.Time
+	// behind is how late the owner takes events, unansweredStarts counts the starts that it
+	// has ordered and not taken the answer of.
+	behind           time.Duration
+	unansweredStarts int
+	// startWindow bounds unansweredStarts, windowFull is set once it did since windowChanged.
+	startWindow   int
+	windowFull    bool
+	windowChanged time.Time
 
 	// lastRun numbers the runs. The first one of an owner is above all of its predecessors.
 	lastRun int64
@@ -113,10 +123,10 @@
 // later owners are higher.
 func New(limits Limits, ownership int64, now time.Time) *Scheduler {
 	s := &Scheduler{
-		limits: limits, started: now, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
+		limits: limits, started: now, startWindow: mostWindow, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
 		jobs: make(map[string]*entry), hosts: make(map[string]*host), accounts: make(map[string]resource.Amount),
 		waiting: make(map[string][]*part), machines: make(map[string]*machine), waves: make(map[int64]*wave), refuges: make(map[refuge]bool),
-		expected: make(map[string]bool), changed: make(map[string]bool), touched: make(map[*host]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
+		expected: make(map[string]bool), changed: make(map[string]bool), nextPass: make(map[string]time.Time), touched: make(map[*host]bool), dirty: make(map[string]*entry), experiences: make(map[string]*experience), allowances: make(map[string]*allowance),
 	}
 	if broken.restartRuns {
 		s.lastRun = 0
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -65,7 +65,7 @@
 	late []lateOrder
 	// carryingOut is set while an order is carried out late.
 	carryingOut bool
-	looks       []Look // answered on the next step, as a look may wait
+	looks       []sentLook // answered on the next step, as a look may wait
 	done        map[job.Task]bool
 	noted       map[job.Task]bool
 	// failures counts failed runs. ends has the runs of each task that ended as done or
@@ -112,6 +112,13 @@
 	// sent has calls that a busy owner has not sent yet, answers what it has not taken yet,
 	// lost answers among them.
 	sent, answers []lateOrder
+	// callsPerStep is the number of calls and answers that the owner has the time for; zero
+	// stands for all. backlog has those that wait, unaware keeps the delay from the owner.
+	callsPerStep int
+	backlog      []lateOrder
+	unaware      bool
+	// lapses counts the runs that ended because their lease was not renewed.
+	lapses int
 	// fails decides whether a run ends as failed.
 	fails    func(t job.Task, workerID string) bool
 	duration time.Duration
@@ -186,7 +193,7 @@
 // replaceOwner starts a new owner that knows what is stored, as after a crash.
 func (g *stage) replaceOwner() {
 	g.owner++
-	g.looks, g.writes, g.sent, g.answers = nil, nil, nil, nil
+	g.looks, g.writes, g.sent, g.answers, g.backlog = nil, nil, nil, nil, nil
 	g.core = New(DefaultLimits(), g.owner, g.now)
 	g.core.SetCatalog(g.catalog)
 	for _, id := range slices.Sorted(maps.Keys(g.workers)) {
@@ -246,20 +253,47 @@
 	})
 	due(&g.sent, g.now)
 	due(&g.answers, g.now)
+	g.workOff()
 	looks := g.looks
 	g.looks = nil
 	for _, l := range looks {
-		if g.now.Before(g.heldUntil) && l.Worker.ID == g.heldWorker {
+		held := g.now.Before(g.heldUntil) && l.Worker.ID == g.heldWorker
+		if held || g.waits(&l) {
 			g.looks = append(g.looks, l)
 			continue
 		}
-		g.look(l)
+		g.look(l.Look)
 	}
 	g.core.Tick(g.now)
 	g.execute(g.core.Take())
 	g.check()
 }
 
+// sentLook is a look that has arrived at a worker.
+type sentLook struct {
+	Look
+	at time.Time
+}
+
+// waits reports whether a look waits for an end. Plays of busy owners count each call, so that
+// looks wait there as long as they may; elsewhere, the answer comes on the next step.
+func (g *stage) waits(l *sentLook) bool {
+	w := g.workers[l.Worker.ID]
+	if g.callsPerStep == 0 || w.down || w.cut || l.Fence < w.fence {
+		return false
+	}
+	w.extend(l.Look)
+	return g.now.Sub(l.at) < l.Wait && !slices.ContainsFunc(w.ended, func(e worker.End) bool { return e.Number > l.Seen })
+}
+
+// extend takes the fence and the lease of a look.
+func (w *fakeWorker) extend(a Look) {
+	w.fence = a.Fence
+	if deadline := time.UnixMilli(0).Add(a.Deadline); deadline.After(w.lease) {
+		w.lease = deadline
+	}
+}
+
 // due applies what is due of a list.
 func due(list *[]lateOrder, now time.Time) {
 	pending := *list
@@ -289,6 +323,7 @@
 		r := w.runs[name]
 		switch {
 		case lapsed:
+			g.lapses++
 			g.end(w, name, worker.Lapsed)
 			w.void[w.next] = true
 		case !r.stopAt.IsZero() && !g.now.Before(r.stopAt):
@@ -353,7 +388,7 @@
 		g.core.Saved(save.Job, save.Version, true, g.now)
 	}
 	for _, l := range a.Looks {
-		g.send(func() { g.looks = append(g.looks, l) })
+		g.send(func() { g.looks = append(g.looks, sentLook{l, g.now}) })
 	}
 	for _, s := range a.Starts {
 		g.send(func() { g.start(s) })
@@ -422,6 +457,10 @@
 
 // send makes a call, which a busy owner does late.
 func (g *stage) send(call func()) {
+	if g.callsPerStep > 0 {
+		g.backlog = append(g.backlog, lateOrder{g.now, call})
+		return
+	}
 	if g.lag == 0 && len(g.sent) == 0 {
 		call()
 		return
@@ -429,12 +468,36 @@
 	g.sent = append(g.sent, lateOrder{g.now.Add(g.lag), call})
 }
 
+// workOff does what a busy owner has the time for.
+func (g *stage) workOff() {
+	if g.callsPerStep == 0 {
+		return
+	}
+	n := min(g.callsPerStep, len(g.backlog))
+	now := g.backlog[:n]
+	g.backlog = g.backlog[n:]
+	for _, o := range now {
+		o.apply()
+	}
+	if !g.unaware {
+		behind := time.Duration(0)
+		if len(g.backlog) > 0 {
+			behind = g.now.Sub(g.backlog[0].at)
+		}
+		g.core.SetBehind(behind, g.now)
+	}
+}
+
 // report tells the owner of the answer to a call, or of its lack once patience has passed.
 func (g *stage) report(ok bool, patience time.Duration, tell func()) {
 	delay := g.lag
 	if !ok && g.slowSilence {
 		delay += patience
 	}
+	if g.callsPerStep > 0 {
+		g.backlog = append(g.backlog, lateOrder{g.now, tell})
+		return
+	}
 	if delay == 0 {
 		tell()
 		return
@@ -581,10 +644,7 @@
 		if a.Fence < w.fence {
 			return
 		}
-		w.fence = a.Fence
-		if deadline := time.UnixMilli(0).Add(a.Deadline); deadline.After(w.lease) {
-			w.lease = deadline
-		}
+		w.extend(a)
 		for _, e := range w.ended {
 			if e.Number <= a.Seen && !w.void[e.Number] {
 				g.note(e)
@@ -596,8 +656,14 @@
 	if !ok {
 		listing = nil
 	}
-	otherLife := w.otherLife
-	g.report(ok, a.Wait+a.Patience, func() { g.core.Looked(a, listing, otherLife, g.now) })
+	otherLife, asked := w.otherLife, g.now
+	g.report(ok, a.Wait+a.Patience, func() {
+		// The time-out of an owner without processor time passes although the answer is there.
+		if g.now.Sub(asked) > a.Wait+a.Patience {
+			listing = nil
+		}
+		g.core.Looked(a, listing, otherLife, g.now)
+	})
 }
 
 // note handles an end that a worker may forget, and judges the starts after it.
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -228,7 +228,7 @@
 	if !s.machinesKnown || !s.settled || s.catalog == nil || s.now.Before(s.nextPlan) {
 		return
 	}
-	s.nextPlan = s.now.Add(planInterval)
+	s.nextPlan = s.now.Add(planInterval + s.behind)
 	s.markDue()
 	clear(s.refuges)
 	for _, w := range s.waves {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -32,6 +32,9 @@
 	// followWait is how long a host waits for the key of the owner to change.
 	followWait = 5 * time.Second
 	retryPause = 150 * time.Millisecond
+	// failurePause leaves the duty to others after work that ended by itself, as the load of the
+	// state or a part of the work has failed. An election takes less.
+	failurePause = 300 * time.Millisecond
 )
 
 // Tenure competes for the right to schedule and runs the work of the owner.
@@ -236,10 +239,14 @@
 		t.Work(work, term)
 	}()
 	t.renew(work, lease, term, done)
+	failed := work.Err() == nil && term.Valid()
 	stop()
 	<-done
 	t.Log.Info("ownership-ended", zap.Int64("term", term.Number), zap.Bool("valid", term.Valid()))
 	t.revoke(lease)
+	if failed {
+		wait.For(ctx, failurePause)
+	}
 }
 
 // renew returns when the right or the work has ended. The first renewal is made at once,
