--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -39,6 +39,9 @@
 	desk   *desk.Desk
 	cancel context.CancelFunc
 	done   chan struct{}
+	// suspended is the time for which the process stood still; the clock for permissions
+	// counts it.
+	suspended time.Duration
 }
 
 func decode(item kv.Item) (subscription.Directive, error) {
@@ -55,17 +58,23 @@
 }
 
 func newStage(t *testing.T) *stage {
-	g := &stage{store: kvfake.New(), done: make(chan struct{})}
+	g := &stage{store: kvfake.New()}
 	g.setKeys(t, "k1", "k2")
+	g.start()
+	return g
+}
+
+// start begins a process, which knows what is in the store only.
+func (g *stage) start() {
+	g.done = make(chan struct{})
 	start := time.Now()
 	g.config = subscription.New(g.store.Store(), configKey, configKey, decode, zap.NewNop())
-	g.config.Now = func() time.Duration { return time.Since(start) }
+	g.config.Now = func() time.Duration { return time.Since(start) + g.suspended }
 	g.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: func() time.Duration { return 5 * time.Second }, Log: zap.NewNop(), Meter: meter.New()}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	go func() { defer close(g.done); g.config.Run(ctx) }()
 	time.Sleep(100 * time.Millisecond)
-	return g
 }
 
 func (g *stage) stop() {
@@ -266,6 +275,38 @@
 	})
 }
 
+// Guards against a process that stood still and takes calls with keys that it has not
+// confirmed since.
+func TestResumedHostTakesNoKeyedCallsBeforeItHasReadTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		g.store.SetFault(func(string) kvfake.Fault { return kvfake.Lost })
+		g.suspended = 6 * time.Second
+		target, a := g.desk.Resolve(call("k1"))
+		qt.Assert(t, target, qt.IsNil)
+		assertOutcome(t, a, desk.Refused)
+	})
+}
+
+// Guards against a key that was withdrawn while a host was away and is in use again after its
+// restart.
+func TestRestartedHostRefusesAKeyThatWasWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		g.stop()
+		g.setKeys(t, "k2")
+		g.start()
+		defer g.stop()
+		target, a := g.desk.Resolve(call("k1"))
+		qt.Assert(t, target, qt.IsNil)
+		assertOutcome(t, a, desk.BadKey)
+		assertOutcome(t, g.submit("k1"), desk.BadKey)
+		assertOutcome(t, g.submit("k2"), desk.Accepted)
+	})
+}
+
 // Guards against a key or queue that is denied by an old configuration although a newer
 // one has it.
 func TestOldConfigurationDeniesNothing(t *testing.T) {
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -46,8 +46,10 @@
 	config  *subscription.Subscription
 	meter   *meter.Meter
 	started time.Time
-	ends    []func()
-	owner   *Owner
+	// suspended is the time for which the process stood still.
+	suspended time.Duration
+	ends      []func()
+	owner     *Owner
 
 	mu      sync.Mutex
 	workers map[string]*plantWorker
@@ -103,7 +105,7 @@
 	}
 }
 
-func (p *plant) now() time.Duration { return time.Since(p.started) }
+func (p *plant) now() time.Duration { return time.Since(p.started) + p.suspended }
 
 // own runs an owner; the returned function kills it.
 func (p *plant) own() (kill func()) {
@@ -384,6 +386,43 @@
 	})
 }
 
+// Guards against a worker that left while no owner was there and gets tasks from the next one.
+func TestNextOwnerUsesNoWorkerThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 2)
+		defer p.end()
+		p.own()()
+		_, err := p.store.Store().Commit(t.Context(), kv.Change{Deletes: []string{workerPrefix + "w0"}})
+		qt.Assert(t, err, qt.IsNil)
+		defer p.own()()
+		time.Sleep(4 * time.Second)
+		p.submit(t, "a", job.Step{Count: 3, Need: task})
+		time.Sleep(taskTime / 2)
+		p.mu.Lock()
+		qt.Check(t, p.workers["w0"].runs, qt.HasLen, 0)
+		qt.Check(t, p.workers["w1"].runs, qt.HasLen, 3)
+		p.mu.Unlock()
+	})
+}
+
+// Guards against an owner that stood still until after its right had ended and then sends what
+// it had decided before.
+func TestResumedOwnerSendsNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 2)
+		defer p.end()
+		defer p.own()()
+		time.Sleep(time.Second)
+		p.suspended = 2 * time.Hour
+		p.submit(t, "a", job.Step{Count: 2, Need: task})
+		time.Sleep(2 * time.Second)
+		p.mu.Lock()
+		qt.Check(t, p.starts, qt.HasLen, 0)
+		p.mu.Unlock()
+		qt.Assert(t, p.owner.Token(), qt.IsNil)
+	})
+}
+
 // Guards against an owner that does not notice that it takes events late.
 func TestDelayOfEvents(t *testing.T) {
 	now := time.Now()
