Narrow the window for starts only when starts are the cause of the delay

A delay of 0.12 s narrowed the window to its least, also when no start was on its way. Ruled out: an owner that was late throughout (no owner-behind line).

--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -15,8 +15,9 @@
 	// that on its way out and back still renews a lease in time.
 	noStartsFrom = 300 * time.Millisecond
 	// leastWindow and mostWindow bound the starts without an answer that an owner may have
-	// once it was behind. The window is halved when it is behind, at most once in windowPause,
-	// and grows by windowGrowth in that time while it is used up and the owner keeps up.
+	// once it was behind. The window is halved when it is behind and starts are the cause, at
+	// most once in windowPause, and grows by windowGrowth in that time while it is used up and
+	// the owner keeps up.
 	leastWindow  = 32
 	mostWindow   = 4096
 	windowPause  = 250 * time.Millisecond
@@ -41,7 +42,7 @@
 		return
 	}
 	switch {
-	case d > 0:
+	case d > 0 && s.unansweredStarts >= leastWindow:
 		s.startWindow = max(leastWindow, min(s.startWindow, s.unansweredStarts)/2)
 	case s.startWindow < mostWindow && s.windowFull:
 		s.startWindow = min(mostWindow, int(windowGrowth*float64(s.startWindow))+1)
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -116,3 +116,14 @@
 	qt.Assert(t, m.have(fits(resource.Amount{CPU: 1900, Memory: 200})), qt.IsFalse)
 	qt.Assert(t, m.have(fits(small)), qt.IsFalse)
 }
+
+// Guards against starts that are held back for a delay which they have not caused, such as that
+// of a recovery.
+func TestDelayWithoutStartsLeavesTheWindow(t *testing.T) {
+	g := newStage(1)
+	g.core.SetBehind(time.Second, g.now.Add(time.Second))
+	qt.Assert(t, g.core.startWindow, qt.Equals, mostWindow)
+	g.core.unansweredStarts = 1000
+	g.core.SetBehind(time.Second, g.now.Add(2*time.Second))
+	qt.Assert(t, g.core.startWindow, qt.Equals, 500)
+}
