--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -88,8 +88,8 @@
 	return h
 }
 
-// Run works until ctx ends. A part that fails unexpectedly is started again. The host gives up and leaves the duty to schedule when duty
-// ends, which comes first in a planned stop.
+// Run works until ctx ends; a part that fails unexpectedly is started again. The host gives up
+// and leaves the duty to schedule when duty ends, which comes first in a planned stop.
 func (h *Host) Run(ctx, duty context.Context) {
 	parts := []func(){
 		func() { h.parts.Keep(ctx, "configuration", h.config.Run) },
