--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,9 +40,9 @@
 	desk   *desk.Desk
 	cancel context.CancelFunc
 	done   chan struct{}
-	// suspended is the time for which the process stood still; the clock for permissions
-	// counts it.
-	suspended time.Duration
+	// suspended is the time for which the process stood still, in nanoseconds; the clock for
+	// permissions counts it.
+	suspended *atomic.Int64
 }
 
 func decode(item kv.Item) (subscription.Directive, error) {
@@ -58,7 +59,7 @@
 }
 
 func newStage(t *testing.T) *stage {
-	g := &stage{store: kvfake.New()}
+	g := &stage{store: kvfake.New(), suspended: new(atomic.Int64)}
 	g.setKeys(t, "k1", "k2")
 	g.start()
 	return g
@@ -69,7 +70,7 @@
 	g.done = make(chan struct{})
 	start := time.Now()
 	g.config = subscription.New(g.store.Store(), configKey, configKey, decode, zap.NewNop())
-	g.config.Now = func() time.Duration { return time.Since(start) + g.suspended }
+	g.config.Now = func() time.Duration { return time.Since(start) + time.Duration(g.suspended.Load()) }
 	g.desk = &desk.Desk{Store: g.store.Store(), Config: g.config, RevokeWithin: func() time.Duration { return 5 * time.Second }, Log: zap.NewNop(), Meter: meter.New()}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
@@ -283,7 +284,7 @@
 		defer g.stop()
 		assertOutcome(t, g.submit("k1"), desk.Accepted)
 		g.store.SetFault(func(string) kvfake.Fault { return kvfake.Lost })
-		g.suspended = 6 * time.Second
+		g.suspended.Store(int64(6 * time.Second))
 		target, a := g.desk.Resolve(call("k1"))
 		qt.Assert(t, target, qt.IsNil)
 		assertOutcome(t, a, desk.Refused)
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,8 +47,8 @@
 	config  *subscription.Subscription
 	meter   *meter.Meter
 	started time.Time
-	// suspended is the time for which the process stood still.
-	suspended time.Duration
+	// suspended is the time for which the process stood still, in nanoseconds.
+	suspended atomic.Int64
 	ends      []func()
 	owner     *Owner
 
@@ -105,7 +106,7 @@
 	}
 }
 
-func (p *plant) now() time.Duration { return time.Since(p.started) + p.suspended }
+func (p *plant) now() time.Duration { return time.Since(p.started) + time.Duration(p.suspended.Load()) }
 
 // own runs an owner; the returned function kills it.
 func (p *plant) own() (kill func()) {
@@ -413,7 +414,7 @@
 		defer p.end()
 		defer p.own()()
 		time.Sleep(time.Second)
-		p.suspended = 2 * time.Hour
+		p.suspended.Store(int64(2 * time.Hour))
 		p.submit(t, "a", job.Step{Count: 2, Need: task})
 		time.Sleep(2 * time.Second)
 		p.mu.Lock()
