Count the tasks of a worker with a new life as absent until it is looked at

By reading, a worker that has registered a new life counted as sound until its next look, since the runs of a new life are told by its list; the test fails without the change.

--- a/scheduler/availability.go
+++ b/scheduler/availability.go
@@ -27,10 +27,10 @@
 
 // atWork reports whether a long-running task, nil for one without a run, is known to be at
 // work: it is past its startup, nothing was ordered to end it, and its worker has listed it
-// lately.
+// lately and has not registered a new life since.
 func (s *Scheduler) atWork(r *run) bool {
 	if r == nil || r.state != present || r.percent < 100 {
 		return false
 	}
-	return r.host.failures == 0 && s.now.Sub(r.host.clockRead) <= heardFor
+	return r.host.known && r.host.failures == 0 && s.now.Sub(r.host.clockRead) <= heardFor
 }
--- a/scheduler/availability_test.go
+++ b/scheduler/availability_test.go
@@ -36,3 +36,18 @@
 func TestIgnoredAvailabilityIsNoticed(t *testing.T) {
 	property.CheckBroken(t, map[string]*bool{"what a step can miss is ignored": &broken.ignoreMayMiss}, playUnheardTask)
 }
+
+// Guards against an order that ends a task at work while the worker of another one of its step
+// has registered a new life and has not been looked at since.
+func TestTaskOfARestartedWorkerCountsAsAbsent(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 5})
+	g.submitFor("rounds", "arbiters", "desk", job.Step{Count: 3, Need: small, LongRunning: true, MayMiss: 1, MaxPerWorker: 1})
+	g.pass(2 * time.Second)
+	restarted, _ := g.core.Task(job.Task{Job: "desk", Index: 1})
+	due, _ := g.core.Task(job.Task{Job: "desk"})
+	g.heldWorker, g.heldUntil = restarted, g.now.Add(10*time.Second)
+	g.restart(restarted)
+	g.wave(20*time.Second, 1, g.workers[due].entry.Machine)
+	g.pass(700 * time.Millisecond)
+	qt.Assert(t, g.absent, qt.Equals, 1)
+}
