Pack tasks on few workers, so that idle machines can be lent at once

The machines that it could borrow were in the pool whose burst was over, each with one or two tasks left, because tasks went to the worker with the most room; they were lent one by one over 2 s. Ruled out: the owner was not behind, no worker was silent, and the spare pool was empty since the first burst.

Change: a task goes to the fullest worker that has room for it.

Tests: TestTrickleLeavesMachinesToABurst fails on the code before. The random plays of TestPromisesBroken do not come upon the variant without a record of pools any more, as fewer workers are in use; it has a directed play now.

--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -338,6 +338,25 @@
 	}
 }
 
+// It answers the pattern of a burst that begins while the burst of another pool trails off:
+// the few tasks that still come there must not keep all of its machines busy, as only idle
+// ones can be lent.
+func TestTrickleLeavesMachinesToABurst(t *testing.T) {
+	const lendable = 4
+	g := newMachinery(map[string]int{"desk": 1, "league": homeMachines + lendable})
+	g.duration = 1500 * time.Millisecond
+	for n := range homeMachines + lendable {
+		g.submitFor("teams", "arbiters", fmt.Sprintf("t%02d", n), job.Step{Count: 1, Need: small})
+		g.pass(100 * time.Millisecond)
+	}
+	for n := range 10 {
+		g.submitFor("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 4, Need: small})
+	}
+	g.pass(200 * time.Millisecond)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, g.ordered, qt.HasLen, lendable)
+}
+
 // Guards against long-running tasks that a new owner starts on a machine which is due: they
 // leave one after the other, and the wave ends late. Seen in incident inc-fec7.
 func TestNewOwnerKeepsLongRunningTasksOffDueMachines(t *testing.T) {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -360,12 +360,11 @@
 	avoidDue = 5000
 )
 
-// score rates a worker for a task; higher is better. Long-running tasks are packed on
-// few workers, so that others can be emptied at any time; other tasks go to the worker
-// with the most room.
+// score rates a worker for a task; higher is better. Tasks are packed on few workers, so
+// that the others are idle and can be lent or emptied at any time. Long-running tasks are
+// packed beside each other first, as they stay.
 func (s *Scheduler) score(p *part, index int, h *host, extra int) float64 {
-	free := 1 - float64(h.used.CPU+extra*p.step.Need.CPU)/float64(max(1, h.entry.Capacity.CPU))
-	score := free
+	score := float64(h.used.CPU+extra*p.step.Need.CPU) / float64(max(1, h.entry.Capacity.CPU))
 	if p.step.Rack != "" && h.entry.Labels.Have(p.step.Rack) {
 		score += preferRack
 	}
--- a/scheduler/pooluse_test.go
+++ b/scheduler/pooluse_test.go
@@ -80,6 +80,27 @@
 	qt.Assert(t, g.poolUse["rounds"], qt.DeepEquals, []string{"desk", "league"})
 }
 
+// playQueueThatReturned has a queue use another pool for one task, whose worker goes silent,
+// and return to its own pool before the owner changes.
+func playQueueThatReturned(t testing.TB) {
+	g := newPools()
+	g.duration = 10 * time.Second
+	g.catalog.Queues["rounds"].Pool = "league"
+	g.submitTo("rounds", "runs", job.Step{Count: 1, Need: small})
+	g.run(200 * time.Millisecond)
+	qt.Assert(t, g.started("runs"), qt.IsTrue)
+	for _, w := range g.workers {
+		w.cut = len(w.runs) > 0
+	}
+	g.catalog.Queues["rounds"].Pool = "desk"
+	g.replaceOwner()
+	g.run(2 * time.Second)
+	assertNothingBroken(t, g)
+}
+
+// Guards against a second start of a task whose queue has returned to its former pool.
+func TestQueueThatReturnedWaitsForTheOtherPool(t *testing.T) { playQueueThatReturned(t) }
+
 // Guards against an owner that takes a missing record for one that names no pool: after an
 // upgrade, or when the record cannot be read, all queues wait for silent workers.
 func TestMissingPoolUseHoldsAllQueues(t *testing.T) {
