Drop the runs of machines that the platform lists as down

Ruled out: that cut-off workers are listed as down too.

Change: the runs of a worker whose machine is down are dropped, unless the list is older than its registration, its last answer, or a start. A new owner does not wait for the leases of such workers. A state that is not known counts as unknown in place of down.

--- /dev/null
+++ b/scheduler/crash_test.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/worker"
+)
+
+// newCrash has a task that runs on one of two workers, each on a machine of its own, and
+// returns that worker and its machine.
+func newCrash(t *testing.T) (*machinery, *fakeWorker, *fakeMachine) {
+	g := newMachinery(map[string]int{"desk": 2})
+	g.submitFor("rounds", "arbiters", "a", job.Step{Count: 1, Need: small})
+	g.pass(200 * time.Millisecond)
+	for _, m := range g.machines {
+		if w := g.workers[m.Worker]; len(w.runs) > 0 {
+			return g, w, m
+		}
+	}
+	t.Fatal("the task has not started")
+	return nil, nil, nil
+}
+
+// shutDown has a machine lose its power, and with it all that its worker knows.
+func (m *fakeMachine) shutDown(w *fakeWorker) {
+	m.State, m.back, m.Worker = worker.Down, time.Unix(1<<40, 0), ""
+	w.down = true
+	clear(w.runs)
+}
+
+// It answers the pattern of a rack that is lost during a burst: its tasks start elsewhere as
+// soon as the platform lists its machines as down, not when their leases have ended.
+func TestTasksOfCrashedMachineStartElsewhere(t *testing.T) {
+	g, w, m := newCrash(t)
+	m.shutDown(w)
+	g.pass(100 * time.Millisecond)
+	qt.Assert(t, g.starts, qt.Equals, 2)
+	g.pass(time.Second)
+	assertNothingBroken(t, g.stage)
+	assertState(t, g.stage, "a", progress.Succeeded)
+}
+
+// Guards against second runs on account of a list of machines that is older than what is
+// known of the worker: it may have started again since.
+func TestOlderListDoesNotDropRuns(t *testing.T) {
+	g, w, m := newCrash(t)
+	down := []worker.Machine{{ID: m.ID, Pool: m.Pool, State: worker.Down}}
+	for name, asked := range map[string]time.Time{
+		"before the registration": g.now.Add(-time.Hour),
+		"before the start":        g.now.Add(-210 * time.Millisecond),
+		"at the last answer":      g.core.hosts[w.entry.ID].clockRead,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g.core.SetMachines(down, asked, g.now)
+			_, run := g.core.Task(job.Task{Job: "a"})
+			qt.Assert(t, run > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against second runs on account of a state of machines that a later version of the
+// platform may have.
+func TestUnknownStateDropsNoRuns(t *testing.T) {
+	g, w, m := newCrash(t)
+	w.cut = true
+	m.State, m.back, m.Worker = worker.Unknown, time.Unix(1<<40, 0), ""
+	g.duration = 10 * time.Second
+	g.pass(time.Second)
+	qt.Assert(t, g.starts, qt.Equals, 1)
+	assertNothingBroken(t, g.stage)
+}
+
+// Guards against a recovery that waits for the lease of a worker that has crashed with the
+// owner.
+func TestRecoveryDoesNotWaitForCrashedMachines(t *testing.T) {
+	g, w, m := newCrash(t)
+	m.shutDown(w)
+	g.replaceOwner()
+	g.pass(300 * time.Millisecond)
+	qt.Assert(t, g.core.Settled(), qt.IsTrue)
+	qt.Assert(t, g.starts, qt.Equals, 2)
+	assertNothingBroken(t, g.stage)
+}
+
+// Guards against a machine that is back and gets no tasks: its worker registers under the
+// same ID and has seen no token.
+func TestRestartedWorkerOfCrashedMachineIsUsed(t *testing.T) {
+	g, w, m := newCrash(t)
+	m.shutDown(w)
+	g.pass(500 * time.Millisecond)
+	g.restart(w.entry.ID)
+	m.State, m.Worker = worker.Up, w.entry.ID
+	g.pass(time.Second)
+	qt.Assert(t, g.core.usable(g.core.hosts[w.entry.ID]), qt.IsTrue)
+	g.submitFor("rounds", "arbiters", "b", job.Step{Count: 8, Need: small})
+	g.pass(2 * time.Second)
+	assertNothingBroken(t, g.stage)
+	assertState(t, g.stage, "b", progress.Succeeded)
+}
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -151,7 +151,7 @@
 		if m.moveTo != "" {
 			pool = m.moveTo
 		}
-		if d := pools[pool]; d != nil && m.State != worker.Down {
+		if d := pools[pool]; d != nil && m.State != worker.Down && m.State != worker.Unknown {
 			d.add(m)
 		}
 	}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -116,6 +116,7 @@
 			s.replace(h)
 		}
 	}
+	s.findCrashed(asked)
 }
 
 // back ends the absence of a machine that is up with a worker, nil if that is unknown.
@@ -136,13 +137,17 @@
 // carriesOther reports whether a worker that was on the machine has ended: the machine
 // is on its way, or carries another worker.
 func (m *machine) carriesOther(id string) bool {
-	if m.Worker == id || m.State == worker.Down {
-		return false
+	switch {
+	case m.Worker != "":
+		return m.Worker != id
+	case m.State == worker.Moving, m.State == worker.Maintenance:
+		return true
 	}
-	return m.Worker != "" || m.State != worker.Up
+	return false
 }
 
-// WantsMachines reports whether the list of machines is needed soon.
+// WantsMachines reports whether the list of machines is needed soon: for waves and moves, and
+// because it is the first to tell that a worker with tasks has crashed.
 func (s *Scheduler) WantsMachines() bool {
 	if !s.machinesKnown {
 		return true
@@ -157,6 +162,11 @@
 			return true
 		}
 	}
+	for _, h := range s.hosts {
+		if len(h.runs) > 0 {
+			return true
+		}
+	}
 	return false
 }
 
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -101,5 +101,8 @@
 	Up          MachineState = "up"
 	Moving      MachineState = "moving"
 	Maintenance MachineState = "maintenance"
-	Down        MachineState = "down"
+	// Down machines have crashed or lost power; what ran there is lost.
+	Down MachineState = "down"
+	// Unknown stands for states that this version does not know; nothing follows from it.
+	Unknown MachineState = "unknown"
 )
