Show from the logs which jobs were lost to which cause

For that, job-ended gives the age and the objective of a job, and tasks-placed and tasks-wait how long tasks waited and what for, in fields of their own.

--- a/command/app.go
+++ b/command/app.go
@@ -30,7 +30,7 @@
 			entryCommand(),
 			platformHostCommand(),
 			jobCommand(),
-			explainJobCommand(),
+			explainJobCommand(), explainLossesCommand(),
 			checkConfigCommand(),
 			contractCommand(),
 			keyCommand(),
--- a/command/explainjob.go
+++ b/command/explainjob.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
 
 	"github.com/urfave/cli/v3"
@@ -39,12 +38,7 @@
 }
 
 func readLog(c *timeline.Collector, name string) error {
-	f, err := os.Open(name)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return c.Read(filepath.Base(name), f)
+	return readFile(name, func(log io.Reader) error { return c.Read(filepath.Base(name), log) })
 }
 
 func printTimeline(w io.Writer, t *timeline.Timeline) error {
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -194,5 +194,11 @@
 	if n.Workers != 0 {
 		fields = append(fields, zap.Int("affected", n.Workers), zap.Bool("by-time", n.Late))
 	}
+	if n.Cause != "" {
+		fields = append(fields, zap.Duration("waited", n.Waited), zap.String("cause", n.Cause))
+	}
+	if n.Took != 0 {
+		fields = append(fields, zap.Duration("took", n.Took), zap.Duration("objective", n.Objective))
+	}
 	o.Log.Info(n.Event, fields...)
 }
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -122,6 +122,11 @@
 	Reason  string
 	Workers int
 	Late    bool
+	// Waited is how long tasks have waited, Cause what for.
+	Waited time.Duration
+	Cause  string
+	// Took is the age of a job that ended, Objective the time in which it was to be done.
+	Took, Objective time.Duration
 }
 
 // Take returns the actions since the last call.
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -20,6 +20,8 @@
 	excess  bool
 	arrived time.Time
 	ended   time.Time
+	// took and objective are those of the last occurrence that was done.
+	took, objective time.Duration
 	// occurrences holds those that have begun and are not done.
 	occurrences map[int]*occurrence
 	begun       int
@@ -52,11 +54,12 @@
 	listed     bool
 	checkpoint string // of a gang
 	rank       rank
-	// queued is when its first task began to wait, reason why it waits now, and explained
-	// is set once the log says so.
-	queued    time.Time
-	reason    string
-	explained bool
+	// queued is when its first task began to wait, and reason why tasks of it wait now.
+	// waitedFor was the reason of the last pass that started none, explained is set once the
+	// log says so.
+	queued            time.Time
+	reason, waitedFor string
+	explained         bool
 	// tickets has what the advice said of workers, by ID. asking is set while a question is
 	// on its way; the next one is sent after askAfter.
 	tickets  map[string]*ticket
@@ -255,7 +258,7 @@
 	}
 	s.changed[pool] = true
 	p.listed = true
-	p.queued, p.explained = s.now, false
+	p.queued, p.explained, p.waitedFor = s.now, false, ""
 	s.waiting[pool] = append(s.waiting[pool], p)
 }
 
@@ -311,6 +314,7 @@
 }
 
 func (s *Scheduler) finishOccurrence(e *entry, o *occurrence) {
+	s.timeOccurrence(e, o)
 	delete(e.occurrences, o.number)
 	s.touch(e)
 	if e.job.Repeat > 0 {
@@ -337,7 +341,16 @@
 			}
 		}
 	}
-	s.actions.Notes = append(s.actions.Notes, Note{Event: "job-ended", Job: e.job.ID, Reason: string(state)})
+	s.note(Note{Event: "job-ended", Job: e.job.ID, Reason: string(state), Took: e.took, Objective: e.objective})
+}
+
+// timeOccurrence notes how long an occurrence took and how long it was to take.
+func (s *Scheduler) timeOccurrence(e *entry, o *occurrence) {
+	e.took = s.now.Sub(o.due)
+	if q, _ := s.pool(e.job.Queue); q != nil {
+		chain, _, _ := s.outlook(e.job.Queue, o)
+		e.objective = objective(q, chain)
+	}
 }
 
 // fail counts a failed attempt of a task.
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -189,15 +189,16 @@
 // explain notes the starts of a pass, or why a part has to wait, with what decided it.
 func (s *Scheduler) explain(p *part, before int64) {
 	if s.lastRun == before {
+		p.waitedFor = p.reason
 		if !p.explained && s.now.Sub(p.queued) > explainAfter && len(p.queue) > 0 {
 			p.explained = true
-			s.note(Note{Event: "tasks-wait", Job: p.entry.job.ID, Reason: fmt.Sprintf("step %d, %d tasks: %s; %s", p.number, len(p.queue), p.reason, p.rank)})
+			s.note(Note{Event: "tasks-wait", Job: p.entry.job.ID, Waited: s.now.Sub(p.queued), Cause: p.reason, Reason: fmt.Sprintf("step %d, %d tasks; %s", p.number, len(p.queue), p.rank)})
 		}
 		return
 	}
 	s.note(Note{
-		Event: "tasks-placed", Job: p.entry.job.ID, Run: before + 1,
-		Reason: fmt.Sprintf("step %d, %d tasks, %d wait, after %v; %s", p.number, s.lastRun-before, len(p.queue), s.now.Sub(p.queued).Round(time.Millisecond), p.rank),
+		Event: "tasks-placed", Job: p.entry.job.ID, Run: before + 1, Waited: s.now.Sub(p.queued), Cause: p.waitedFor,
+		Reason: fmt.Sprintf("step %d, %d tasks, %d wait; %s", p.number, s.lastRun-before, len(p.queue), p.rank),
 	})
 }
 
