Send starts with the newest token of their worker, and wait for answers as long as was seen

A start without an answer raises the token of its worker. Starts that wait to be sent kept the lower token, and the look that followed gave all of them up: 2,602 runs after 619 starts without an answer. 108 more were late while running, because a lost look hid the ends on its worker for 1.1 s. Ruled out: silent workers (none), lack of room (23 of 265).

Change: the token is fixed when a start is sent (claim); only starts that were sent with a lower token are given up. A start that is rejected for its token does not pause the worker. Starts that wait are withdrawn when a new life of their worker is noticed, as their leases are on the clock of the former one. The patience for answers is eight times the slowest one seen lately, from 100 to 400 ms, and doubles with each missed look; while more than 3% of the looks are lost, a look waits for 0.2 s in place of 0.7 s.

TestUnansweredStartLeavesThoseThatWait fails if starts that wait count as sent, which is what the code before did.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	// orderTimeout is far above the few milliseconds of an answer; after it, the next look
-	// finds out what became of the order.
-	orderTimeout = 400 * time.Millisecond
-	stopRetry    = 200 * time.Millisecond
+	// paceTimeout is far above the few milliseconds of an answer.
+	paceTimeout = 400 * time.Millisecond
+	stopRetry   = 200 * time.Millisecond
 	// quickLooks bounds the looks on their way that do not wait for an end. A new owner looks
 	// at all workers at once; with thousands of them, a host with a fifth of a core would
 	// take answers that came in time for missing.
@@ -95,11 +94,11 @@
 		o.stop()
 		return
 	}
-	if a.Withdrawn() {
+	if !a.Claim() {
 		o.post(func(now time.Time) { o.core.Started(a, scheduler.StartNotSent, "", now) })
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, a.Patience)
 	defer cancel()
 	sent := time.Now()
 	result, reason := o.Calls.Start(ctx, a)
@@ -112,7 +111,7 @@
 		return
 	}
 	o.Log.Info("run-stopped", zap.String("request", a.Task.Job), zap.Stringer("task", a.Task), zap.Int64("run", a.Run), zap.String("worker", a.Worker.ID), zap.String("reason", a.Reason))
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, a.Patience)
 	defer cancel()
 	ok := o.Calls.Stop(ctx, a)
 	if !ok {
@@ -125,7 +124,7 @@
 	if !o.term.Valid() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, paceTimeout)
 	defer cancel()
 	ok := o.Calls.Pace(ctx, a)
 	if !ok {
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -31,21 +31,29 @@
 
 // Start tells a worker to run a task; report it by Started.
 type Start struct {
-	Worker     worker.Entry
-	Task       job.Task
-	Run        int64
-	Spec       string
-	Deadline   time.Duration
+	Worker   worker.Entry
+	Task     job.Task
+	Run      int64
+	Spec     string
+	Deadline time.Duration
+	// Fence is set by Claim.
 	Fence      int64
 	Checkpoint string
 	// Ticket is the permission to run the step on the worker, if its queue needs one.
-	Ticket    string
-	withdrawn *atomic.Bool
+	Ticket string
+	// Patience is how late the answer may be.
+	Patience time.Duration
+	// newest is the token of the worker at any time, claim that of this start.
+	newest *atomic.Int64
+	claim  *claim
 }
 
-// Withdrawn reports whether the run is not wanted any more. It is asked right before the
-// order is sent, and may be called from any goroutine.
-func (a *Start) Withdrawn() bool { return a.withdrawn != nil && a.withdrawn.Load() }
+// Claim gives the start the newest token of its worker and reports whether the run is still
+// wanted. It is called once, right before the order is sent, from any goroutine.
+func (a *Start) Claim() bool {
+	a.Fence = a.newest.Load()
+	return a.claim.send(a.Fence)
+}
 
 // Stop tells a worker to end a run; report it by StopAnswered.
 type Stop struct {
@@ -54,6 +62,8 @@
 	Run    int64
 	Fence  int64
 	Reason string
+	// Patience is how late the answer may be.
+	Patience time.Duration
 }
 
 // Look asks a worker for its lists and renews its lease; report it by Looked.
@@ -146,6 +156,8 @@
 	StartAccepted StartResult = iota
 	// StartRejected means that the worker did nothing.
 	StartRejected
+	// StartFenced means that the worker did nothing because it has seen a higher token.
+	StartFenced
 	// StartUnhealthy means that the worker did nothing because it is not healthy.
 	StartUnhealthy
 	// StartWithoutTicket means that the worker did nothing because its ticket has ended.
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -26,6 +26,10 @@
 	}
 	h.looking, h.nextLook = false, now.Add(s.gather())
 	h.heard = l.sequence
+	s.answers.look(true)
+	if l.Wait == 0 {
+		s.answers.answered(now.Sub(h.lookSent))
+	}
 	s.touched[h] = true
 	if h.failures > 0 {
 		s.note(Note{Event: "worker-answered", Worker: h.entry.ID, Workers: len(h.runs)})
@@ -64,6 +68,7 @@
 		h.failures++
 	}
 	if first {
+		s.answers.look(false)
 		s.note(Note{Event: "worker-unanswered", Worker: h.entry.ID, Workers: len(h.runs)})
 		s.abandonAll(h)
 	}
@@ -97,7 +102,7 @@
 			continue
 		}
 		confirmed := r.state != starting && !r.present.IsZero() && r.present.Before(h.lookSent)
-		fenced := r.fence < h.lookFence || broken.keepFence
+		fenced := r.claim.below(h.lookFence) || broken.keepFence
 		stopped := r.state == stopping && !r.stopped.IsZero() && r.stopped.Before(h.lookSent)
 		if confirmed || fenced || stopped {
 			s.drop(r, "not listed")
@@ -160,9 +165,10 @@
 	index := listed.Task.Index
 	s.lastRun = max(s.lastRun, listed.Run)
 	r := &run{
-		part: p, index: index, number: listed.Run, host: h, state: present, fence: h.fence, sent: s.now, present: s.now,
+		part: p, index: index, number: listed.Run, host: h, state: present, sent: s.now, present: s.now,
 		percent: listed.Percent, load: listed.Load, save: listed.Checkpoint, need: p.step.Reserved(),
 	}
+	r.claim.set(h.fence)
 	s.hold(r)
 	s.wantPool(p.entry.job.Queue, h.entry.Pool)
 	if h.leaseEnd.Before(s.now) {
@@ -295,8 +301,15 @@
 	case StartUnanswered:
 		s.note(Note{Event: "start-unanswered", Job: a.Task.Job, Task: a.Task, Worker: h.entry.ID, Run: a.Run})
 		if r.present.IsZero() {
-			s.inDoubt(h)
+			s.startInDoubt(r)
 		}
+	case StartFenced:
+		if a.Fence >= h.fence {
+			// Another owner has looked at the worker.
+			h.pausedUntil = now.Add(lookRetry)
+			h.nextLook = now
+		}
+		s.drop(r, "rejected: "+reason)
 	case StartOtherLife:
 		s.drop(r, "other life of the worker")
 		if h.born != 0 && h.known {
@@ -327,12 +340,12 @@
 		s.note(Note{Event: "stop-before-start", Job: r.part.entry.job.ID, Task: r.part.name(r.index), Worker: r.host.entry.ID, Run: r.number})
 	}
 	r.state = stopping
-	r.withdrawn.Store(true)
+	r.claim.withdraw()
 	s.sendStop(r, reason)
 }
 
 func (s *Scheduler) sendStop(r *run, reason string) {
-	s.actions.Stops = append(s.actions.Stops, Stop{Worker: r.host.entry, Task: r.part.name(r.index), Run: r.number, Fence: r.host.fence, Reason: reason})
+	s.actions.Stops = append(s.actions.Stops, Stop{Worker: r.host.entry, Task: r.part.name(r.index), Run: r.number, Fence: r.host.fence, Reason: reason, Patience: s.patience(s.answerPatience())})
 }
 
 // StopAnswered reports whether a stop was answered; one that was not is sent again.
--- /dev/null
+++ b/scheduler/claim_test.go
@@ -0,0 +1,110 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/worker"
+)
+
+// newOrders has three starts for one worker that are not sent yet.
+func newOrders(t *testing.T) (*stage, []Start) {
+	g := newStage(1)
+	g.run(time.Second)
+	g.core.AddJob(&job.Job{ID: "a", Queue: "rounds", Steps: []job.Step{{Count: 3, Need: small}}}, nil, false, g.now)
+	g.core.Tick(g.now)
+	starts := g.core.Take().Starts
+	qt.Assert(t, starts, qt.HasLen, 3)
+	return g, starts
+}
+
+// answerLook answers the look that the core orders next and returns it.
+func (g *stage) answerLook(t *testing.T, born int64, running ...worker.Run) Look {
+	g.now = g.now.Add(stageStep)
+	g.core.Tick(g.now)
+	looks := g.core.Take().Looks
+	qt.Assert(t, looks, qt.HasLen, 1)
+	g.core.Looked(looks[0], &worker.Listing{Born: born, Clock: time.Hour, Running: running}, false, g.now)
+	return looks[0]
+}
+
+func assertRun(t *testing.T, g *stage, index int, want int64) {
+	t.Helper()
+	_, run := g.core.Task(job.Task{Job: "a", Index: index})
+	qt.Assert(t, run, qt.Equals, want)
+}
+
+// It answers the pattern of workers that leave orders unanswered and carry them out late: one
+// start in doubt must not take along those that wait behind it. Seen as 2,602 runs given up
+// after 619 starts without an answer.
+func TestUnansweredStartLeavesThoseThatWait(t *testing.T) {
+	g, starts := newOrders(t)
+	qt.Assert(t, starts[0].Claim(), qt.IsTrue)
+	g.core.Started(starts[0], StartUnanswered, "", g.now)
+	look := g.answerLook(t, 1)
+	assertRun(t, g, 1, starts[1].Run)
+	qt.Assert(t, starts[1].Claim(), qt.IsTrue)
+	qt.Assert(t, starts[1].Fence, qt.Equals, look.Fence)
+	g.core.Started(starts[1], StartAccepted, "", g.now)
+	assertRun(t, g, 1, starts[1].Run)
+	assertRun(t, g, 0, 0)
+}
+
+// Guards against a second run: a start that was sent with the lower token and is not listed
+// with the higher one was never carried out and never will be, so that its task starts anew;
+// one that was withdrawn is not sent.
+func TestStartBelowTheTokenIsGivenUp(t *testing.T) {
+	g, starts := newOrders(t)
+	qt.Assert(t, starts[0].Claim(), qt.IsTrue)
+	qt.Assert(t, starts[1].Claim(), qt.IsTrue)
+	g.core.Started(starts[0], StartUnanswered, "", g.now)
+	g.answerLook(t, 1)
+	assertRun(t, g, 1, 0)
+	g.core.Started(starts[1], StartFenced, "fence", g.now)
+	qt.Assert(t, g.core.usable(g.core.hosts["w0"]), qt.IsTrue)
+	g.core.Cancel("a", g.now)
+	qt.Assert(t, starts[2].Claim(), qt.IsFalse)
+}
+
+// Guards against a lease on the clock of an earlier life: the clock of the new one begins at
+// zero, so that the lease of the start would be far too long.
+func TestStartForAnEarlierLifeIsNotSent(t *testing.T) {
+	g, starts := newOrders(t)
+	entry := g.workers["w0"].entry
+	entry.Born++
+	g.core.SetWorker(entry, g.now)
+	qt.Assert(t, starts[0].Claim(), qt.IsFalse)
+}
+
+// Guards against a worker that is out of use for long because one answer was lost, and against
+// taking a network for silent that has become slow.
+func TestPatienceFollowsTheAnswers(t *testing.T) {
+	s := New(DefaultLimits(), 1, time.Now())
+	qt.Assert(t, s.answerPatience(), qt.Equals, leastAnswerPatience)
+	s.answers.answered(30 * time.Millisecond)
+	qt.Assert(t, s.answerPatience(), qt.Equals, 240*time.Millisecond)
+	s.answers.answered(time.Second)
+	qt.Assert(t, s.answerPatience(), qt.Equals, mostAnswerPatience)
+	for range 1000 {
+		s.answers.answered(3 * time.Millisecond)
+	}
+	qt.Assert(t, s.answerPatience(), qt.Equals, leastAnswerPatience)
+	qt.Assert(t, s.lookPatience(maxDoublings), qt.Equals, mostAnswerPatience)
+}
+
+// Guards against ends that are not heard of for most of a second while answers are lost.
+func TestLooksAreShortWhileAnswersAreLost(t *testing.T) {
+	s := New(DefaultLimits(), 1, time.Now())
+	qt.Assert(t, s.lookWait(), qt.Equals, s.limits.LookWait)
+	for range 20 {
+		s.answers.look(false)
+	}
+	qt.Assert(t, s.lookWait(), qt.Equals, lossyWait)
+	for range 200 {
+		s.answers.look(true)
+	}
+	qt.Assert(t, s.lookWait(), qt.Equals, s.limits.LookWait)
+}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -40,7 +40,7 @@
 	}
 	s.note(Note{Event: "worker-crashed", Worker: h.entry.ID, Workers: len(h.runs), Reason: h.entry.Machine + " is down"})
 	h.lapsed = true
-	h.fence++
+	h.setFence(h.fence + 1)
 	h.doubt, h.known = false, false
 	h.failures = max(1, h.failures)
 	for _, r := range h.runs {
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -36,8 +36,9 @@
 	// orderedAway is set once the machine was ordered to another pool or to maintenance.
 	orderedAway bool
 	// fence rises when an order has gone unanswered or a new life was seen, so that an
-	// older order which is still on its way does nothing.
-	fence int64
+	// older order which is still on its way does nothing. newest has it for those who send.
+	fence  int64
+	newest *atomic.Int64
 	// doubt is set while a run may be present without having been listed.
 	doubt bool
 
@@ -90,7 +91,6 @@
 	number  int64
 	host    *host
 	state   runState
-	fence   int64
 	sent    time.Time
 	present time.Time
 	stopped time.Time
@@ -105,8 +105,8 @@
 	save     string
 	speed    speed
 	need     resource.Amount
-	// withdrawn keeps a start that is not sent yet from being sent.
-	withdrawn atomic.Bool
+	// claim has the token with which the start was sent.
+	claim claim
 }
 
 type runState int
@@ -118,10 +118,6 @@
 )
 
 const (
-	// lookPatience is far above the few milliseconds of an answer. A worker that left one
-	// look unanswered has secondPatience, so that its silence is known soon.
-	lookPatience   = 400 * time.Millisecond
-	secondPatience = 200 * time.Millisecond
 	// firstLookRetry is the pause after a look that was not answered: a single answer may
 	// be lost. lookRetry is the pause after further ones.
 	firstLookRetry = 50 * time.Millisecond
@@ -143,7 +139,8 @@
 	s.now = now
 	h := s.hosts[e.ID]
 	if h == nil {
-		h = &host{since: now, speed: 1, fence: s.fence, runs: make(map[job.Task]*run)}
+		h = &host{since: now, speed: 1, newest: new(atomic.Int64), runs: make(map[job.Task]*run)}
+		h.setFence(s.fence)
 		h.entry = e
 		s.hosts[e.ID] = h
 		at, _ := slices.BinarySearchFunc(s.ordered, e.ID, func(h *host, id string) int { return cmp.Compare(h.entry.ID, id) })
@@ -192,17 +189,29 @@
 // Only its list tells the runs that were lost from those that it was ordered to start since.
 func (s *Scheduler) suspectNewLife(h *host) {
 	h.known = false
+	s.dropUnsent(h)
 	s.inDoubt(h)
 	h.looking, h.nextLook = false, s.now
 }
 
+// dropUnsent withdraws the starts that wait to be sent to an earlier life of a worker: their
+// leases are on its clock.
+func (s *Scheduler) dropUnsent(h *host) {
+	for _, r := range h.runs {
+		if r.state == starting && r.claim.withdraw() {
+			s.drop(r, "worker has started again")
+		}
+	}
+}
+
 // newLife handles a worker that has started again: it counts its ends and its clock anew.
 // What its list does not have is gone, like any run that was present before; orders that
 // are still on their way are below its fence.
 func (s *Scheduler) newLife(h *host, born int64) {
 	s.note(Note{Event: "worker-restarted", Worker: h.entry.ID, Workers: len(h.runs)})
 	h.born = born
-	h.fence++
+	s.dropUnsent(h)
+	h.setFence(h.fence + 1)
 	h.seen, h.noted, h.acknowledged, h.unsaved = 0, 0, 0, nil
 }
 
@@ -242,7 +251,7 @@
 // release frees what a run holds.
 func (s *Scheduler) release(r *run) {
 	h := r.host
-	r.withdrawn.Store(true)
+	r.claim.withdraw()
 	delete(h.runs, r.part.name(r.index))
 	h.used = h.used.Sub(r.need)
 	s.changed[h.entry.Pool] = true
@@ -292,7 +301,7 @@
 			s.drop(r, "lease ended")
 		}
 		// A start that is still on its way is rejected by its deadline on the worker's clock.
-		h.fence++
+		h.setFence(h.fence + 1)
 		h.doubt, h.known = false, false
 	}
 	if !h.listed && len(h.runs) == 0 && s.now.Sub(h.unlistedAt) > s.limits.Absence && s.now.After(h.leaseEnd) {
@@ -322,15 +331,11 @@
 	if !unknown && !news && len(h.unsaved) > 0 && s.now.Sub(h.lookSent) < idleLook {
 		return
 	}
-	l := Look{Worker: h.entry, Patience: lookPatience}
+	l := Look{Worker: h.entry, Patience: s.patience(s.lookPatience(h.failures))}
 	if news {
 		// Without news, the number would only make a new life forget ends of its own.
 		l.Seen = h.noted
 	}
-	if h.failures == 1 {
-		l.Patience = secondPatience
-	}
-	l.Patience = s.patience(l.Patience)
 	l.Fence = h.fence
 	// A worker that does not answer gets no longer lease, or its tasks could never be
 	// started elsewhere.
@@ -338,7 +343,7 @@
 		l.Deadline = s.grant(h)
 	}
 	if !unknown && len(h.runs) > 0 && len(h.unsaved) == 0 && h.failures == 0 {
-		l.Wait = s.limits.LookWait
+		l.Wait = s.lookWait()
 		if h.startsUp() {
 			l.Wait = startupWait
 		}
@@ -390,6 +395,18 @@
 	}
 }
 
+// startInDoubt handles a start without an answer. Other orders that are on their way to the
+// worker may have raised its token since: then the look that they caused settles this one too.
+func (s *Scheduler) startInDoubt(r *run) {
+	h := r.host
+	if !r.claim.below(h.fence) {
+		s.inDoubt(h)
+		return
+	}
+	s.touched[h] = true
+	h.doubt = true
+}
+
 // inDoubt raises the fence, so that what a look with it does not list was never started and
 // never will be. That look follows at once, beside the one on its way, unless the worker is
 // silent already: then the usual pauses hold.
@@ -397,7 +414,7 @@
 	s.touched[h] = true
 	h.doubt = true
 	if !broken.keepFence {
-		h.fence++
+		h.setFence(h.fence + 1)
 	}
 	if h.failures > 0 {
 		return
@@ -406,6 +423,11 @@
 	h.looking, h.nextLook = false, s.now
 }
 
+func (h *host) setFence(fence int64) {
+	h.fence = fence
+	h.newest.Store(fence)
+}
+
 func (s *Scheduler) note(n Note) { s.actions.Notes = append(s.actions.Notes, n) }
 
 // Workers returns the IDs of the workers whose registrations are known.
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -397,7 +397,7 @@
 // start books a run and orders it.
 func (s *Scheduler) start(p *part, index int, h *host, number int64) {
 	t := &p.tasks[index]
-	r := &run{part: p, index: index, number: number, host: h, fence: h.fence, sent: s.now, need: p.step.Reserved(), percentAllowed: 100, paceKnown: true}
+	r := &run{part: p, index: index, number: number, host: h, sent: s.now, need: p.step.Reserved(), percentAllowed: 100, paceKnown: true}
 	s.hold(r)
 	s.unansweredStarts++
 	s.begun(p.entry)
@@ -407,6 +407,7 @@
 	}
 	s.actions.Starts = append(s.actions.Starts, Start{
 		Worker: h.entry, Task: p.name(index), Run: number, Spec: p.entry.job.Spec,
-		Deadline: s.grant(h), Fence: h.fence, Checkpoint: checkpoint, Ticket: p.ticketFor(h), withdrawn: &r.withdrawn,
+		Deadline: s.grant(h), Checkpoint: checkpoint, Ticket: p.ticketFor(h),
+		Patience: s.patience(s.answerPatience()), newest: h.newest, claim: &r.claim,
 	})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -64,6 +64,8 @@
 	windowFull    bool
 	windowChanged time.Time
 
+	answers answers
+
 	// lastRun numbers the runs. The first one of an owner is above all of its predecessors.
 	lastRun int64
 	// settled is set once no run of a predecessor can be unknown. Until then, tasks of
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -89,7 +89,8 @@
 	p.queue = slices.DeleteFunc(p.queue, func(n int) bool { return n == v.Task.Index })
 	r := s.adopt(h, p, listed)
 	// The first look has a higher token, so what it does not list is gone.
-	r.fence, r.recorded = h.fence-1, true
+	r.claim.set(h.fence - 1)
+	r.recorded = true
 	if free && p.step.Speculative && !p.step.Gang {
 		s.abandon(r, "worker does not answer")
 	}
--- a/scheduler/stage_test.go
+++ b/scheduler/stage_test.go
@@ -507,7 +507,7 @@
 
 func (g *stage) start(a Start) {
 	w := g.workers[a.Worker.ID]
-	if a.Withdrawn() {
+	if !a.Claim() {
 		g.report(true, 0, func() { g.core.Started(a, StartNotSent, "", g.now) })
 		return
 	}
