Lend idle machines of pools that are at work

Cause: with packed tasks, a pool that is used to 0.6 has whole machines idle, but a pool lent nothing once half of its room was wanted.

Change: a pool lends an idle machine as long as what it keeps is used to three quarters at most, the use from which on it would borrow itself.

TestPoolAtWorkLendsIdleMachines fails on the code before.

--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -436,3 +436,19 @@
 	assertNothingBroken(t, g.stage)
 	assertState(t, g.stage, "fresh", progress.Succeeded)
 }
+
+// It answers the pattern of a burst beside a pool that is at work, but has idle machines: what
+// the lender keeps has to be used to three quarters at most, not all it has to half.
+func TestPoolAtWorkLendsIdleMachines(t *testing.T) {
+	g := newMachinery(map[string]int{"desk": 1, "league": 2 * homeMachines})
+	g.duration = 10 * time.Second
+	// The lender uses seven of its machines.
+	g.submitFor("teams", "arbiters", "long", job.Step{Count: 4 * (homeMachines + 1), Need: small})
+	g.pass(100 * time.Millisecond)
+	for n := range 10 {
+		g.submitFor("rounds", "arbiters", fmt.Sprintf("j%02d", n), job.Step{Count: 4, Need: small})
+	}
+	g.pass(200 * time.Millisecond)
+	assertNothingBroken(t, g.stage)
+	qt.Assert(t, len(g.ordered) > 0, qt.IsTrue)
+}
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -214,7 +214,7 @@
 		}
 		from := pools[m.Pool]
 		spare := from == nil
-		if !spare && (from.machines <= homeMachines || from.missing() > 0 || 2*from.wanted.CPU > from.capacity.CPU) {
+		if !spare && (from.machines <= homeMachines || from.missing() > 0 || float64(from.wanted.CPU) > fullShare*float64(from.capacity.CPU-m.Capacity.CPU)) {
 			continue
 		}
 		if h := s.hosts[m.Worker]; h != nil && (len(h.runs) > 0 || h.entry.Leaving || h.orderedAway || h.doubt) {
