Renew the owner's lease without waiting for answers, and shorten it to a second

Cause: when the owner is lost, its jobs wait for 1.35 s, nearly all of it for the end of its lease. The lease could not be shorter, because a renewal waited up to 0.6 s for the answer to the one before.

Change: renewals are sent every 0.25 s, up to three at a time. The lease is 1 s and three times the last answer of the store, 2.5 s at most, so that elections at a slow store still fit. A renewal that fails unexpectedly is contained.

TestLostRenewalsKeepTheOwner fails on the code before, TestNextOwnerAfterACrash with its lease of 1.5 s.

--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -83,7 +83,7 @@
 	h.Links = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: cfg.Log}
 	h.tenure = &tenure.Tenure{
 		Store: cfg.Store, Host: cfg.Name, Work: owner.Run, Log: cfg.Log, Now: now, Delay: cfg.Delay,
-		Link: cfg.Link, Followed: h.link.Follow,
+		Link: cfg.Link, Followed: h.link.Follow, Parts: parts,
 	}
 	return h
 }
--- a/kvfake/fake.go
+++ b/kvfake/fake.go
@@ -25,6 +25,8 @@
 	Lost
 	// AnswerLost calls are carried out and get no answer.
 	AnswerLost
+	// Silent calls do nothing, and their callers wait until they give up.
+	Silent
 )
 
 // Fake is one stand-in. It is safe for concurrent use.
@@ -129,6 +131,9 @@
 		return false, &kv.UnavailableError{Undone: true, Cause: errFault}
 	case Lost:
 		return false, &kv.UnavailableError{Cause: errFault}
+	case Silent:
+		<-ctx.Done()
+		return false, &kv.UnavailableError{Cause: ctx.Err()}
 	case AnswerLost:
 		return true, &kv.UnavailableError{Cause: errFault}
 	}
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -16,15 +16,22 @@
 	"egretdrum.example/boottime"
 	"egretdrum.example/kv"
 	"egretdrum.example/layout"
+	"egretdrum.example/supervision"
 	"egretdrum.example/wait"
 )
 
 const (
-	// TTL is how long a silent owner keeps its right. It bounds the pause after a crash,
-	// and has to outlast a few answers of a slow store.
-	TTL = 1500 * time.Millisecond
-	// renewInterval allows two lost renewals.
-	renewInterval = 300 * time.Millisecond
+	// TTL is how long a silent owner keeps its right if the store answers fast. It bounds the
+	// pause after a crash, and has to outlast two lost renewals.
+	TTL = time.Second
+	// ttlAnswers times the last answer of the store is added to TTL: the grant, the election
+	// and the first renewal each take one. mostTTL bounds the pause after a crash.
+	ttlAnswers = 3
+	mostTTL    = 2500 * time.Millisecond
+	// renewInterval allows two lost renewals. renewalsInFlight are all that callTimeout lets
+	// come together.
+	renewInterval    = 250 * time.Millisecond
+	renewalsInFlight = 3
 	// callTimeout covers a store that answers 80 times slower than usual, in 330 ms.
 	callTimeout = 600 * time.Millisecond
 	// margin ends the right early enough for orders that are being sent.
@@ -53,6 +60,11 @@
 	Work func(ctx context.Context, term *Term)
 	Log  *zap.Logger
 	Now  func() time.Duration
+	// Parts contains unexpected failures of renewals.
+	Parts *supervision.Supervisor
+
+	// answer is how long the store took for the last read.
+	answer time.Duration
 }
 
 // Term is one period in which this host is the owner.
@@ -141,7 +153,9 @@
 func (t *Tenure) read(ctx context.Context) (kv.Item, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := t.Now()
 	items, at, err := t.Store.Range(ctx, layout.Owner)
+	t.answer = t.Now() - sent
 	if err != nil {
 		return kv.Item{}, 0, err
 	}
@@ -219,7 +233,7 @@
 func (t *Tenure) grant(ctx context.Context) (int64, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return t.Store.Grant(ctx, TTL)
+	return t.Store.Grant(ctx, min(TTL+ttlAnswers*t.answer, mostTTL))
 }
 
 // take creates the owner's key.
@@ -249,29 +263,42 @@
 	}
 }
 
-// renew returns when the right or the work has ended. The first renewal is made at once,
-// as an election at a slow store uses up half of the lease.
+// renew returns when the right or the work has ended. A renewal does not wait for the answer to
+// the one before, as the store may lose single answers or be slow. The first one is sent at
+// once: an election at a slow store uses up a part of the lease.
 func (t *Tenure) renew(ctx context.Context, lease int64, term *Term, done <-chan struct{}) {
-	for pause := time.Duration(0); ; pause = renewInterval {
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan error, renewalsInFlight)
+	inFlight := 0
+	defer func() {
+		cancel()
+		for ; inFlight > 0; inFlight-- {
+			<-results
+		}
+	}()
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-done:
 			return
-		case <-time.After(pause):
-		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		sent := t.Now()
-		ttl, err := t.Store.Renew(call, lease)
-		cancel()
-		switch {
-		case err == nil:
-			term.extend(sent + ttl)
-		case errors.Is(err, kv.ErrNotFound):
-			t.Log.Warn("lease-lost", zap.Int64("term", term.Number))
-			return
-		case ctx.Err() == nil:
-			t.Log.Warn("lease-not-renewed", zap.Int64("term", term.Number), zap.Error(err))
+		case err := <-results:
+			inFlight--
+			switch {
+			case errors.Is(err, kv.ErrNotFound):
+				t.Log.Warn("lease-lost", zap.Int64("term", term.Number))
+				return
+			case err != nil && ctx.Err() == nil:
+				t.Log.Warn("lease-not-renewed", zap.Int64("term", term.Number), zap.Error(err))
+			}
+		case <-next.C:
+			next.Reset(renewInterval)
+			if inFlight < renewalsInFlight {
+				inFlight++
+				go func() { results <- t.renewOnce(ctx, lease, term) }()
+			}
 		}
 		if !term.Valid() {
 			t.Log.Warn("lease-expired", zap.Int64("term", term.Number))
@@ -280,6 +307,23 @@
 	}
 }
 
+// errFailed stands for a renewal that has ended without a result.
+var errFailed = errors.New("the renewal has failed unexpectedly")
+
+func (t *Tenure) renewOnce(ctx context.Context, lease int64, term *Term) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := errFailed
+	t.Parts.Run("renewal", func() {
+		sent := t.Now()
+		var ttl time.Duration
+		if ttl, err = t.Store.Renew(ctx, lease); err == nil {
+			term.extend(sent + ttl)
+		}
+	})
+	return err
+}
+
 func (t *Tenure) revoke(lease int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -12,6 +12,7 @@
 
 	"egretdrum.example/kvfake"
 	"egretdrum.example/layout"
+	"egretdrum.example/supervision"
 	"egretdrum.example/tenure"
 )
 
@@ -32,7 +33,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	t := &tenure.Tenure{
-		Store: h.store.Store(), Host: name, Log: zap.NewNop(), Now: h.now, Delay: func() time.Duration { return time.Duration(n) * 10 * time.Millisecond },
+		Store: h.store.Store(), Host: name, Log: zap.NewNop(), Parts: &supervision.Supervisor{Log: zap.NewNop()}, Now: h.now, Delay: func() time.Duration { return time.Duration(n) * 10 * time.Millisecond },
 		Work: func(ctx context.Context, term *tenure.Term) {
 			h.terms[n].Store(term)
 			<-ctx.Done()
@@ -170,3 +171,59 @@
 		stop()
 	})
 }
+
+// Guards against an owner that loses its right to single lost answers: a renewal that waits
+// for the answer to the one before has used up the lease by then.
+func TestLostRenewalsKeepTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		renewals := 0
+		h.store.SetFault(func(call string) kvfake.Fault {
+			if call == "renew" {
+				if renewals++; renewals%3 > 0 {
+					return kvfake.Silent
+				}
+			}
+			return kvfake.Answered
+		})
+		stop := h.run(t.Context(), 0, "a")
+		time.Sleep(time.Second)
+		first := h.terms[0].Load()
+		qt.Assert(t, first, qt.Not(qt.IsNil))
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			assertOwners(t, h, 0)
+		}
+		qt.Assert(t, h.terms[0].Load(), qt.Equals, first)
+		stop()
+	})
+}
+
+// Guards against a fleet that waits longer than a second for the next owner when the store
+// answers fast. Each crash of an owner cost the tasks of that time.
+func TestNextOwnerAfterACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		h.store.SetDelay(4 * time.Millisecond)
+		stop := h.run(t.Context(), 0, "a")
+		time.Sleep(time.Second)
+		defer h.run(t.Context(), 1, "b")()
+		time.Sleep(time.Second)
+		// The process dies without a chance to give anything back.
+		h.store.SetFault(func(call string) kvfake.Fault {
+			if call == "revoke" {
+				return kvfake.Lost
+			}
+			return kvfake.Answered
+		})
+		stop()
+		died := time.Now()
+		h.store.SetFault(nil)
+		for len(h.owners()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		const bound = 1100 * time.Millisecond // urgent tasks are to start within 2.7 s
+		qt.Assert(t, time.Since(died) <= bound, qt.IsTrue, qt.Commentf("%v", time.Since(died)))
+		assertOwners(t, h, 1)
+	})
+}
