Hear of further ends while the result of an earlier one is being stored

Cause: an end that is not durable is listed again at once, so a worker with such an end was looked at once a second only. A store that answers in 0.24 s hid all ends that followed on that worker, and with them the next steps.

Change: such a worker is looked at every 0.2 s.

TestSlowStoreDoesNotHideEnds fails on the code before.

--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -124,9 +124,10 @@
 	lookRetry      = 250 * time.Millisecond
 	// unhealthyPause keeps work away from a worker that reported that it is not healthy.
 	unhealthyPause = time.Second
-	// idleLook is how often an unfinished lease of an otherwise quiet worker is renewed
-	// while results cannot be made durable.
-	idleLook = time.Second
+	// unsavedLook is the pause between looks at a worker with an end that is not durable yet:
+	// it lists that end again at once, in place of waiting for the next one. A store that
+	// answers fast has stored the end long before.
+	unsavedLook = 200 * time.Millisecond
 	// startupWait is how long a look waits while a long-running task starts up: the next
 	// one of its step may be moved as soon as it is at work.
 	startupWait = 300 * time.Millisecond
@@ -328,7 +329,7 @@
 	if !unknown && !news && len(h.runs) == 0 {
 		return
 	}
-	if !unknown && !news && len(h.unsaved) > 0 && s.now.Sub(h.lookSent) < idleLook {
+	if !unknown && !news && len(h.unsaved) > 0 && s.now.Sub(h.lookSent) < unsavedLook {
 		return
 	}
 	l := Look{Worker: h.entry, Patience: s.patience(s.lookPatience(h.failures))}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -600,3 +600,19 @@
 func drawWorker(t *rapid.T) string {
 	return fmt.Sprintf("w%d", rapid.IntRange(0, 3).Draw(t, "worker"))
 }
+
+// It answers the pattern of a slow store: the next end on a worker is heard of, and the step
+// after it starts, while the result of an earlier one is still being stored.
+func TestSlowStoreDoesNotHideEnds(t *testing.T) {
+	g := newStage(1)
+	g.run(time.Second)
+	g.submit("a", job.Step{Count: 1, Need: small})
+	g.run(200 * time.Millisecond)
+	g.submit("b", job.Step{Count: 1, Need: small}, job.Step{Count: 1, Need: small, After: []int{0}})
+	g.storeDown = true
+	const bound = 300 * time.Millisecond // of the 600 ms by which a job may pass its usual time
+	g.run(g.duration + bound)
+	_, run := g.core.Task(job.Task{Job: "b", Step: 1})
+	qt.Assert(t, run > 0, qt.IsTrue)
+	assertNothingBroken(t, g)
+}
