Put workers that fail all that they start into quarantine

After three failed runs in a row a worker was avoided only while others had room; in a burst it was empty again at once and took the next tasks.

Change: after three first attempts of two jobs have failed in a row, the worker gets no task for a second, doubling up to 8 s, and then one at a time until one is done. At most a quarter of a pool is kept out, as otherwise the tasks are the likelier cause.

TestWorkerThatFailsAllGetsFewTasks has 48 failed runs without the quarantine and 7 at most with it.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -226,7 +226,7 @@
 	case p.entry.state.Final():
 		return
 	case e.How == worker.Done:
-		h.faults = 0
+		h.faults.good()
 		if current {
 			s.learn(p, s.now.Sub(r.sent))
 		}
@@ -244,7 +244,10 @@
 		}
 		return
 	case e.How == worker.Failed:
-		h.faults++
+		if first := len(t.failed) == 0; first {
+			h.faults.failed(e.Task.Job)
+			s.suspectFaults(h)
+		}
 		s.begun(p.entry)
 		s.fail(p, e.Task.Index, e.Run, h.entry.ID)
 	}
--- a/scheduler/hosts.go
+++ b/scheduler/hosts.go
@@ -71,8 +71,7 @@
 	// while it is too low.
 	speed        float64
 	suspectUntil time.Time
-	// faults counts failed runs since the last good one.
-	faults int
+	faults       faults
 	// foreign is set while the worker lists a run of which nothing is known, so that its
 	// free room is not known either.
 	foreign bool
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -332,6 +332,9 @@
 	if !h.used.Add(need.Times(extra+1)).Within(h.entry.Capacity) && !broken.ignoreCapacity {
 		return false
 	}
+	if h.onTrial() && len(h.runs)+extra > 0 {
+		return false
+	}
 	if !h.entry.Labels.Have(p.step.Label) || p.refusedBy(h) {
 		return false
 	}
@@ -372,7 +375,7 @@
 	if slices.Contains(p.tasks[index].tried, h.entry.ID) {
 		score -= avoidTried
 	}
-	if h.faults >= faultyAfter || s.suspect(h) {
+	if s.suspect(h) {
 		score -= avoidFaulty
 	}
 	if p.step.LongRunning {
@@ -388,8 +391,6 @@
 }
 
 const (
-	// faultyAfter is the number of failed runs in a row after which a worker is suspect.
-	faultyAfter = 3
 	// packedTasks bounds the long-running tasks that attract more of them to a worker.
 	packedTasks = 6
 )
--- /dev/null
+++ b/scheduler/quarantine_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/job"
+	"egretdrum.example/progress"
+	"egretdrum.example/resource"
+)
+
+// newFailures has four workers, for which fails decides whether a run fails, and a job of the
+// given number of tasks every 100 ms for some time. It returns how many runs failed on each
+// worker. Three workers have the room for jobs of two tasks.
+func newFailures(d time.Duration, tasks int, fails func(t job.Task, workerID string) bool, watch func(g *stage)) (*stage, map[string]int) {
+	g := newStage(4)
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	failed := make(map[string]int)
+	g.fails = func(t job.Task, workerID string) bool {
+		if !fails(t, workerID) {
+			return false
+		}
+		failed[workerID]++
+		return true
+	}
+	g.run(time.Second)
+	for n := range int(d / (100 * time.Millisecond)) {
+		g.submit(fmt.Sprintf("j%03d", n), job.Step{Count: tasks, Need: small})
+		g.run(100 * time.Millisecond)
+		if watch != nil {
+			watch(g)
+		}
+	}
+	return g, failed
+}
+
+// It answers the pattern of a worker that fails all that it starts: it is empty again at once,
+// and takes attempts from one job after the other. Seen as 137 failed runs on one worker.
+func TestWorkerThatFailsAllGetsFewTasks(t *testing.T) {
+	g, failed := newFailures(6*time.Second, 2, func(_ job.Task, id string) bool { return id == "w0" }, nil)
+	g.run(3 * time.Second)
+	// Its room is full when the first runs fail; then one run after 1, 2 and 4 s.
+	qt.Assert(t, failed["w0"] <= 4+3, qt.IsTrue, qt.Commentf("%d failed runs", failed["w0"]))
+	for id := range g.jobs {
+		assertState(t, g, id, progress.Succeeded)
+	}
+	assertNothingBroken(t, g)
+}
+
+// Guards against a worker that is repaired and stays out of use.
+func TestRepairedWorkerLeavesQuarantine(t *testing.T) {
+	broken := true
+	g, failed := newFailures(10*time.Second, 3, func(_ job.Task, id string) bool { return broken && id == "w0" }, func(g *stage) {
+		broken = g.now.Sub(time.UnixMilli(1_700_000_000_000)) < 4*time.Second
+	})
+	qt.Assert(t, failed["w0"] > 0, qt.IsTrue)
+	qt.Assert(t, g.core.hosts["w0"].onTrial(), qt.IsFalse)
+}
+
+// Guards against sound workers in quarantine because of jobs that fail everywhere.
+func TestHopelessJobsLeaveTheWorkersInUse(t *testing.T) {
+	most := 0
+	g, _ := newFailures(6*time.Second, 2, func(t job.Task, _ string) bool { return strings.HasSuffix(t.Job, "3") || strings.HasSuffix(t.Job, "4") }, func(g *stage) {
+		n := 0
+		for _, h := range g.core.hosts {
+			if h.quarantined(g.now) {
+				n++
+			}
+		}
+		most = max(most, n)
+	})
+	g.run(3 * time.Second)
+	qt.Assert(t, most <= 1, qt.IsTrue, qt.Commentf("%d workers in quarantine", most))
+	for id := range g.jobs {
+		want := progress.Succeeded
+		if strings.HasSuffix(id, "3") || strings.HasSuffix(id, "4") {
+			want = progress.Failed
+		}
+		assertState(t, g, id, want)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -307,7 +307,7 @@
 
 // usable reports whether a worker takes new tasks.
 func (s *Scheduler) usable(h *host) bool {
-	if !h.known || h.foreign || h.failures > 0 || h.doubt || (h.recorded && !broken.useRecorded) || h.entry.Leaving || h.orderedAway || s.now.Before(h.pausedUntil) {
+	if !h.known || h.foreign || h.failures > 0 || h.doubt || (h.recorded && !broken.useRecorded) || h.entry.Leaving || h.orderedAway || s.now.Before(h.pausedUntil) || h.quarantined(s.now) {
 		return false
 	}
 	return h.listed || s.now.Sub(h.unlistedAt) < s.limits.Absence
