--- a/eventlog/buffered.go
+++ b/eventlog/buffered.go
@@ -69,6 +69,12 @@
 }
 
 func (b *Buffered) out(w io.Writer, batch []byte) {
+	defer func() {
+		// A failing log must not end the process; what was lost is counted.
+		if recover() != nil {
+			b.dropped.Add(1)
+		}
+	}()
 	if n := b.dropped.Swap(0); n > 0 {
 		batch = append(batch, "level=warn event=log-lines-dropped lines="+strconv.FormatInt(n, 10)+"\n"...)
 	}
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -69,7 +69,7 @@
 	h := &Host{
 		parts:  parts,
 		config: subscription.New(cfg.Store, cfg.OperatorPrefix, cfg.ConfigKey, cfg.DecodeOperator, cfg.Log),
-		link:   ownerlink.New(cfg.Log),
+		link:   ownerlink.New(cfg.Log, parts),
 	}
 	h.config.Now = now
 	h.Desk = &desk.Desk{
@@ -80,7 +80,7 @@
 		Store: cfg.Store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults,
 		Log: cfg.Log, Meter: cfg.Meter, Parts: parts,
 	}
-	h.Links = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: cfg.Log}
+	h.Links = &ownerlink.Server{Token: owner.Token, Tell: owner.Tell, State: owner.State, Log: cfg.Log, Parts: parts}
 	h.tenure = &tenure.Tenure{
 		Store: cfg.Store, Host: cfg.Name, Work: owner.Run, Log: cfg.Log, Now: now, Delay: cfg.Delay,
 		Link: cfg.Link, Followed: h.link.Follow, Parts: parts,
--- a/ownerlink/link.go
+++ b/ownerlink/link.go
@@ -12,12 +12,14 @@
 	"go.uber.org/zap"
 
 	"egretdrum.example/kv"
+	"egretdrum.example/supervision"
 )
 
 // Link is the link of one host to the present owner. It is safe for concurrent use; a link
 // that is down takes nothing and answers nothing.
 type Link struct {
-	log *zap.Logger
+	log   *zap.Logger
+	parts *supervision.Supervisor
 	// changed tells Run that there is another owner.
 	changed chan struct{}
 
@@ -48,9 +50,10 @@
 	errSilent       = errors.New("questions are not answered")
 )
 
-// New returns a link without an owner. Run must be called for it to connect.
-func New(log *zap.Logger) *Link {
-	return &Link{log: log, changed: make(chan struct{}, 1)}
+// New returns a link without an owner. Run must be called for it to connect. An unexpected
+// failure ends the connection.
+func New(log *zap.Logger, parts *supervision.Supervisor) *Link {
+	return &Link{log: log, parts: parts, changed: make(chan struct{}, 1)}
 }
 
 // Follow sets the owner, which is found in the store; an invalid address means that there
@@ -122,7 +125,7 @@
 	defer l.drop(c)
 	l.log.Info("owner-link-up", zap.Stringer("owner", to.at))
 	written := make(chan error, 1)
-	go func() { written <- send(ctx, conn, c.out); cancel(nil) }()
+	go func() { written <- supervised(l.parts, func() error { return send(ctx, conn, c.out) }); cancel(nil) }()
 	err = c.receive(ctx, conn)
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
--- a/ownerlink/link_test.go
+++ b/ownerlink/link_test.go
@@ -16,6 +16,7 @@
 	"egretdrum.example/kv"
 	"egretdrum.example/ownerlink"
 	"egretdrum.example/progress"
+	"egretdrum.example/supervision"
 )
 
 // host is an entry host that takes links.
@@ -29,10 +30,20 @@
 	asked  int
 }
 
+func (h *host) tell(i kv.Item) {
+	if i.Key == failing {
+		panic("unexpected item")
+	}
+	h.told <- i
+}
+
+// failing is the key of an item at which the host panics.
+const failing = "failing"
+
 func newHost(t *testing.T, token string) *host {
 	h := &host{token: []byte(token), told: make(chan kv.Item, 10)}
 	s := httptest.NewServer(&ownerlink.Server{
-		Token: func() []byte { return h.token }, Tell: func(i kv.Item) { h.told <- i }, State: h.state, Log: zap.NewNop(),
+		Token: func() []byte { return h.token }, Tell: h.tell, State: h.state, Log: zap.NewNop(), Parts: &supervision.Supervisor{Log: zap.NewNop()},
 	})
 	t.Cleanup(s.Close)
 	u, err := url.Parse(s.URL)
@@ -52,7 +63,7 @@
 }
 
 func newLink(t *testing.T) *ownerlink.Link {
-	l := ownerlink.New(zap.NewNop())
+	l := ownerlink.New(zap.NewNop(), &supervision.Supervisor{Log: zap.NewNop()})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); l.Run(ctx) }()
--- a/ownerlink/server.go
+++ b/ownerlink/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"errors"
 	"net/http"
 
 	"github.com/coder/websocket"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"egretdrum.example/kv"
+	"egretdrum.example/supervision"
 )
 
 // Server takes the links of other hosts while this host is the owner.
@@ -21,6 +23,8 @@
 	// State answers for a job by calling reply, which does not block.
 	State func(job string, reply func(Answer))
 	Log   *zap.Logger
+	// Parts contains unexpected failures; one ends the link.
+	Parts *supervision.Supervisor
 }
 
 // ServeHTTP serves one link until it ends.
@@ -39,8 +43,8 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	out := make(chan []byte, queueMessages)
 	written := make(chan error, 1)
-	go func() { written <- send(ctx, conn, out); cancel() }()
-	err = s.receive(ctx, conn, out)
+	go func() { written <- supervised(s.Parts, func() error { return send(ctx, conn, out) }); cancel() }()
+	err = supervised(s.Parts, func() error { return s.receive(ctx, conn, out) })
 	cancel()
 	<-written
 	// The connection has failed or the peer has closed it, so nothing is left to report.
@@ -77,6 +81,16 @@
 	}
 }
 
+// errFailed ends a link on which something failed unexpectedly.
+var errFailed = errors.New("the link has failed unexpectedly")
+
+// supervised calls f and turns a panic into an error.
+func supervised(parts *supervision.Supervisor, f func() error) error {
+	err := errFailed
+	parts.Run("owner-link", func() { err = f() })
+	return err
+}
+
 // send writes messages until ctx ends or the connection fails.
 func send(ctx context.Context, conn *websocket.Conn, out <-chan []byte) error {
 	for {
