Send changes of the store again after a usual answer is long overdue

Cause: a change whose answer is lost was sent again after 0.9 s, so that with a third of the answers lost a third of the submissions and results waited for that long. The time-out could not be shorter, as a slow store takes 0.33 s.

Change: the time-out is eight times the slowest answer seen lately, from 0.15 to 0.9 s, and doubles with each attempt and with each miss in a row, which tells a slow store from lost answers (package latency, which the patience for workers uses too). The conditions of a change keep it from taking effect twice.

TestLostAnswerIsNoticedSoon and TestLostAnswerOfAResultIsNoticedSoon fail with the fixed time-out.

--- a/desk/desk.go
+++ b/desk/desk.go
@@ -12,6 +12,7 @@
 	"egretdrum.example/catalog"
 	"egretdrum.example/job"
 	"egretdrum.example/kv"
+	"egretdrum.example/latency"
 	"egretdrum.example/layout"
 	"egretdrum.example/meter"
 	"egretdrum.example/ownerlink"
@@ -31,8 +32,11 @@
 	keyMargin = 1200 * time.Millisecond
 	// readyAge is the age of a confirmation up to which this host asks for callers.
 	readyAge = 2500 * time.Millisecond
-	// commitTimeout covers a store that answers 80 times slower than usual.
-	commitTimeout = 900 * time.Millisecond
+	// commitTimeout covers a store that answers 80 times slower than usual. A change is sent
+	// again after leastCommitTimeout if the store usually answers far faster, as the answer is
+	// lost then; its conditions keep it from taking effect twice.
+	commitTimeout      = 900 * time.Millisecond
+	leastCommitTimeout = 150 * time.Millisecond
 	// DefaultTimeout is how long a call may take if its caller does not say.
 	DefaultTimeout = 3 * time.Second
 	// answerMargin is left for the answer on its way back.
@@ -57,6 +61,8 @@
 	Ask  func(ctx context.Context, id string) (ownerlink.Answer, bool)
 
 	counts counts
+	// commits has how long the store takes for changes.
+	commits latency.Estimate
 }
 
 // Call is one call of a caller.
@@ -164,7 +170,7 @@
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	mayHaveRun := false
-	for {
+	for failures := 0; ; failures++ {
 		t, refused := d.Resolve(call)
 		if t == nil {
 			return uncertain(refused, mayHaveRun)
@@ -178,7 +184,7 @@
 		revision, err := d.commit(ctx, kv.Change{
 			Conditions: []kv.Condition{{Key: d.Config.ConfigKey, Revision: t.revision}, {Key: layout.Job(j.ID)}},
 			Puts:       []kv.Put{put},
-		})
+		}, failures)
 		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
@@ -229,10 +235,20 @@
 	}
 }
 
-func (d *Desk) commit(ctx context.Context, c kv.Change) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+// commit sends a change; failures counts the attempts that were not answered before.
+func (d *Desk) commit(ctx context.Context, c kv.Change, failures int) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.commits.Timeout(leastCommitTimeout, commitTimeout, failures))
 	defer cancel()
-	return d.Store.Commit(ctx, c)
+	sent := time.Now()
+	revision, err := d.Store.Commit(ctx, c)
+	var conflict *kv.ConflictError
+	switch {
+	case err == nil, errors.As(err, &conflict):
+		d.commits.Answered(time.Since(sent))
+	case ctx.Err() != nil:
+		d.commits.Missed()
+	}
+	return revision, err
 }
 
 // State shows how far a job is.
@@ -333,8 +349,8 @@
 func (d *Desk) Cancel(ctx context.Context, call *Call, t *Target) Answer {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout(call))
 	defer cancel()
-	for {
-		a, err := d.cancel(ctx, t)
+	for failures := 0; ; failures++ {
+		a, err := d.cancel(ctx, t, failures)
 		if err == nil {
 			return a
 		}
@@ -344,7 +360,7 @@
 	}
 }
 
-func (d *Desk) cancel(ctx context.Context, t *Target) (Answer, error) {
+func (d *Desk) cancel(ctx context.Context, t *Target, failures int) (Answer, error) {
 	read, stop := context.WithTimeout(ctx, commitTimeout)
 	defer stop()
 	item, cancelled, err := d.submission(read, t)
@@ -360,7 +376,7 @@
 	revision, err := d.commit(ctx, kv.Change{
 		Conditions: []kv.Condition{{Key: layout.Job(t.ID), Revision: item.Revision}},
 		Puts:       []kv.Put{put},
-	})
+	}, failures)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -385,3 +385,28 @@
 		qt.Assert(t, g.store.Calls("get")+g.store.Calls("range")-before, qt.Equals, 2, qt.Commentf("%s", fmt.Sprint(before)))
 	})
 }
+
+// It answers the pattern of a store that loses single answers: the change is sent again after
+// a usual answer is long overdue, in place of most of the time that the caller waits.
+func TestLostAnswerIsNoticedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newStage(t)
+		defer g.stop()
+		g.store.SetDelay(4 * time.Millisecond)
+		// The store answers this repeat, so that its time is known.
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		lost := 0
+		g.store.SetFault(func(name string) kvfake.Fault {
+			if name == "commit" && lost == 0 {
+				lost++
+				return kvfake.Silent
+			}
+			return kvfake.Answered
+		})
+		started := time.Now()
+		assertOutcome(t, g.submit("k1"), desk.Accepted)
+		const bound = 250 * time.Millisecond // of the 600 ms by which a job may pass its usual time
+		qt.Assert(t, time.Since(started) <= bound, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
+	})
+}
--- a/dispatch/saver.go
+++ b/dispatch/saver.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"egretdrum.example/kv"
+	"egretdrum.example/latency"
 	"egretdrum.example/layout"
 	"egretdrum.example/scheduler"
 	"egretdrum.example/supervision"
@@ -27,6 +28,8 @@
 	// changed tells the writer that a save came or that a batch was written.
 	changed chan struct{}
 
+	answers latency.Estimate
+
 	mu        sync.Mutex
 	revisions map[string]int64 // by key
 	// waiting has the newest record of each job that is to be written; finals and others
@@ -41,8 +44,11 @@
 }
 
 const (
-	// saveTimeout covers a store that answers 80 times slower than usual.
-	saveTimeout = 900 * time.Millisecond
+	// saveTimeout covers a store that answers 80 times slower than usual. A change is sent
+	// again after leastSaveTimeout if the store usually answers far faster, as the answer is
+	// lost then; its conditions keep it from taking effect twice.
+	saveTimeout      = 900 * time.Millisecond
+	leastSaveTimeout = 150 * time.Millisecond
 	saveRetry   = 80 * time.Millisecond
 	// savesPerChange leaves room for the owner's condition; each save has two entries.
 	savesPerChange = (kv.MaxEntries - 1) / 2
@@ -198,7 +204,7 @@
 func (v *saver) write(ctx context.Context, batch []scheduler.Save) bool {
 	failures := 0
 	for ctx.Err() == nil {
-		revision, err := v.commit(ctx, v.change(batch))
+		revision, err := v.commit(ctx, v.change(batch), failures)
 		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
@@ -228,10 +234,19 @@
 	return false
 }
 
-func (v *saver) commit(ctx context.Context, c kv.Change) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+func (v *saver) commit(ctx context.Context, c kv.Change, failures int) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, v.answers.Timeout(leastSaveTimeout, saveTimeout, failures))
 	defer cancel()
-	return v.store.Commit(ctx, c)
+	sent := time.Now()
+	revision, err := v.store.Commit(ctx, c)
+	var conflict *kv.ConflictError
+	switch {
+	case err == nil, errors.As(err, &conflict):
+		v.answers.Answered(time.Since(sent))
+	case ctx.Err() != nil:
+		v.answers.Missed()
+	}
+	return revision, err
 }
 
 func (v *saver) change(batch []scheduler.Save) kv.Change {
--- a/dispatch/saver_test.go
+++ b/dispatch/saver_test.go
@@ -160,3 +160,26 @@
 		qt.Assert(t, g.saved, qt.DeepEquals, map[string]int{"j0": 1, "j1": 1})
 	})
 }
+
+// It answers the pattern of a store that loses single answers: a result is written again after
+// a usual answer is long overdue.
+func TestLostAnswerOfAResultIsNoticedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSaving()
+		g.store.SetDelay(4 * time.Millisecond)
+		g.queue(1)
+		g.run(t.Context(), 100*time.Millisecond)
+		lost := 0
+		g.store.SetFault(func(name string) kvfake.Fault {
+			if name == "commit" && lost == 0 {
+				lost++
+				return kvfake.Silent
+			}
+			return kvfake.Answered
+		})
+		g.saver.add(scheduler.Save{Job: "last", Version: 1, Record: []byte("record"), Final: true})
+		const bound = 300 * time.Millisecond // of the 600 ms by which a job may pass its usual time
+		g.run(t.Context(), bound)
+		qt.Assert(t, g.saved["last"], qt.Equals, 1)
+	})
+}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -28,7 +28,7 @@
 	h.heard = l.sequence
 	s.answers.look(true)
 	if l.Wait == 0 {
-		s.answers.answered(now.Sub(h.lookSent))
+		s.answers.times.Answered(now.Sub(h.lookSent))
 	}
 	s.touched[h] = true
 	if h.failures > 0 {
