--- a/dispatch/saver.go
+++ b/dispatch/saver.go
@@ -49,7 +49,7 @@
 	// lost then; its conditions keep it from taking effect twice.
 	saveTimeout      = 900 * time.Millisecond
 	leastSaveTimeout = 150 * time.Millisecond
-	saveRetry   = 80 * time.Millisecond
+	saveRetry        = 80 * time.Millisecond
 	// savesPerChange leaves room for the owner's condition; each save has two entries.
 	savesPerChange = (kv.MaxEntries - 1) / 2
 	// gatherSaves lets results that come close together into one change.
