Part the files of the scheduler by concern

No change of behaviour: the preference against slow workers has a name of its own, and the reasons for which a log line is passed over are said.

--- a/losses/report.go
+++ b/losses/report.go
@@ -171,11 +171,11 @@
 func (j *record) place(l line, at time.Time) {
 	var step, tasks int
 	if _, err := fmt.Sscanf(l["reason"], "step %d, %d tasks", &step, &tasks); err != nil {
-		return
+		return // another version wrote the line
 	}
 	var first int64
 	if _, err := fmt.Sscan(l["run"], &first); err != nil {
-		return
+		return // another version wrote the line
 	}
 	j.placed = append(j.placed, placement{at, first, first + int64(tasks)})
 	if cause := l["cause"]; cause != "" {
@@ -187,7 +187,7 @@
 func (j *record) lose(l line, at time.Time, reason string) {
 	var run int64
 	if _, err := fmt.Sscan(l["run"], &run); err != nil {
-		return
+		return // another version wrote the line
 	}
 	for _, p := range j.placed {
 		if run >= p.first && run < p.end {
@@ -197,7 +197,7 @@
 	}
 }
 
-// duration reads a duration of the log, zero if there is none.
+// duration reads a duration of the log, zero if the line has none: such a time counts for nothing.
 func duration(text string) time.Duration {
 	d, err := time.ParseDuration(text)
 	if err != nil {
@@ -311,7 +311,7 @@
 	return reasons[0]
 }
 
-// mainCause is what took the most time, or running if that alone explains the lateness.
+// mainCause is what took the most time, or running if that is less than half of the lateness.
 func (l *Loss) mainCause() string {
 	cause, longest := running, time.Duration(-1)
 	for _, c := range slices.Sorted(maps.Keys(l.Waits)) {
@@ -319,7 +319,7 @@
 			cause, longest = c, d
 		}
 	}
-	if l.Outcome == Late && longest < l.Took-l.Objective && 2*longest < l.Took-l.Objective {
+	if l.Outcome == Late && 2*longest < l.Took-l.Objective {
 		return running
 	}
 	return cause
--- a/losses/table.go
+++ b/losses/table.go
@@ -45,8 +45,7 @@
 	return t.Flush()
 }
 
-// rows prints one line for each key with lost jobs. The jobs that were not lost have no cause,
-// so that the table of causes counts lost ones only.
+// rows prints one line for each key with lost jobs: all jobs of the key, and the lost ones.
 func rows(w io.Writer, all, lost []Loss, key func(Loss) string) {
 	groups, of := make(map[string][]Loss), make(map[string]int)
 	for _, l := range lost {
--- /dev/null
+++ b/scheduler/records.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"egretdrum.example/progress"
+)
+
+func (s *Scheduler) restore(p *part) {
+	if p.entry.restored == nil {
+		return
+	}
+	for i := range p.entry.restored.Parts {
+		r := &p.entry.restored.Parts[i]
+		if r.Occurrence != p.occurrence.number || r.Step != p.number {
+			continue
+		}
+		for _, f := range r.Failures {
+			if f.Index < len(p.tasks) {
+				p.tasks[f.Index].failed = slices.Clone(f.Runs)
+			}
+		}
+		for n := range p.tasks {
+			if r.IsDone(n) {
+				p.tasks[n].done = true
+				p.undone--
+			}
+		}
+	}
+}
+
+func (e *entry) record() *progress.Record {
+	r := &progress.Record{State: e.state, Queue: e.job.Queue, Account: e.job.Account, Finished: e.finished}
+	if e.state.Final() {
+		r.Ended = e.ended.UnixMilli()
+		r.Finished = nil
+		return r
+	}
+	numbers := make([]int, 0, len(e.occurrences))
+	for n := range e.occurrences {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	for _, n := range numbers {
+		for _, p := range e.occurrences[n].parts {
+			rp := progress.Part{Occurrence: n, Step: p.number}
+			for i := range p.tasks {
+				if p.tasks[i].done {
+					rp.SetDone(i)
+				}
+				if failed := p.tasks[i].failed; len(failed) > 0 {
+					rp.Failures = append(rp.Failures, progress.Failure{Index: i, Runs: failed})
+				}
+			}
+			if rp.Done != nil || rp.Failures != nil {
+				r.Parts = append(r.Parts, rp)
+			}
+		}
+	}
+	return r
+}
+
+// collectSaves adds a save for each job whose record changed.
+func (s *Scheduler) collectSaves(a *Actions) {
+	for id, e := range s.dirty {
+		if e.version == e.saved {
+			delete(s.dirty, id)
+			continue
+		}
+		if e.saving == e.version {
+			continue
+		}
+		b, err := e.record().Encode()
+		if err != nil {
+			a.Notes = append(a.Notes, Note{Event: "record-not-encoded", Job: id, Reason: err.Error()})
+			continue
+		}
+		e.saving = e.version
+		a.Saves = append(a.Saves, Save{Job: id, Version: e.version, Record: b, Final: e.state.Final()})
+	}
+}
+
+// Saved reports that a version of a job's record is durable; ok is false if it is not
+// and has to be saved again.
+func (s *Scheduler) Saved(id string, version int, ok bool, now time.Time) {
+	s.now = now
+	e := s.jobs[id]
+	if e == nil {
+		return
+	}
+	if !ok {
+		e.saving = e.saved
+		return
+	}
+	e.saved = max(e.saved, version)
+}
+
+// touch marks the record of a job as changed.
+func (s *Scheduler) touch(e *entry) {
+	e.version++
+	s.dirty[e.job.ID] = e
+}
--- /dev/null
+++ b/scheduler/score.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"slices"
+
+	"egretdrum.example/resource"
+)
+
+// choose picks the worker for a task, nil if none has room.
+func (s *Scheduler) choose(p *part, index int, hosts []*host) *host {
+	return s.chooseWith(p, index, hosts, nil)
+}
+
+// chooseWith picks the worker for a task; extra counts tasks that are planned already.
+func (s *Scheduler) chooseWith(p *part, index int, hosts []*host, extra map[*host]int) *host {
+	var best *host
+	var bestScore float64
+	need := p.step.Reserved()
+	name := p.name(index)
+	for _, h := range hosts {
+		// A worker takes one run of a task; an earlier one may have been left to it.
+		if h.runs[name] != nil || !s.fits(p, h, need, extra[h]) {
+			continue
+		}
+		if score := s.score(p, index, h, extra[h]); best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) fits(p *part, h *host, need resource.Amount, extra int) bool {
+	if !h.used.Add(need.Times(extra+1)).Within(h.entry.Capacity) && !broken.ignoreCapacity {
+		return false
+	}
+	if h.onTrial() && len(h.runs)+extra > 0 {
+		return false
+	}
+	if !h.entry.Labels.Have(p.step.Label) || p.refusedBy(h) {
+		return false
+	}
+	return p.step.MaxPerWorker == 0 || s.siblings(p, h)+extra < p.step.MaxPerWorker
+}
+
+// siblings counts the runs of a part on a worker, also those that are left to it or stopped.
+func (s *Scheduler) siblings(p *part, h *host) int {
+	n := 0
+	for _, r := range h.runs {
+		if r.part.entry == p.entry && r.part.number == p.number && r.part.occurrence.number == p.occurrence.number {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// The preferences are ordered: data first, then a worker on which the task did not
+	// fail yet, then one that is not slow, then the load, which counts up to 1.
+	preferRack    = 1000
+	avoidTried    = 500
+	avoidSlow     = 300
+	preferPacking = 100
+	avoidServing  = 200
+	// avoidDue outweighs everything: a task on a machine that is due moves again soon.
+	avoidDue = 5000
+	// packedTasks bounds the long-running tasks that attract more of them to a worker.
+	packedTasks = 6
+)
+
+// score rates a worker for a task; higher is better. Tasks are packed on few workers, so
+// that the others are idle and can be lent or emptied at any time. Long-running tasks are
+// packed beside each other first, as they stay.
+func (s *Scheduler) score(p *part, index int, h *host, extra int) float64 {
+	score := float64(h.used.CPU+extra*p.step.Need.CPU) / float64(max(1, h.entry.Capacity.CPU))
+	if p.step.Rack != "" && h.entry.Labels.Have(p.step.Rack) {
+		score += preferRack
+	}
+	if slices.Contains(p.tasks[index].tried, h.entry.ID) {
+		score -= avoidTried
+	}
+	if s.suspect(h) {
+		score -= avoidSlow
+	}
+	if p.step.LongRunning {
+		score += preferPacking * float64(min(h.lasting, packedTasks))
+		if s.dueForMaintenance(h) {
+			score -= avoidDue
+		}
+	}
+	if (p.step.LatencyTarget > 0 && h.background > 0) || (p.step.Background && h.serving > 0) {
+		score -= avoidServing
+	}
+	return score
+}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -9,30 +9,6 @@
 	"egretdrum.example/worker"
 )
 
-// machine is a host in a pool, with the order that is under way for it.
-type machine struct {
-	worker.Machine
-	// ordering is set while the answer to an order is outstanding.
-	ordering bool
-	// away is set from an accepted order until the machine is up with another worker.
-	away      bool
-	awayWave  int64
-	awaySince time.Time
-	oldWorker string
-	retryAt   time.Time
-	// cordoned machines take no new tasks because an order for them is planned.
-	cordoned   bool
-	cordonedAt time.Time
-	cordonWave int64
-	moveTo     string
-	missing    bool
-	// due machines are still going to be taken by a wave.
-	due bool
-	// ordersGiven numbers the orders for the machine, so that one which is carried out
-	// late is refused.
-	ordersGiven int64
-}
-
 // wave is a set of machines that are due for maintenance.
 type wave struct {
 	number   int64
@@ -79,97 +55,6 @@
 	unchangedAfter = 500 * time.Millisecond
 )
 
-// SetMachines replaces the list of machines, which was asked for at a given time.
-func (s *Scheduler) SetMachines(list []worker.Machine, asked, now time.Time) {
-	s.now = now
-	for _, m := range s.machines {
-		m.missing = true
-	}
-	for _, info := range list {
-		m := s.machines[info.ID]
-		if m == nil {
-			m = &machine{}
-			s.machines[info.ID] = m
-		}
-		if m.State != info.State || m.Worker != info.Worker || m.Pool != info.Pool {
-			s.note(Note{Event: "machine-state", Worker: info.Worker, Reason: info.ID + " in " + info.Pool + " is " + string(info.State)})
-		}
-		m.Machine, m.missing = info, false
-		if !s.machinesKnown && info.State == worker.Up && info.Worker != "" && !s.settled {
-			s.expected[info.Worker] = true
-		}
-		if m.away && info.State == worker.Up && info.Worker != "" {
-			m.back(s.hosts[info.Worker], asked)
-		}
-	}
-	for id, m := range s.machines {
-		if m.missing {
-			delete(s.machines, id)
-		}
-	}
-	s.machinesKnown = true
-	s.markDue()
-	for _, h := range s.ordered {
-		m := s.machines[h.entry.Machine]
-		// A list that was asked for earlier may be older than the registration.
-		if m != nil && !h.replaced && h.since.Before(asked) && m.carriesOther(h.entry.ID) {
-			s.replace(h)
-		}
-	}
-	s.findCrashed(asked)
-}
-
-// back ends the absence of a machine that is up with a worker, nil if that is unknown.
-func (m *machine) back(h *host, asked time.Time) {
-	if m.Worker != m.oldWorker {
-		m.away = false
-		return
-	}
-	if asked.Sub(m.awaySince) < unchangedAfter {
-		return
-	}
-	m.away = false
-	if h != nil {
-		h.orderedAway = false
-	}
-}
-
-// carriesOther reports whether a worker that was on the machine has ended: the machine
-// is on its way, or carries another worker.
-func (m *machine) carriesOther(id string) bool {
-	switch {
-	case m.Worker != "":
-		return m.Worker != id
-	case m.State == worker.Moving, m.State == worker.Maintenance:
-		return true
-	}
-	return false
-}
-
-// WantsMachines reports whether the list of machines is needed soon: for waves and moves, and
-// because it is the first to tell that a worker with tasks has crashed.
-func (s *Scheduler) WantsMachines() bool {
-	if !s.machinesKnown {
-		return true
-	}
-	for _, w := range s.waves {
-		if !w.finished {
-			return true
-		}
-	}
-	for _, m := range s.machines {
-		if m.away {
-			return true
-		}
-	}
-	for _, h := range s.hosts {
-		if len(h.runs) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // SetWave reports a maintenance wave with its durable state.
 func (s *Scheduler) SetWave(machines []string, deadline time.Time, limit int, state WaveState) {
 	if s.waves[state.Wave] != nil {
@@ -198,19 +83,6 @@
 	return set
 }
 
-// machineOf returns the machine that carries a worker now, or nil.
-func (s *Scheduler) machineOf(h *host) *machine {
-	if m := s.machines[h.entry.Machine]; m != nil && m.Worker == h.entry.ID {
-		return m
-	}
-	return nil
-}
-
-func (s *Scheduler) cordoned(h *host) bool {
-	m := s.machineOf(h)
-	return m != nil && (m.cordoned || m.ordering || m.away)
-}
-
 // dueForMaintenance reports whether a wave is still going to take the machine.
 func (s *Scheduler) dueForMaintenance(h *host) bool {
 	m := s.machineOf(h)
@@ -320,11 +192,6 @@
 	}
 }
 
-// selectable reports whether the machine is up and no order is planned for it.
-func (m *machine) selectable(now time.Time) bool {
-	return m.State == worker.Up && !m.cordoned && !m.ordering && !m.away && !now.Before(m.retryAt)
-}
-
 func (s *Scheduler) cordonForWave(w *wave, m *machine) {
 	m.cordoned, m.cordonedAt, m.cordonWave, m.moveTo = true, s.now, w.number, ""
 	s.note(Note{Event: "machine-cordoned", Worker: m.Worker, Run: w.number, Reason: "maintenance " + m.ID})
@@ -500,35 +367,3 @@
 	}
 	return false
 }
-
-// Ordered reports the answer to an order; accepted means that it is done or was done before.
-func (s *Scheduler) Ordered(o Order, accepted, impossible bool, now time.Time) {
-	s.now = now
-	m := s.machines[o.Machine]
-	if m == nil {
-		return
-	}
-	m.ordering = false
-	if !accepted {
-		m.retryAt = now.Add(orderRetry)
-		if impossible {
-			m.cordoned, m.moveTo = false, ""
-			if w := s.waves[o.Wave]; w != nil {
-				delete(w.begun, m.ID)
-			}
-		}
-		return
-	}
-	m.cordoned, m.moveTo = false, ""
-	m.away, m.awayWave, m.awaySince = true, o.Wave, now
-	if h := s.hosts[m.oldWorker]; h != nil {
-		h.orderedAway = true
-		for _, r := range h.runs {
-			s.drop(r, "machine ordered away")
-		}
-	}
-	if w := s.waves[o.Wave]; w != nil {
-		w.done[m.ID] = true
-		s.reportWave(w)
-	}
-}
