--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -500,7 +502,17 @@
 // Guards against an end that a worker may forget before its result is durable.
 func TestUnstoredEndIsKeptByItsWorker(t *testing.T) { playUnstoredEnd(t) }
 
-func playPromises(t *rapid.T) {
+// TestPromisesWithCrashes plays the same faults, and machines that lose their power and are
+// listed as down. The broken variants are searched for without them, as plays with crashes
+// come upon two of them too rarely.
+func TestPromisesWithCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playFaults(t, true) })
+}
+
+func playPromises(t *rapid.T) { playFaults(t, false) }
+
+// playFaults plays random faults, with crashed machines among them if power is set.
+func playFaults(t *rapid.T, power bool) {
 	g := newStage(4)
 	// Half of the workers are in another pool, which the queue may change to.
 	g.catalog.Pools["league"] = &catalog.Pool{Name: "league"}
@@ -509,6 +521,9 @@
 		w.entry.Pool = "league"
 		g.core.SetWorker(w.entry, g.now)
 	}
+	for id, w := range g.workers {
+		w.entry.Machine = "m-" + id
+	}
 	g.poolUse = nil
 	g.replaceOwner()
 	fates := rapid.SliceOfN(rapid.SampledFrom([]fate{answered, answered, answered, answered, answered, lostBefore, lostAfter, carriedOutLate}), 64, 64).Draw(t, "fates")
@@ -522,7 +537,7 @@
 	}
 	g.slowSilence = rapid.Bool().Draw(t, "slow silence")
 	submitted := 0
-	t.Repeat(map[string]func(*rapid.T){
+	actions := map[string]func(*rapid.T){
 		"busy": func(t *rapid.T) {
 			g.lag = rapid.SampledFrom([]time.Duration{0, 0, 200 * time.Millisecond, time.Second, 4 * time.Second}).Draw(t, "lag")
 		},
@@ -562,10 +577,31 @@
 				t.Fatalf("%d broken: %s", len(g.broken), g.broken[0])
 			}
 		},
-	})
+	}
+	if power {
+		actions["power"] = func(t *rapid.T) { g.powerOff(drawWorker(t)) }
+	}
+	t.Repeat(actions)
 	endPromises(t, g)
 }
 
+// powerOff takes the power from the machine of a worker, which the platform lists as down at
+// once. Its worker comes back with a restart.
+func (g *stage) powerOff(id string) {
+	w := g.workers[id]
+	w.down = true
+	clear(w.runs)
+	var list []worker.Machine
+	for _, other := range slices.Sorted(maps.Keys(g.workers)) {
+		m := worker.Machine{ID: "m-" + other, Pool: g.workers[other].entry.Pool, State: worker.Up, Worker: other}
+		if g.workers[other].down {
+			m.State, m.Worker = worker.Down, ""
+		}
+		list = append(list, m)
+	}
+	g.core.SetMachines(list, g.now, g.now)
+}
+
 // hopeless tasks fail each time.
 func hopeless(g *stage, t job.Task) bool {
 	return t.Step == 0 && t.Index == 0 && g.jobs[t.Job].Steps[0].Count == hopelessCount
@@ -586,6 +622,9 @@
 		reachable = "w2"
 	}
 	g.workers[reachable].cut = false
+	if g.workers[reachable].down {
+		g.restart(reachable)
+	}
 	g.run(40 * time.Second)
 	if len(g.broken) > 0 {
 		t.Fatalf("%d broken: %s", len(g.broken), g.broken[0])
