--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -325,7 +325,7 @@
 func (s *Scheduler) timeOccurrence(e *entry, o *occurrence) {
 	e.took = s.now.Sub(o.due)
 	if q, _ := s.pool(e.job.Queue); q != nil {
-		chain, _, _ := s.outlook(e.job.Queue, o)
+		chain, _ := s.outlook(e.job.Queue, o)
 		e.objective = objective(q, chain)
 	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -39,13 +39,11 @@
 	excess bool
 	// hope is 0 while the occurrence can end in time, 1 while it can end late, 2 afterwards.
 	hope int
-	// work is the work that is left of the occurrence, in core-seconds.
-	work float64
 }
 
 // String gives the rank for the log.
 func (r rank) String() string {
-	return fmt.Sprintf("hope %d, beyond share %t, work %.1f", r.hope, r.excess, r.work)
+	return fmt.Sprintf("hope %d, beyond share %t", r.hope, r.excess)
 }
 
 // learn notes the run time of a task that is done.
@@ -76,9 +74,9 @@
 	return time.Duration(math.Exp((x.mean+math.Log(estimate.Seconds()))/2) * float64(time.Second))
 }
 
-// outlook returns the time of the longest chain of an occurrence, of the part of it that
-// is left, and the work that is left.
-func (s *Scheduler) outlook(queue string, o *occurrence) (chain, left time.Duration, work float64) {
+// outlook returns the time of the longest chain of an occurrence, and of the part of it that
+// is left.
+func (s *Scheduler) outlook(queue string, o *occurrence) (chain, left time.Duration) {
 	var longest, longestLeft [maxChain]time.Duration
 	for _, p := range o.parts {
 		d := s.expectedTime(queue, p.step.Estimate)
@@ -94,14 +92,13 @@
 		after, afterLeft := before+d, beforeLeft
 		if p.undone > 0 && !p.step.LongRunning {
 			afterLeft += d
-			work += float64(p.undone) * float64(p.step.Need.CPU) / 1000 * d.Seconds()
 		}
 		if p.number < maxChain {
 			longest[p.number], longestLeft[p.number] = after, afterLeft
 		}
 		chain, left = max(chain, after), max(left, afterLeft)
 	}
-	return chain, left, work
+	return chain, left
 }
 
 // maxChain bounds the steps that are looked at for the outlook of a job.
@@ -109,7 +106,8 @@
 
 // order sorts parts by who goes first: long-running tasks, then the priority of the
 // queue, then accounts within their share, then jobs that can still end in time, and
-// among these the one with the least work left, so that the most jobs end in time.
+// among these the one that came first. Small jobs do not pass large ones: in a burst, the
+// large ones of all accounts waited for as long as small ones came.
 func (s *Scheduler) order(parts []*part) {
 	for _, p := range parts {
 		if s.now.Sub(p.rank.at) > rankAge {
@@ -122,7 +120,6 @@
 			cmp.Compare(a.rank.priority, b.rank.priority),
 			boolCompare(a.rank.excess, b.rank.excess),
 			cmp.Compare(a.rank.hope, b.rank.hope),
-			cmp.Compare(a.rank.work, b.rank.work),
 			a.occurrence.due.Compare(b.occurrence.due),
 			cmp.Compare(a.entry.job.ID, b.entry.job.ID),
 		)
@@ -130,8 +127,8 @@
 }
 
 func (s *Scheduler) rankOf(e *entry, o *occurrence) rank {
-	chain, left, work := s.outlook(e.job.Queue, o)
-	r := rank{at: s.now, excess: e.excess, work: work}
+	chain, left := s.outlook(e.job.Queue, o)
+	r := rank{at: s.now, excess: e.excess}
 	q := s.catalog.Queues[e.job.Queue]
 	if q == nil {
 		return r
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -655,3 +655,24 @@
 	qt.Assert(t, run > 0, qt.IsTrue)
 	assertNothingBroken(t, g)
 }
+
+// It answers the pattern of a burst of small jobs, as of a hot account: a large job that came
+// before them and can still be in time keeps its turn.
+func TestSmallJobsDoNotPassALargeOne(t *testing.T) {
+	g := newStage(1)
+	g.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	g.run(time.Second)
+	g.submit("full", job.Step{Count: 4, Need: small})
+	g.run(100 * time.Millisecond)
+	g.submit("large", job.Step{Count: 4, Need: small})
+	for n := range 6 {
+		g.run(20 * time.Millisecond)
+		g.submit(fmt.Sprintf("small%d", n), job.Step{Count: 1, Need: small})
+	}
+	g.run(g.duration)
+	for index := range 4 {
+		_, run := g.core.Task(job.Task{Job: "large", Index: index})
+		qt.Assert(t, run > 0, qt.IsTrue, qt.Commentf("task %d", index))
+	}
+	assertNothingBroken(t, g)
+}
