--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -44,6 +44,18 @@
 	return func() { cancel(); <-done }
 }
 
+// crash ends a process that has no chance to give anything back.
+func (h *hosts) crash(stop func()) {
+	h.store.SetFault(func(call string) kvfake.Fault {
+		if call == "revoke" {
+			return kvfake.Lost
+		}
+		return kvfake.Answered
+	})
+	stop()
+	h.store.SetFault(nil)
+}
+
 func (h *hosts) owners() (names []int) {
 	for n := range h.terms {
 		if t := h.terms[n].Load(); t != nil && t.Valid() {
@@ -117,15 +129,7 @@
 		h := newHosts()
 		stop := h.run(t.Context(), 0, "a")
 		time.Sleep(time.Second)
-		// The process dies without a chance to give anything back.
-		h.store.SetFault(func(call string) kvfake.Fault {
-			if call == "revoke" {
-				return kvfake.Lost
-			}
-			return kvfake.Answered
-		})
-		stop()
-		h.store.SetFault(nil)
+		h.crash(stop)
 		qt.Assert(t, h.store.Item(layout.Owner).Revision > 0, qt.IsTrue)
 		stop = h.run(t.Context(), 1, "a")
 		time.Sleep(300 * time.Millisecond)
@@ -209,16 +213,8 @@
 		time.Sleep(time.Second)
 		defer h.run(t.Context(), 1, "b")()
 		time.Sleep(time.Second)
-		// The process dies without a chance to give anything back.
-		h.store.SetFault(func(call string) kvfake.Fault {
-			if call == "revoke" {
-				return kvfake.Lost
-			}
-			return kvfake.Answered
-		})
-		stop()
+		h.crash(stop)
 		died := time.Now()
-		h.store.SetFault(nil)
 		for len(h.owners()) == 0 {
 			time.Sleep(10 * time.Millisecond)
 		}
