--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -99,8 +99,8 @@
 	if len(answer.Ended) >= maxListedEnds {
 		return
 	}
-	for name, r := range w.runs {
-		if listed[name] {
+	for _, r := range w.sortedRuns() {
+		if listed[r.step.name(r.index)] {
 			continue
 		}
 		confirmed := r.state != starting && !r.confirmed.IsZero() && r.confirmed.Before(w.pollSent)
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -34,7 +34,7 @@
 // queueCopies queues copies of the runs of a worker that does not answer, for those steps that
 // allow it.
 func (s *Scheduler) queueCopies(w *workerState) {
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if r.step.spec.Speculative && !r.step.spec.Gang && r.state != stopping {
 			s.queueCopy(r, "worker does not answer")
 		}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -43,7 +43,7 @@
 	w.setFence(w.fence + 1)
 	w.uncertain, w.answered = false, false
 	w.unansweredPolls = max(1, w.unansweredPolls)
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		s.drop(r, "machine is down")
 	}
 }
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -16,7 +16,7 @@
 // dropUnsent withdraws the starts that wait to be sent to an earlier incarnation of a worker:
 // their leases are on the clock of that incarnation.
 func (s *Scheduler) dropUnsent(w *workerState) {
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if r.state == starting && r.claim.withdraw() {
 			s.drop(r, "worker has restarted")
 		}
@@ -43,7 +43,7 @@
 	w.polling, w.nextPoll = false, s.now.Add(pollRetry)
 	w.sequence++
 	w.ignoredUpTo = w.sequence
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		s.drop(r, "another worker has its address")
 	}
 }
@@ -55,7 +55,7 @@
 	w.sequence++
 	w.ignoredUpTo = w.sequence
 	delete(s.recoveryWorkers, w.registration.ID)
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		s.drop(r, "machine runs another worker")
 	}
 }
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -159,6 +159,7 @@
 			delete(s.jobs, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
@@ -314,7 +315,7 @@
 	j.state = state
 	j.ended = s.now
 	s.markDirty(j)
-	for _, o := range j.occurrences {
+	for _, o := range sorted(j.occurrences) {
 		for _, st := range o.steps {
 			st.waitingTasks = nil
 			for i := range st.tasks {
--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -60,6 +60,7 @@
 			delete(s.machines, id)
 		}
 	}
+	s.sortedMachines = sorted(s.machines)
 	s.machinesKnown = true
 	s.markDue()
 	for _, w := range s.sortedWorkers {
@@ -165,7 +166,7 @@
 	m.away, m.awayWave, m.awaySince = true, o.Wave, now
 	if ws := s.workers[m.orderedWorker]; ws != nil {
 		ws.orderedAway = true
-		for _, r := range ws.runs {
+		for _, r := range ws.sortedRuns() {
 			s.drop(r, "machine ordered away")
 		}
 	}
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -76,7 +76,7 @@
 
 // updateLabels registers all workers again with the labels of their machines.
 func (sim *machineSimulation) updateLabels() {
-	for _, m := range sim.machines {
+	for _, m := range sorted(sim.machines) {
 		if w := sim.workers[m.Worker]; w != nil && m.Labels != nil {
 			w.registration.Labels = m.Labels
 			sim.core.SetWorker(w.registration, sim.now)
@@ -86,7 +86,7 @@
 
 func (sim *machineSimulation) machineList() []worker.Machine {
 	var list []worker.Machine
-	for _, m := range sim.machines {
+	for _, m := range sorted(sim.machines) {
 		list = append(list, m.Machine)
 	}
 	return list
@@ -96,7 +96,7 @@
 // before each step.
 func (sim *machineSimulation) advance(d time.Duration) {
 	for end := sim.now.Add(d); sim.now.Before(end); {
-		for _, m := range sim.machines {
+		for _, m := range sorted(sim.machines) {
 			if m.State != worker.Up && !sim.now.Before(m.backAt) {
 				m.State = worker.Up
 				sim.startWorker(m)
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -148,7 +148,7 @@
 			d.addWaiting(st)
 		}
 	}
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines {
 		pool := m.Pool
 		if m.moveTo != "" {
 			pool = m.moveTo
@@ -186,7 +186,7 @@
 
 // machineIncoming reports whether a machine that meets the need is on the move to the pool.
 func (s *Scheduler) machineIncoming(r relocationNeed) bool {
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines {
 		if !m.Labels.Has(r.label) {
 			continue
 		}
@@ -200,7 +200,7 @@
 // meanCapacity returns the mean capacity of a machine.
 func (s *Scheduler) meanCapacity() resource.Amount {
 	var sum resource.Amount
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines {
 		sum = sum.Add(m.Capacity)
 	}
 	n := max(1, len(s.machines))
@@ -211,7 +211,7 @@
 func (s *Scheduler) lender(pools map[string]*demand, borrower *demand) *machine {
 	var best *machine
 	bestSpare := false
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines {
 		if m.State != worker.Up || m.Pool == borrower.pool || !m.Labels.Has(borrower.label) || m.cordoned || m.orderInFlight || m.away || s.now.Before(m.retryAt) {
 			continue
 		}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -123,6 +123,8 @@
 			cmp.Compare(a.rank.lateness, b.rank.lateness),
 			a.occurrence.due.Compare(b.occurrence.due),
 			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+			cmp.Compare(a.occurrence.number, b.occurrence.number),
+			cmp.Compare(a.number, b.number),
 		)
 	})
 }
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -43,7 +43,7 @@
 	}
 	w.pacedAt = s.now
 	tail := w.worstTailRatio()
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if !r.step.spec.Background || r.state != present {
 			continue
 		}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -144,9 +144,9 @@
 // moveToNewPool moves waiting steps to the pool to which a configuration change has moved their
 // queue.
 func (s *Scheduler) moveToNewPool() {
-	for pool, steps := range s.waiting {
+	for _, pool := range slices.Sorted(maps.Keys(s.waiting)) {
 		var moved []*stepState
-		s.waiting[pool] = slices.DeleteFunc(steps, func(st *stepState) bool {
+		s.waiting[pool] = slices.DeleteFunc(s.waiting[pool], func(st *stepState) bool {
 			q := s.catalog.Queues[st.job.spec.Queue]
 			if q == nil || q.Pool == pool {
 				return false
--- a/scheduler/pooluse.go
+++ b/scheduler/pooluse.go
@@ -115,7 +115,7 @@
 
 // poolOfWorker returns the pool of a worker that is not registered, which is that of its machine.
 func (s *Scheduler) poolOfWorker(id string) (string, bool) {
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines {
 		if m.Worker == id {
 			return m.Pool, true
 		}
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,14 +38,9 @@
 		r.Finished = nil
 		return r
 	}
-	numbers := make([]int, 0, len(j.occurrences))
-	for n := range j.occurrences {
-		numbers = append(numbers, n)
-	}
-	slices.Sort(numbers)
-	for _, n := range numbers {
-		for _, st := range j.occurrences[n].steps {
-			sp := progress.StepProgress{Occurrence: n, Step: st.number}
+	for _, o := range sorted(j.occurrences) {
+		for _, st := range o.steps {
+			sp := progress.StepProgress{Occurrence: o.number, Step: st.number}
 			for i := range st.tasks {
 				if st.tasks[i].done {
 					sp.SetDone(i)
@@ -79,6 +75,7 @@
 		j.saving = j.version
 		a.Saves = append(a.Saves, Save{Job: id, Version: j.version, Record: b, Final: j.state.Final()})
 	}
+	slices.SortFunc(a.Saves, func(a, b Save) int { return cmp.Compare(a.Job, b.Job) })
 }
 
 // Saved reports that a version of a job's record is durable; ok is false if saving has failed
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 	workers map[string]*workerState
 	// sortedWorkers has the workers sorted by ID, so that equal events have equal results.
 	sortedWorkers []*workerState
+	// sortedMachines has the machines sorted by ID.
+	sortedMachines []*machine
 	// byPool has the workers of each pool sorted by ID; nil if it has to be built again.
 	byPool    map[string][]*workerState
 	accounts  map[string]resource.Amount
@@ -173,7 +175,6 @@
 			s.planPoll(w)
 		}
 	} else {
-		// Equal events have equal results whatever the order of the map.
 		for _, w := range slices.SortedFunc(maps.Keys(s.changedWorkers), func(a, b *workerState) int { return cmp.Compare(a.registration.ID, b.registration.ID) }) {
 			s.planPoll(w)
 		}
@@ -209,7 +210,7 @@
 	if s.awaitsPolls() {
 		return
 	}
-	for id := range s.recoveryWorkers {
+	for _, id := range slices.Sorted(maps.Keys(s.recoveryWorkers)) {
 		if w := s.workers[id]; w == nil || (!w.answered && !w.runsAccounted) {
 			s.logEvent(LogEvent{Event: "worker-not-recovered", Worker: id, Reason: s.unresponsiveReason(id)})
 		}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -82,6 +82,8 @@
 	starts     int
 	// onOrder carries out an order for a machine; nil without machines.
 	onOrder func(MachineOrder)
+	// onActions sees the actions of each step before they are carried out; nil for none.
+	onActions func(Actions)
 	// onWaveFinished is called for each wave that the owner reports as finished.
 	onWaveFinished func(int64)
 	waves          map[int64]fakeWave
@@ -209,7 +211,7 @@
 	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
 		sim.core.AddJob(sim.jobs[id], sim.stored[id], sim.added[id] < sim.owner, sim.now)
 	}
-	for id := range sim.cancels {
+	for _, id := range slices.Sorted(maps.Keys(sim.cancels)) {
 		sim.core.Cancel(id, sim.now)
 	}
 	if sim.poolUse != nil {
@@ -383,6 +385,9 @@
 }
 
 func (sim *simulation) execute(a Actions) {
+	if sim.onActions != nil {
+		sim.onActions(a)
+	}
 	for _, save := range a.Saves {
 		if sim.storeDown || sim.outcome("save") != answered {
 			sim.core.Saved(save.Job, save.Version, false, sim.now)
@@ -716,7 +721,8 @@
 
 func (w *fakeWorker) listing(now time.Time) *worker.Listing {
 	l := &worker.Listing{Incarnation: w.registration.Incarnation, Clock: now.Sub(time.UnixMilli(0)), Ended: slices.Clone(w.ended)}
-	for name, r := range w.runs {
+	for _, name := range slices.SortedFunc(maps.Keys(w.runs), job.Compare) {
+		r := w.runs[name]
 		l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: r.percent(now), Load: w.load(r)})
 	}
 	return l
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -115,13 +115,13 @@
 	s.nextPlan = s.now.Add(planInterval + s.eventDelay)
 	s.markDue()
 	clear(s.relocationNeeds)
-	for _, w := range s.waves {
+	for _, w := range sorted(s.waves) {
 		if !w.finished {
 			s.planWave(w)
 		}
 	}
 	s.planMoves()
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines {
 		if m.cordoned {
 			s.drain(m)
 		}
@@ -312,7 +312,7 @@
 	if ws != nil && len(ws.runs) > 0 {
 		s.moveLongRunning(ws, w != nil && s.deadlineAtRisk(w))
 		if w != nil && (s.deadlineAtRisk(w) || s.now.Sub(m.cordonedAt) > drainTimeout) {
-			for _, r := range ws.runs {
+			for _, r := range ws.sortedRuns() {
 				if !r.step.spec.LongRunning && r.state == present {
 					s.stop(r, "maintenance")
 				}
@@ -346,7 +346,7 @@
 	if s.now.Sub(s.started) < s.limits.Stop+leaseMargin {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if !r.step.spec.LongRunning || r.state != present {
 			continue
 		}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -169,7 +169,7 @@
 
 // evacuate stops the long-running tasks of a worker that is leaving, so that they start elsewhere.
 func (s *Scheduler) evacuate(w *workerState) {
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if r.step.spec.LongRunning && r.state == present {
 			s.stop(r, "worker leaving")
 		}
@@ -233,7 +233,7 @@
 		w.leaseExpired = true
 	}
 	if len(w.runs) > 0 && s.now.After(w.leaseEnd) {
-		for _, r := range w.runs {
+		for _, r := range w.sortedRuns() {
 			s.drop(r, "lease ended")
 		}
 		// The worker rejects a start that is still in flight by its deadline on the worker's clock.
@@ -255,9 +255,9 @@
 // Workers returns the IDs of the registered workers.
 func (s *Scheduler) Workers() []string {
 	var ids []string
-	for id, w := range s.workers {
+	for _, w := range s.sortedWorkers {
 		if w.registered {
-			ids = append(ids, id)
+			ids = append(ids, w.registration.ID)
 		}
 	}
 	return ids
