--- a/evacuation/zones.go
+++ b/evacuation/zones.go
@@ -15,6 +15,9 @@
 	// notices has the newest notice of each zone; restored zones stay, so that a late notice of
 	// their evacuation is recognized as old.
 	notices map[string]notice
+	// listed is the revision of the newest complete list. Older notices of zones that were not
+	// on it tell of evacuations that had ended by then.
+	listed int64
 }
 
 type notice struct {
@@ -24,6 +27,13 @@
 
 // Set applies a notice about one zone, and reports whether the zone has changed.
 func (z *Zones) Set(zone string, evacuated bool, revision int64) bool {
+	if revision <= z.listed && !mutation.ignoreRevision {
+		return false
+	}
+	return z.set(zone, evacuated, revision)
+}
+
+func (z *Zones) set(zone string, evacuated bool, revision int64) bool {
 	known := z.notices[zone]
 	if zone == "" || revision <= known.revision && !mutation.ignoreRevision {
 		return false
@@ -41,15 +51,16 @@
 func (z *Zones) Listed(zones map[string]int64, revision int64) []string {
 	var changed []string
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		if z.Set(zone, true, zones[zone]) {
+		if z.set(zone, true, zones[zone]) {
 			changed = append(changed, zone)
 		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(z.notices)) {
-		if _, listed := zones[zone]; !listed && z.notices[zone].evacuated && !mutation.keepMissing && z.Set(zone, false, revision) {
+		if _, listed := zones[zone]; !listed && z.notices[zone].evacuated && !mutation.keepMissing && z.set(zone, false, revision) {
 			changed = append(changed, zone)
 		}
 	}
+	z.listed = max(z.listed, revision)
 	return changed
 }
 
