--- a/change/change.go
+++ b/change/change.go
@@ -15,6 +15,7 @@
 	KindPool     = "pool"
 	KindWorker   = "worker"
 	KindWave     = "wave"
+	KindZone     = "zone"
 )
 
 const maxReasonLen = 500
@@ -49,9 +50,9 @@
 // Validate checks the fields that do not depend on the configuration.
 func (c Change) Validate() error {
 	switch c.Kind {
-	case KindContract, KindService, KindPool, KindWorker, KindWave:
+	case KindContract, KindService, KindPool, KindWorker, KindWave, KindZone:
 	default:
-		return &FieldError{Field: "kind", Accepted: "contract, service, pool, worker or wave"}
+		return &FieldError{Field: "kind", Accepted: "contract, service, pool, worker, wave or zone"}
 	}
 	if c.ID == "" {
 		return &FieldError{Field: "id", Accepted: "a unique id"}
--- a/command/app.go
+++ b/command/app.go
@@ -37,6 +37,7 @@
 			poolCommand(),
 			moveCommand(),
 			waveCommand(),
+			zoneCommand(),
 			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -107,6 +107,9 @@
 // TestOperatorsPage guards against a page whose commands or outputs are out of date.
 func TestOperatorsPage(t *testing.T) { newTestEnv(t).checkPage(t, "operators.md") }
 
+// TestZonesPage guards against commands for availability zones that differ from their page.
+func TestZonesPage(t *testing.T) { newTestEnv(t).checkPage(t, "zones.md") }
+
 // checkPage runs the commands of a documentation page in order and compares their outputs
 // with those on the page.
 func (e *testEnv) checkPage(t *testing.T, name string) {
--- a/command/explain.go
+++ b/command/explain.go
@@ -11,12 +11,13 @@
 
 func explainCommand() *cli.Command {
 	return group(
-		"explain", "explain why a request, a host, a team, a move or a wave is in its current state",
+		"explain", "explain why a request, a host, a team, a move, a wave or a zone is in its current state",
 		explainSubcommand(operator.KindRequest, "ID", ""),
 		explainSubcommand(operator.KindHost, "NAME", change.KindWorker),
 		explainSubcommand(operator.KindTeam, "NAME", change.KindContract),
 		explainSubcommand(operator.KindMove, "WORKER", change.KindWorker),
 		explainSubcommand(operator.KindWave, "NAME", change.KindWave),
+		explainSubcommand(operator.KindZone, "NAME", change.KindZone),
 	)
 }
 
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -40,6 +40,8 @@
 		return encodeEntry(cfg.Pools, name)
 	case change.KindWave:
 		return encodeEntry(cfg.Waves, name)
+	case change.KindZone:
+		return encodeEntry(cfg.Zones, name)
 	default:
 		return encodeEntry(cfg.Workers, name)
 	}
@@ -55,6 +57,8 @@
 		return decodeEntry(cfg.Pools, name, after)
 	case change.KindWave:
 		return decodeEntry(cfg.Waves, name, after)
+	case change.KindZone:
+		return decodeEntry(cfg.Zones, name, after)
 	default:
 		return decodeEntry(cfg.Workers, name, after)
 	}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -25,6 +25,7 @@
 	Pools     map[string]Pool              `json:"pools"`
 	Workers   map[string]Worker            `json:"workers"`
 	Waves     map[string]Wave              `json:"waves,omitempty"`
+	Zones     map[string]Zone              `json:"zones,omitempty"`
 	Recent    []change.Change              `json:"recent-changes"`
 
 	indexOnce sync.Once
@@ -103,6 +104,7 @@
 		Pools:     cloneMap(cfg.Pools),
 		Workers:   cloneMap(cfg.Workers),
 		Waves:     cloneMap(cfg.Waves),
+		Zones:     cloneMap(cfg.Zones),
 		Recent:    slices.Clone(cfg.Recent),
 	}
 }
--- a/fleet/rapid_test.go
+++ b/fleet/rapid_test.go
@@ -60,6 +60,8 @@
 	m.each("service", &s, func(string) { pool(s.Pool) })
 	var p Pool
 	m.each("pool", &p, func(name string) { ok = ok && p.MinAvailable >= 0 && p.MinAvailable <= serving[name] })
+	var z Zone
+	m.each("zone", &z, func(string) { ok = ok && !z.Since.IsZero(); z = Zone{} })
 	waves := map[string]bool{}
 	var v Wave
 	m.each("wave", &v, func(string) {
@@ -92,9 +94,10 @@
 		Worker{Pool: "a/p", Leaving: true, Move: &Move{ID: "m", From: "a/p", To: "b/p", Step: MoveHandedOver}},
 		Worker{Pool: "b/p", Move: &Move{ID: "m", From: "a/p", To: "b/p", Step: MoveHandedOver}},
 	},
-	"wave x":    {testWave(WaveRunning, "w1", "w2"), testWave(WaveEnded, "w1")},
-	"wave y":    {testWave(WavePaused, "w2"), testWave(WaveRunning, "w3")},
-	"worker w2": {Worker{Pool: "a/p"}, Worker{Pool: "a/none"}},
+	"zone north": {Zone{Since: time.Unix(1, 0).UTC()}, Zone{Reason: "no time"}},
+	"wave x":     {testWave(WaveRunning, "w1", "w2"), testWave(WaveEnded, "w1")},
+	"wave y":     {testWave(WavePaused, "w2"), testWave(WaveRunning, "w3")},
+	"worker w2":  {Worker{Pool: "a/p"}, Worker{Pool: "a/none"}},
 	"contract a/t": {
 		contract.Contract{Team: "a/t", Limit: 4, Share: 600_000, Keys: []teamkey.Key{{ID: "k1", Hash: []byte("h")}}},
 		contract.Contract{Team: "a/t", Limit: 4},
--- a/fleet/resolve.go
+++ b/fleet/resolve.go
@@ -47,6 +47,8 @@
 		return slices.Sorted(maps.Keys(cfg.Pools))
 	case change.KindWave:
 		return slices.Sorted(maps.Keys(cfg.Waves))
+	case change.KindZone:
+		return slices.Sorted(maps.Keys(cfg.Zones))
 	default:
 		return slices.Sorted(maps.Keys(cfg.Workers))
 	}
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -35,6 +35,9 @@
 	if err := cfg.validateWaves(); err != nil {
 		return err
 	}
+	if err := cfg.validateZones(); err != nil {
+		return err
+	}
 	return cfg.validatePools()
 }
 
--- a/node/hosts_test.go
+++ b/node/hosts_test.go
@@ -42,3 +42,27 @@
 	n.SetHosts(now.Add(rebuildInterval), list(false))
 	qt.Check(t, n.lastRebuild, qt.Equals, now.Add(rebuildInterval))
 }
+
+// Guards against new work for the workers of an evacuated zone, whether the host list or the
+// configuration knows their zone, and for a zone that is restored but not used again.
+func TestEvacuatedZoneGetsNoNewWork(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	self := epoch.Member{Name: "entry-1", Incarnation: 1, Zone: "z", Peer: netip.MustParseAddrPort("127.0.0.1:7000")}
+	e, err := (&epoch.Epoch{}).Join(self)
+	qt.Assert(t, err, qt.IsNil)
+	n := New(now, self)
+	n.AdoptEpoch(now, e)
+	workers := map[string]fleet.Worker{"listed": {Pool: "a/p", Zone: "south"}, "unlisted": {Pool: "a/p", Zone: "north"}, "other": {Pool: "a/p", Zone: "south"}}
+	n.SetHosts(now, []hostlist.Host{{Worker: "listed", Zone: "north", Slots: 8}, {Worker: "unlisted", Slots: 8}, {Worker: "other", Slots: 8}})
+	for version, zones := range []map[string]fleet.Zone{nil, {"north": {Since: now}}, nil} {
+		n.SetConfig(now, &fleet.Config{Version: uint64(version + 1), Workers: workers, Zones: zones})
+		barred := 0
+		for _, m := range n.pools["a/p"] {
+			if m.host.Leaving {
+				barred++
+				qt.Check(t, m.host.Worker, qt.Not(qt.Equals), "other")
+			}
+		}
+		qt.Check(t, barred, qt.Equals, 2*len(zones), qt.Commentf("version %d", version+1))
+	}
+}
--- a/node/owners.go
+++ b/node/owners.go
@@ -232,12 +232,22 @@
 }
 
 // isLeaving reports whether the host list, the configuration or the minion itself says that
-// the minion is leaving.
+// the minion is leaving, or its availability zone is under evacuation.
 func (n *Node) isLeaving(now time.Time, worker string) bool {
 	if n.mutation.ignoreLeaving {
 		return false
 	}
-	return n.hosts[worker].Leaving || n.cfg.Workers[worker].Leaving || now.Sub(n.leavingSignals[worker]) < leavingSignalTTL
+	return n.inEvacuatedZone(worker) || n.hosts[worker].Leaving || n.cfg.Workers[worker].Leaving || now.Sub(n.leavingSignals[worker]) < leavingSignalTTL
+}
+
+// inEvacuatedZone reports whether the availability zone of a minion is under evacuation. The host
+// list goes before the configuration, as for all failure domains.
+func (n *Node) inEvacuatedZone(worker string) bool {
+	zone := n.hosts[worker].Zone
+	if zone == "" {
+		zone = n.cfg.Workers[worker].Zone
+	}
+	return n.cfg.Evacuated(zone)
 }
 
 // Leaving records a minion's own signal that it is leaving, because the host list lags.
--- a/operator/api.go
+++ b/operator/api.go
@@ -127,11 +127,11 @@
 	kind, name := r.PathValue("kind"), r.PathValue("name")
 	var err error
 	switch kind {
-	case KindRequest, KindHost, KindMove, KindWave:
+	case KindRequest, KindHost, KindMove, KindWave, KindZone:
 	case KindTeam:
 		name, err = a.manager.Config().Resolve(change.KindContract, name)
 	default:
-		err = &NotFoundError{Kind: kind, Name: name, Reason: "is not a kind that can be explained; accepted: request, host, team, move, wave"}
+		err = &NotFoundError{Kind: kind, Name: name, Reason: "is not a kind that can be explained; accepted: request, host, team, move, wave, zone"}
 	}
 	if err != nil {
 		writeError(w, httpStatus(err), err)
--- a/operator/explanation.go
+++ b/operator/explanation.go
@@ -17,6 +17,7 @@
 	KindTeam    = "team"
 	KindMove    = "move"
 	KindWave    = "wave"
+	KindZone    = "zone"
 )
 
 // Explanation describes why an object is in its current state.
@@ -58,15 +59,32 @@
 			return e, &NotFoundError{Kind: kind, Name: name, Reason: "is not in the configuration"}
 		}
 		e.addWorker(w)
+		if z, evacuated := cfg.Zones[w.Zone]; evacuated {
+			e.Summary += "; its zone is under evacuation, so it gets no new work"
+			e.Facts = append(e.Facts, zoneFact(w.Zone, z))
+		}
 		if kind == KindMove && w.Move == nil {
 			e.Summary = fmt.Sprintf("%s is in no move; it is in pool %s", name, w.Pool)
 		}
 		return e, nil
+	case KindZone:
+		z, evacuated := cfg.Zones[name]
+		e.Summary = fmt.Sprintf("%s is not under evacuation", name)
+		if evacuated {
+			e.Summary = fmt.Sprintf("%s is under evacuation: its workers get no new work, and what runs there goes on", name)
+			e.Facts = append(e.Facts, zoneFact(name, z))
+		}
+		e.addLastChange(cfg, change.KindZone)
+		return e, nil
 	default:
 		return e, &NotFoundError{Kind: kind, Name: name, Reason: "this entry host keeps no record of it"}
 	}
 }
 
+func zoneFact(name string, z fleet.Zone) Fact {
+	return Fact{Name: "zone under evacuation", Value: fmt.Sprintf("%s since %s, reason %q", name, z.Since.Format(time.RFC3339), z.Reason)}
+}
+
 // addWorker adds the state of a worker; addHistory adds its history from the audit trail.
 func (e *Explanation) addWorker(w fleet.Worker) {
 	e.Summary = fmt.Sprintf("%s serves in pool %s", e.Name, w.Pool)
