--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -56,6 +56,8 @@
 	inWaitingList bool
 	checkpoint    string // of a gang
 	rank          rank
+	// reservations holds the workers that are reserved for tasks of a long-running step.
+	reservations []*reservation
 	// waitingSince is when its first task began to wait, and reason why tasks of it wait now.
 	// waitedFor was the reason of the last pass that started none, waitLogged is set once that
 	// reason is logged.
--- a/scheduler/mutation.go
+++ b/scheduler/mutation.go
@@ -7,5 +7,5 @@
 
 	ignoreUnknown, acknowledgeEarly, keepFence, extendUnresponsive, restartRuns bool
 
-	recordUnknown, useRecorded, ignorePoolUse, ignoreMayMiss, ignoreEvacuation bool
+	recordUnknown, useRecorded, ignorePoolUse, ignoreMayMiss, ignoreEvacuation, ignoreReservations bool
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		delete(s.changedPools, pool)
+		s.dropReservations(pool)
 		steps := s.waiting[pool]
 		if len(steps) == 0 {
 			continue
@@ -59,6 +60,7 @@
 					unplaceable.add(st)
 				}
 			}
+			s.reserveWorkers(st, workers)
 			s.logPlacement(st, before)
 		}
 		s.waiting[pool] = slices.DeleteFunc(steps, func(st *stepState) bool {
@@ -317,6 +319,7 @@
 	t := &st.tasks[index]
 	r := &run{step: st, index: index, number: number, worker: w, sent: s.now, need: st.spec.Reserved(), percentAllowed: 100, paceKnown: true}
 	s.reserve(r)
+	s.useReservation(st, w)
 	s.unansweredStarts++
 	s.markRunning(st.job)
 	checkpoint := t.checkpoint
--- /dev/null
+++ b/scheduler/reservation.go
@@ -0,0 +1,169 @@
+package scheduler
+
+import (
+	"slices"
+
+	"egretdrum.example/resource"
+)
+
+// A long-running task may need most of a worker. In a full pool, smaller tasks take each piece of
+// capacity that becomes free, and the task would wait for as long as they come. So a worker is
+// reserved for each waiting task: other steps get no capacity there that the task needs. A task
+// that is stopped to empty its machine has a worker reserved before the stop.
+
+// reservation holds capacity of a worker for a task of a long-running step.
+type reservation struct {
+	step   *stepState
+	worker *workerState
+}
+
+// maxReservedShare is the largest share of a pool's workers with reservations, so that the loss of
+// many workers with long-running tasks does not stop all other work of the pool.
+const maxReservedShare = 0.25
+
+// reserveWorkers reserves a worker for each waiting task of a long-running step for which no worker
+// had room in this pass. Such steps are placed first, so that later steps of the pass leave the
+// reserved capacity alone.
+func (s *Scheduler) reserveWorkers(st *stepState, workers []*workerState) {
+	if !st.spec.LongRunning || st.spec.Gang || st.reason != noFreeCapacity || mutation.ignoreReservations {
+		return
+	}
+	limit := max(1, int(maxReservedShare*float64(len(workers))))
+	for len(st.reservations) < len(st.waitingTasks) && reservedWorkers(workers) < limit {
+		w := s.bestToReserve(st, workers)
+		if w == nil {
+			return
+		}
+		s.reserveFor(st, w)
+	}
+}
+
+// bestToReserve returns the worker that has to free the least capacity before a task of the step
+// fits, nil if there is none that could ever run it.
+func (s *Scheduler) bestToReserve(st *stepState, workers []*workerState) *workerState {
+	need := st.spec.Reserved()
+	var best *workerState
+	var bestLack float64
+	for _, w := range workers {
+		others := w.reservedForOthers(st)
+		lasting := w.longRunningUse()
+		switch {
+		case !lasting.Add(others).Add(need).Within(w.registration.Capacity), s.dueForMaintenance(w), w.onTrial():
+			continue
+		case !w.registration.Labels.Has(st.spec.Label), st.refusedBy(w), w.reservationsOf(st) > 0:
+			continue
+		case st.spec.MaxPerWorker > 0 && s.siblings(st, w) >= st.spec.MaxPerWorker:
+			continue
+		}
+		free := w.registration.Capacity.Sub(w.used).Sub(others)
+		lack := max(
+			float64(need.CPU-free.CPU)/float64(max(1, w.registration.Capacity.CPU)),
+			float64(need.Memory-free.Memory)/float64(max(1, w.registration.Capacity.Memory)),
+			float64(need.Accelerators-free.Accelerators)/float64(max(1, w.registration.Capacity.Accelerators)),
+		)
+		if best == nil || lack < bestLack {
+			best, bestLack = w, lack
+		}
+	}
+	return best
+}
+
+// longRunningUse returns the capacity that long-running tasks use, which does not become free.
+func (w *workerState) longRunningUse() resource.Amount {
+	var sum resource.Amount
+	for _, r := range w.runs {
+		if r.step.spec.LongRunning && r.state != stopping {
+			sum = sum.Add(r.need)
+		}
+	}
+	return sum
+}
+
+func (s *Scheduler) reserveFor(st *stepState, w *workerState) {
+	r := &reservation{st, w}
+	st.reservations = append(st.reservations, r)
+	w.reservations = append(w.reservations, r)
+	s.logEvent(LogEvent{Event: "worker-reserved", Job: st.job.spec.ID, Task: st.name(0), Worker: w.registration.ID, Waited: s.now.Sub(st.waitingSince), WaitReason: st.reason})
+}
+
+// endReservation removes a reservation.
+func (s *Scheduler) endReservation(r *reservation) {
+	same := func(other *reservation) bool { return other == r }
+	r.step.reservations = slices.DeleteFunc(r.step.reservations, same)
+	r.worker.reservations = slices.DeleteFunc(r.worker.reservations, same)
+	s.changedPools[r.worker.registration.Pool] = true
+}
+
+// useReservation ends one reservation of a step whose task starts on a worker, that on the worker
+// if there is one.
+func (s *Scheduler) useReservation(st *stepState, w *workerState) {
+	if len(st.reservations) == 0 {
+		return
+	}
+	used := st.reservations[0]
+	for _, r := range st.reservations {
+		if r.worker == w {
+			used = r
+		}
+	}
+	s.endReservation(used)
+}
+
+// dropReservations ends the reservations of a pool that are not needed any more or whose workers
+// can't be used.
+func (s *Scheduler) dropReservations(pool string) {
+	for _, w := range s.workersOf(pool) {
+		for _, r := range slices.Clone(w.reservations) {
+			if len(r.step.reservations) > r.step.tasksToPlace() || !s.usable(w) || s.cordoned(w) || s.dueForMaintenance(w) {
+				s.endReservation(r)
+			}
+		}
+	}
+}
+
+// tasksToPlace counts the tasks that wait or will wait once their runs have been stopped.
+func (st *stepState) tasksToPlace() int {
+	if st.job.state.Final() {
+		return 0
+	}
+	n := len(st.waitingTasks)
+	for i := range st.tasks {
+		if r := st.tasks[i].run; r != nil && r.state == stopping {
+			n++
+		}
+	}
+	return n
+}
+
+// reservedWorkers counts the workers with reservations.
+func reservedWorkers(workers []*workerState) int {
+	n := 0
+	for _, w := range workers {
+		if len(w.reservations) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// reservationsOf counts the reservations of a step on the worker.
+func (w *workerState) reservationsOf(st *stepState) int {
+	n := 0
+	for _, r := range w.reservations {
+		if r.step == st {
+			n++
+		}
+	}
+	return n
+}
+
+// reservedForOthers returns the capacity that is reserved on the worker for other steps.
+func (w *workerState) reservedForOthers(st *stepState) resource.Amount {
+	var sum resource.Amount
+	for _, r := range w.reservations {
+		if r.step != st {
+			sum = sum.Add(r.step.spec.Reserved())
+		}
+	}
+	return sum
+}
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -31,7 +31,11 @@
 }
 
 func (s *Scheduler) fits(st *stepState, w *workerState, need resource.Amount, extra int) bool {
-	if !w.used.Add(need.Times(extra+1)).Within(w.registration.Capacity) && !mutation.ignoreCapacity {
+	used := w.used
+	if len(w.reservations) > 0 {
+		used = used.Add(w.reservedForOthers(st))
+	}
+	if !used.Add(need.Times(extra+1)).Within(w.registration.Capacity) && !mutation.ignoreCapacity {
 		return false
 	}
 	if w.onTrial() && len(w.runs)+extra > 0 {
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -269,7 +269,7 @@
 		return 0
 	}
 	const longRunningCost = 100 // a long-running task has to be restarted, others end by themselves
-	return longRunningCost*w.longRunning + len(w.runs)
+	return longRunningCost*(w.longRunning+len(w.reservations)) + len(w.runs)
 }
 
 func (s *Scheduler) reportWave(w *wave) {
@@ -361,23 +361,26 @@
 		if !s.toleratesAbsence(r) {
 			continue
 		}
-		if !s.canRelocate(r) {
+		target := s.relocationTarget(r)
+		if target == nil {
 			s.relocationNeeds[relocationNeed{w.registration.Pool, r.step.spec.Label}] = true
 			if !deadlineAtRisk {
 				continue
 			}
+		} else if !mutation.ignoreReservations {
+			s.reserveFor(r.step, target)
 		}
 		s.stop(r, "machine is emptied")
 	}
 }
 
-// canRelocate reports whether a long-running task fits on another worker of its pool that is
-// not due for maintenance.
-func (s *Scheduler) canRelocate(r *run) bool {
+// relocationTarget returns another worker of the pool on which a long-running task fits and that is
+// not due for maintenance, nil if there is none.
+func (s *Scheduler) relocationTarget(r *run) *workerState {
 	for _, w := range s.sortedWorkers {
-		if w != r.worker && w.registration.Pool == r.worker.registration.Pool && s.usable(w) && !s.cordoned(w) && !s.dueForMaintenance(w) && s.fits(r.step, w, r.need, 0) {
-			return true
+		if w != r.worker && w.registration.Pool == r.worker.registration.Pool && s.usable(w) && !s.cordoned(w) && !s.dueForMaintenance(w) && s.fits(r.step, w, r.need, w.reservationsOf(r.step)) {
+			return w
 		}
 	}
-	return false
+	return nil
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -51,6 +51,8 @@
 
 	runs map[job.Task]*run
 	used resource.Amount
+	// reservations hold capacity for long-running tasks that wait.
+	reservations []*reservation
 
 	// processedEnd is the number of the last end that was processed, durableEnd that of the last
 	// one whose result is durable, acknowledgedEnd that of the last one that the worker has been
