--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -439,15 +439,21 @@
 		for host := range x.managers {
 			qt.Assert(t, put(0, fmt.Sprint("w", host), `{"pool":"a/p","leaving":false}`), qt.IsNil)
 		}
-		var group sync.WaitGroup
-		for host, m := range x.managers {
+		// The hosts race only if each has begun its check before another one has written.
+		var group, checking sync.WaitGroup
+		checking.Add(len(x.managers))
+		for _, m := range x.managers {
 			qt.Assert(t, m.Refresh(context.Background()), qt.IsNil)
+			var first sync.Once
 			m.Check = func(_ context.Context, _, next *fleet.Config, _ change.Change) error {
+				first.Do(func() { checking.Done(); checking.Wait() })
 				if countLeaving(next) > 1 {
 					return errCrash
 				}
 				return nil
 			}
+		}
+		for host := range x.managers {
 			group.Go(func() { _ = put(host, fmt.Sprint("w", host), `{"pool":"a/p","leaving":true}`) })
 		}
 		group.Wait()
