--- a/command/app.go
+++ b/command/app.go
@@ -41,7 +41,6 @@
 			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
-			measureCommand(),
 			statusCommand(),
 			explainCommand(),
 			measureCommand(),
--- a/dispatch/keywriter.go
+++ b/dispatch/keywriter.go
@@ -116,6 +116,7 @@
 		case errors.As(err, &conflict):
 			return false
 		}
+		v.log.Warn("keys-not-stored", zap.Int("written", len(c.Puts)), zap.Int("removed", len(c.Deletes)), zap.Error(err))
 		wait.For(ctx, saveRetryDelay)
 	}
 	return false
--- a/jobservice/list.go
+++ b/jobservice/list.go
@@ -29,13 +29,11 @@
 	if err != nil {
 		return nil, s.refuse(err.Error())
 	}
-	states := make(map[string]progress.State)
+	states, cancellations := make(map[string]progress.State), make(map[string]bool)
 	for _, item := range submissions {
 		id, cancelled := storekeys.ParseSubmission(item.Key)
 		if cancelled {
-			if _, known := states[id]; known {
-				states[id] = progress.Cancelled
-			}
+			cancellations[id] = true
 			continue
 		}
 		j, err := job.Decode(item.Value)
@@ -52,13 +50,15 @@
 		if err != nil {
 			return nil, Answer{Outcome: Unknown, Reason: "result of " + id + ": " + err.Error()}
 		}
-		cancelled := states[id] == progress.Cancelled && !r.State.Final()
-		if r.Queue == t.Queue.Name && r.Account == t.Account && !cancelled {
+		if r.Queue == t.Queue.Name && r.Account == t.Account {
 			states[id] = r.State
 		}
 	}
 	var jobs []ListedJob
 	for id, state := range states {
+		if cancellations[id] && !state.Final() {
+			state = progress.Cancelled
+		}
 		jobs = append(jobs, ListedJob{id, state})
 	}
 	slices.SortFunc(jobs, func(a, b ListedJob) int { return strings.Compare(a.ID, b.ID) })
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -313,7 +313,7 @@
 		if r.Queue != t.Queue.Name || r.Account != t.Account {
 			return Answer{Outcome: NoJob}, nil
 		}
-		return Answer{Outcome: Shown, State: r.State}, nil
+		return s.withCancellation(ctx, t, r.State)
 	}
 	if !errors.Is(err, kv.ErrNotFound) {
 		return Answer{}, err
@@ -330,6 +330,22 @@
 	return Answer{Outcome: Shown, State: progress.Pending}, nil
 }
 
+// withCancellation returns the state of a job with a stored record. A cancellation is durable before
+// the owner records it, so a record that is not final may be older.
+func (s *Service) withCancellation(ctx context.Context, t *Target, state progress.State) (Answer, error) {
+	if state.Final() {
+		return Answer{Outcome: Shown, State: state}, nil
+	}
+	_, err := s.Store.Get(ctx, storekeys.Cancel(t.ID))
+	switch {
+	case err == nil:
+		state = progress.Cancelled
+	case !errors.Is(err, kv.ErrNotFound):
+		return Answer{}, err
+	}
+	return Answer{Outcome: Shown, State: state}, nil
+}
+
 // readSubmission reads a job and whether it is cancelled. It returns the zero item if the
 // queue has no such job of this account.
 func (s *Service) readSubmission(ctx context.Context, t *Target) (item kv.Item, cancelled bool, err error) {
--- a/jobservice/service_test.go
+++ b/jobservice/service_test.go
@@ -344,6 +344,25 @@
 	})
 }
 
+// Guards against a cancelled job that is shown as running: its cancellation is stored, and the
+// owner has not recorded it yet.
+func TestCancelledJobWithOlderRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHost(t)
+		defer h.stop()
+		assertOutcome(t, h.submit("k1"), jobservice.Accepted)
+		target, _ := h.service.Resolve(call("k1"))
+		assertOutcome(t, h.service.Cancel(context.Background(), call("k1"), target), jobservice.Accepted)
+		b, err := (&progress.Record{State: progress.Running, Queue: "rounds", Account: "arbiters"}).Encode()
+		qt.Assert(t, err, qt.IsNil)
+		h.store.Put(storekeys.Result(jobID), b)
+		qt.Assert(t, h.state(t).State, qt.Equals, progress.Cancelled)
+		jobs, a := h.service.List(context.Background(), call("k1"), target)
+		assertOutcome(t, a, jobservice.Shown)
+		qt.Assert(t, jobs, qt.DeepEquals, []jobservice.ListedJob{{ID: jobID, State: progress.Cancelled}})
+	})
+}
+
 // Guards against a job whose state in the store another account can see.
 func TestStateOfAnotherAccountsJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/rollout/archive.go
+++ b/rollout/archive.go
@@ -90,6 +90,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// A key of another writer would otherwise pass for the successor of the one before it.
+	names = slices.DeleteFunc(names, func(name string) bool { return firstVersion(name) == 0 })
 	var trail []change.Change
 	for n, name := range names {
 		if n+1 < len(names) && firstVersion(names[n+1]) <= version {
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -419,6 +419,22 @@
 	qt.Check(t, property.Fails(t, test(mutation{skipArchiveCheck: true})), qt.IsTrue)
 }
 
+// Guards against a key under the audit prefix that no host has written: it hid the audit key that
+// is sorted before it, so that changes were missing from the trail.
+func TestForeignAuditKeyHidesNoChanges(t *testing.T) {
+	x := fullDocument(t, mutation{})
+	defer x.server.Close()
+	for range 2 * fleet.RecentChanges {
+		qt.Assert(t, x.accept(0, x.change(0, "a/p", true)), qt.IsNil)
+	}
+	before, err := x.managers[0].Audit(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	x.platform.SetValue(auditPrefix+"notes", []byte(`"written by hand"`))
+	after, err := x.managers[0].Audit(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(after), qt.Equals, len(before))
+}
+
 // concurrentPermits lets all hosts drain a worker of a pool that can spare one, each based
 // on the version before the others' changes.
 func concurrentPermits(mut mutation) func(testing.TB) {
