--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -24,7 +24,9 @@
 	cordonedAt time.Time
 	cordonWave int64
 	moveTo     string // the pool to which the machine is to be lent
-	unlisted   bool   // while the list is replaced
+	// orderedTo is the pool to which the machine was last ordered, empty for maintenance.
+	orderedTo string
+	unlisted  bool // while the list is replaced
 	// due is set while a wave still has to take the machine.
 	due bool
 	// orderSequence is the number of the last order for the machine. It is added to the fencing
@@ -51,7 +53,7 @@
 		if !s.machinesKnown && info.State == worker.Up && info.Worker != "" && !s.recovered {
 			s.recoveryWorkers[info.Worker] = true
 		}
-		if m.away && info.State == worker.Up && info.Worker != "" {
+		if m.away && info.State == worker.Up && (info.Worker != "" || s.onStandby(info.Pool)) {
 			m.endAbsence(s.workers[info.Worker], asked)
 		}
 	}
@@ -76,7 +78,7 @@
 // endAbsence ends the absence of a machine that is up with a worker. w is the state of that
 // worker, nil if it is not registered.
 func (m *machine) endAbsence(w *workerState, asked time.Time) {
-	if m.Worker != m.orderedWorker {
+	if m.Worker != m.orderedWorker || (m.orderedTo != "" && m.Pool == m.orderedTo) {
 		m.away = false
 		return
 	}
@@ -162,7 +164,7 @@
 		}
 		return
 	}
-	m.cordoned, m.moveTo = false, ""
+	m.cordoned, m.moveTo, m.orderedTo = false, "", o.Pool
 	m.away, m.awayWave, m.awaySince = true, o.Wave, now
 	if ws := s.workers[m.orderedWorker]; ws != nil {
 		ws.orderedAway = true
@@ -175,3 +177,12 @@
 		s.reportWave(w)
 	}
 }
+
+// onStandby reports whether the machines of a pool are off.
+func (s *Scheduler) onStandby(pool string) bool {
+	if s.catalog == nil {
+		return false
+	}
+	p := s.catalog.Pools[pool]
+	return p != nil && p.Standby
+}
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -61,11 +61,11 @@
 
 // startWorker starts a new worker on a machine; it registers unless its pool is on standby.
 func (sim *machineSimulation) startWorker(m *fakeMachine) {
-	sim.workersStarted++
-	m.Worker = fmt.Sprintf("w%03d", sim.workersStarted)
 	if m.Pool == "spare" {
 		return
 	}
+	sim.workersStarted++
+	m.Worker = fmt.Sprintf("w%03d", sim.workersStarted)
 	w := sim.addWorker(m.Worker)
 	w.registration.Pool, w.registration.Machine = m.Pool, m.ID
 	if m.Labels != nil {
@@ -453,3 +453,18 @@
 	assertNoViolations(t, sim.simulation)
 	qt.Assert(t, len(sim.ordered) > 0, qt.IsTrue)
 }
+
+// Guards against a machine that is moved to a pool on standby and never used again: it carries no
+// worker there that would show the end of its move.
+func TestMachineOnStandbyIsCalledBack(t *testing.T) {
+	sim := newMachineSimulation(map[string]int{"desk": 8})
+	m := sim.core.machines["desk-7"]
+	m.cordoned, m.cordonedAt, m.moveTo = true, sim.now, "spare"
+	sim.advance(4 * time.Second)
+	qt.Assert(t, sim.machines["desk-7"].Pool, qt.Equals, "spare")
+	for n := range 20 {
+		sim.submitFor("rounds", "arbiters", fmt.Sprintf("j%d", n), job.Step{Count: 4, Need: small})
+	}
+	sim.advance(3 * time.Second)
+	qt.Assert(t, sim.machines["desk-7"].Pool, qt.Equals, "desk")
+}
