--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -12,9 +12,11 @@
 // demand compares the capacity of a pool with what its running and waiting tasks need.
 type demand struct {
 	pool string
-	// capacity is that of the machines, wanted what running and waiting tasks need.
+	// capacity is that of the machines, wanted what running and waiting tasks need whose jobs can
+	// still be in time, and late what the others need.
 	capacity resource.Amount
 	wanted   resource.Amount
+	late     resource.Amount
 	machines int
 	// perMachine is the mean capacity of a machine.
 	perMachine resource.Amount
@@ -48,7 +50,8 @@
 
 // addUsed adds what running tasks use of a worker of the pool.
 func (d *demand) addUsed(w *workerState) {
-	d.wanted = d.wanted.Add(w.used)
+	d.wanted = d.wanted.Add(w.used).Sub(w.lateUse)
+	d.late = d.late.Add(w.lateUse)
 	for label, labelDemand := range d.labelled {
 		if w.registration.Labels.Has(label) {
 			labelDemand.addUsed(w)
@@ -59,7 +62,11 @@
 // addWaiting adds the needs of the waiting tasks of a step.
 func (d *demand) addWaiting(st *stepState) {
 	amount := st.spec.Reserved().Times(len(st.waitingTasks))
-	d.wanted = d.wanted.Add(amount)
+	if st.late() {
+		d.late = d.late.Add(amount)
+	} else {
+		d.wanted = d.wanted.Add(amount)
+	}
 	if st.spec.Label == "" {
 		return
 	}
@@ -68,7 +75,22 @@
 		labelDemand = &demand{pool: d.pool, label: st.spec.Label, perMachine: d.perMachine}
 		d.labelled[st.spec.Label] = labelDemand
 	}
-	labelDemand.wanted = labelDemand.wanted.Add(amount)
+	if st.late() {
+		labelDemand.late = labelDemand.late.Add(amount)
+	} else {
+		labelDemand.wanted = labelDemand.wanted.Add(amount)
+	}
+}
+
+// late reports whether the job of the step can't be in time any more.
+func (st *stepState) late() bool { return st.rank.lateness > 0 && !st.spec.LongRunning }
+
+// includeLate adds the needs of late jobs to those of the others.
+func (d *demand) includeLate() {
+	d.wanted, d.late = d.wanted.Add(d.late), resource.Amount{}
+	for _, labelDemand := range d.labelled {
+		labelDemand.includeLate()
+	}
 }
 
 const (
@@ -84,6 +106,19 @@
 func (s *Scheduler) planMoves() {
 	pools := s.demands()
 	s.lendForRelocation(pools)
+	s.lendToShort(pools, false)
+	s.lendToShort(pools, true)
+}
+
+// lendToShort lends machines to pools that lack some for work that can be in time, or, after
+// that, for late work as well. Late work gets idle machines only; for other work, a pool gives
+// machines that run nothing but late tasks.
+func (s *Scheduler) lendToShort(pools map[string]*demand, late bool) {
+	if late {
+		for _, d := range pools {
+			d.includeLate()
+		}
+	}
 	var short []*demand
 	for _, d := range pools {
 		if d.missing() > 0 {
@@ -101,7 +136,7 @@
 	})
 	for _, d := range short {
 		for d.missing() > 0 {
-			m := s.lender(pools, d)
+			m := s.lender(pools, d, late)
 			if m == nil {
 				break
 			}
@@ -178,7 +213,7 @@
 		if pools[r.pool] == nil || s.machineIncoming(r) {
 			continue
 		}
-		if m := s.lender(pools, &demand{pool: r.pool, label: r.label}); m != nil && !m.due {
+		if m := s.lender(pools, &demand{pool: r.pool, label: r.label}, true); m != nil && !m.due {
 			s.lend(m, r.pool, pools)
 		}
 	}
@@ -208,11 +243,12 @@
 }
 
 // lender returns the machine that is best lent to the borrower, nil if no other pool can spare one.
-func (s *Scheduler) lender(pools map[string]*demand, borrower *demand) *machine {
+// With idleOnly, machines that run late tasks are not lent.
+func (s *Scheduler) lender(pools map[string]*demand, borrower *demand, idleOnly bool) *machine {
 	var best *machine
 	bestSpare := false
 	for _, m := range s.sortedMachines {
-		if m.State != worker.Up || m.Pool == borrower.pool || s.evacuatedMachine(m) || !m.Labels.Has(borrower.label) || m.cordoned || m.orderInFlight || m.away || s.now.Before(m.retryAt) {
+		if m.Pool == borrower.pool || !m.Labels.Has(borrower.label) || !s.lendable(m, idleOnly) {
 			continue
 		}
 		from := pools[m.Pool]
@@ -220,13 +256,34 @@
 		if !spare && (from.machines <= minPoolMachines || from.missing() > 0 || float64(from.wanted.CPU) > borrowThreshold*float64(from.capacity.CPU-m.Capacity.CPU)) {
 			continue
 		}
-		if w := s.workers[m.Worker]; w != nil && (len(w.runs) > 0 || w.registration.Leaving || w.orderedAway || w.uncertain) {
-			continue
-		}
 		// Machines that are due for maintenance go last, as they would leave again soon.
-		if best == nil || cmp.Or(-boolCompare(spare, bestSpare), boolCompare(m.due, best.due), cmp.Compare(m.ID, best.ID)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(s.runsOn(m), s.runsOn(best)), -boolCompare(spare, bestSpare), boolCompare(m.due, best.due), cmp.Compare(m.ID, best.ID)) < 0 {
 			best, bestSpare = m, spare
 		}
 	}
 	return best
 }
+
+// runsOn counts the runs on a machine.
+func (s *Scheduler) runsOn(m *machine) int {
+	if w := s.workers[m.Worker]; w != nil {
+		return len(w.runs)
+	}
+	return 0
+}
+
+// lendable reports whether a machine may be moved to another pool: it is idle or, unless idleOnly
+// is set, runs nothing but late tasks.
+func (s *Scheduler) lendable(m *machine, idleOnly bool) bool {
+	if m.State != worker.Up || s.evacuatedMachine(m) || m.cordoned || m.orderInFlight || m.away || s.now.Before(m.retryAt) {
+		return false
+	}
+	w := s.workers[m.Worker]
+	if w == nil {
+		return true
+	}
+	if len(w.reservations) > 0 || w.registration.Leaving || w.orderedAway || w.uncertain {
+		return false
+	}
+	return len(w.runs) == 0 || !idleOnly && w.longRunning == 0 && w.lateUse == w.used
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -51,6 +51,8 @@
 
 	runs map[job.Task]*run
 	used resource.Amount
+	// lateUse is the part of used that belongs to runs of jobs that can't be in time any more.
+	lateUse resource.Amount
 	// reservations hold capacity for long-running tasks that wait.
 	reservations []*reservation
 
@@ -112,6 +114,8 @@
 	checkpoint string
 	speed      speed
 	need       resource.Amount
+	// late is set if the job could not be in time any more when the run was started.
+	late bool
 	// claim holds the fencing token with which the start was sent.
 	claim claim
 }
@@ -229,6 +233,9 @@
 	if r.step.spec.LongRunning {
 		w.longRunning += n
 	}
+	if r.late {
+		w.lateUse = w.lateUse.Add(r.need.Times(n))
+	}
 }
 
 // expire drops the runs of a worker once its lease must have ended, and removes workers that
