--- a/demo/load.go
+++ b/demo/load.go
@@ -38,12 +38,6 @@
 	crossed bool
 }
 
-// flow is the requests of one team to one service.
-type flow struct {
-	service, team string
-	fraction      float64 // of the service's rate
-}
-
 // load sends requests of both client accounts and records the outcomes.
 type load struct {
 	cluster     *cluster
--- a/minion/client.go
+++ b/minion/client.go
@@ -35,11 +35,10 @@
 
 // Client sends requests to minions over pooled connections. It is safe for concurrent use.
 type Client struct {
-	mu         sync.Mutex
-	pools      map[netip.AddrPort]*pool
-	latencies  map[string]*latency
-	probeCount int
-	closed     bool
+	mu        sync.Mutex
+	pools     map[netip.AddrPort]*pool
+	latencies map[string]*latency
+	closed    bool
 
 	// Tests replace these functions by fakes or mutants.
 	now            func() time.Time
--- a/minion/pathcheck.go
+++ b/minion/pathcheck.go
@@ -75,7 +75,6 @@
 	newProbe := &probe{done: make(chan struct{})}
 	p.probe = newProbe
 	p.connCount++
-	c.probeCount++
 	c.mu.Unlock()
 	cn, err := c.openConn(context.Background(), address)
 	newProbe.succeeded = err == nil
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -31,7 +31,6 @@
 	// last durable one.
 	version, saving, saved int
 	restored               *progress.Record
-	remaining              int // unfinished tasks of begun occurrences; not read
 }
 
 // occurrence is one repetition of the steps of a job.
@@ -76,7 +75,6 @@
 
 type task struct {
 	run        *run
-	last       int64 // number of the last run; not read
 	done       bool
 	failed     []int64 // numbers of the failed runs
 	checkpoint string
@@ -194,7 +192,6 @@
 		st := &stepState{job: j, occurrence: o, number: i, spec: step, tasks: make([]task, step.Count), unfinished: step.Count}
 		o.steps = append(o.steps, st)
 		s.restore(st)
-		j.remaining += st.unfinished
 		if st.unfinished > 0 {
 			o.openSteps++
 		}
@@ -280,7 +277,6 @@
 	t.done = true
 	t.checkpoint = ""
 	st.unfinished--
-	st.job.remaining--
 	st.waitingTasks = slices.DeleteFunc(st.waitingTasks, func(n int) bool { return n == index })
 	s.stopEarlierRuns(t, "done elsewhere")
 	s.markDirty(st.job)
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -9,90 +9,6 @@
 	"egretdrum.example/worker"
 )
 
-// demand compares the capacity of a pool with what its running and waiting tasks need.
-type demand struct {
-	pool string
-	// capacity is that of the machines, wanted what running and waiting tasks need whose jobs can
-	// still be in time, and late what the others need.
-	capacity resource.Amount
-	wanted   resource.Amount
-	late     resource.Amount
-	machines int
-	// perMachine is the mean capacity of a machine.
-	perMachine resource.Amount
-	// label is set for the demand of tasks that only run on machines with this label.
-	label string
-	// labelled holds the demands of waiting tasks that need a label, by label.
-	labelled map[string]*demand
-}
-
-// addMachine adds a machine to the pool.
-func (d *demand) addMachine(m *machine) {
-	d.machines++
-	d.capacity = d.capacity.Add(m.Capacity)
-	for label, labelDemand := range d.labelled {
-		if m.Labels.Has(label) {
-			labelDemand.addMachine(m)
-		}
-	}
-}
-
-// removeMachine removes a machine from the pool.
-func (d *demand) removeMachine(m *machine) {
-	d.machines--
-	d.capacity = d.capacity.Sub(m.Capacity)
-	for label, labelDemand := range d.labelled {
-		if m.Labels.Has(label) {
-			labelDemand.removeMachine(m)
-		}
-	}
-}
-
-// addUsed adds what running tasks use of a worker of the pool.
-func (d *demand) addUsed(w *workerState) {
-	d.wanted = d.wanted.Add(w.used).Sub(w.lateUse)
-	d.late = d.late.Add(w.lateUse)
-	for label, labelDemand := range d.labelled {
-		if w.registration.Labels.Has(label) {
-			labelDemand.addUsed(w)
-		}
-	}
-}
-
-// addWaiting adds the needs of the waiting tasks of a step.
-func (d *demand) addWaiting(st *stepState) {
-	amount := st.spec.Reserved().Times(len(st.waitingTasks))
-	if st.late() {
-		d.late = d.late.Add(amount)
-	} else {
-		d.wanted = d.wanted.Add(amount)
-	}
-	if st.spec.Label == "" {
-		return
-	}
-	labelDemand := d.labelled[st.spec.Label]
-	if labelDemand == nil {
-		labelDemand = &demand{pool: d.pool, label: st.spec.Label, perMachine: d.perMachine}
-		d.labelled[st.spec.Label] = labelDemand
-	}
-	if st.late() {
-		labelDemand.late = labelDemand.late.Add(amount)
-	} else {
-		labelDemand.wanted = labelDemand.wanted.Add(amount)
-	}
-}
-
-// late reports whether the job of the step can't be in time any more.
-func (st *stepState) late() bool { return st.rank.lateness > 0 && !st.spec.LongRunning }
-
-// includeLate adds the needs of late jobs to those of the others.
-func (d *demand) includeLate() {
-	d.wanted, d.late = d.wanted.Add(d.late), resource.Amount{}
-	for _, labelDemand := range d.labelled {
-		labelDemand.includeLate()
-	}
-}
-
 const (
 	// minPoolMachines is the number of machines that a pool keeps at least when it lends others.
 	minPoolMachines = 6
@@ -134,9 +50,13 @@
 	slices.SortFunc(short, func(a, b *demand) int {
 		return cmp.Or(-boolCompare(a.label != "", b.label != ""), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.pool, b.pool), cmp.Compare(a.label, b.label))
 	})
+	if len(short) == 0 {
+		return
+	}
+	lenders := s.lenders(pools, late)
 	for _, d := range short {
 		for d.missing() > 0 {
-			m := s.lender(pools, d, late)
+			m := takeLender(&lenders, pools, d)
 			if m == nil {
 				break
 			}
@@ -155,51 +75,6 @@
 	s.logEvent(LogEvent{Event: "machine-lent", Worker: m.Worker, Reason: m.ID + " from " + m.Pool + " to " + pool})
 }
 
-// missing returns the number of machines that the pool lacks.
-func (d *demand) missing() int {
-	if d.perMachine.CPU == 0 {
-		return 0
-	}
-	lackCPU := float64(d.wanted.CPU) - borrowThreshold*float64(d.capacity.CPU)
-	lackMemory := float64(d.wanted.Memory) - borrowThreshold*float64(d.capacity.Memory)
-	n := max(lackCPU/float64(d.perMachine.CPU), lackMemory/float64(max(1, d.perMachine.Memory)))
-	return int(max(0, n) + 0.999)
-}
-
-func (s *Scheduler) demands() map[string]*demand {
-	pools := make(map[string]*demand)
-	unit := s.meanCapacity()
-	for name, p := range s.catalog.Pools {
-		if !p.Standby {
-			pools[name] = &demand{pool: name, perMachine: unit, labelled: make(map[string]*demand)}
-		}
-	}
-	for pool, steps := range s.waiting {
-		d := pools[pool]
-		if d == nil {
-			continue
-		}
-		for _, st := range steps {
-			d.addWaiting(st)
-		}
-	}
-	for _, m := range s.sortedMachines {
-		pool := m.Pool
-		if m.moveTo != "" {
-			pool = m.moveTo
-		}
-		if d := pools[pool]; d != nil && m.State != worker.Down && m.State != worker.Unknown && !s.evacuatedMachine(m) {
-			d.addMachine(m)
-		}
-	}
-	for _, w := range s.workers {
-		if d := pools[w.registration.Pool]; d != nil && !s.evacuated(w) {
-			d.addUsed(w)
-		}
-	}
-	return pools
-}
-
 // relocationNeed names a pool that lacks a machine with a label for long-running tasks which have
 // to leave their worker: the other machines of the pool are due as well or run the same step.
 type relocationNeed struct{ pool, label string }
@@ -213,7 +88,8 @@
 		if pools[r.pool] == nil || s.machineIncoming(r) {
 			continue
 		}
-		if m := s.lender(pools, &demand{pool: r.pool, label: r.label}, true); m != nil && !m.due {
+		lenders := slices.DeleteFunc(s.lenders(pools, true), func(m *machine) bool { return m.due })
+		if m := takeLender(&lenders, pools, &demand{pool: r.pool, label: r.label}); m != nil {
 			s.lend(m, r.pool, pools)
 		}
 	}
@@ -242,26 +118,42 @@
 	return resource.Amount{CPU: sum.CPU / n, Memory: sum.Memory / n, Accelerators: sum.Accelerators / n}
 }
 
-// lender returns the machine that is best lent to the borrower, nil if no other pool can spare one.
-// With idleOnly, machines that run late tasks are not lent.
-func (s *Scheduler) lender(pools map[string]*demand, borrower *demand, idleOnly bool) *machine {
-	var best *machine
-	bestSpare := false
+// lenders returns the machines that may be lent, the best ones first: those with the fewest tasks,
+// then spare ones. Machines that are due for maintenance go last, as they would leave again soon.
+// With idleOnly, machines that run late tasks are left out.
+func (s *Scheduler) lenders(pools map[string]*demand, idleOnly bool) []*machine {
+	var list []*machine
 	for _, m := range s.sortedMachines {
-		if m.Pool == borrower.pool || !m.Labels.Has(borrower.label) || !s.lendable(m, idleOnly) {
-			continue
+		if s.lendable(m, idleOnly) {
+			list = append(list, m)
 		}
-		from := pools[m.Pool]
-		spare := from == nil
-		if !spare && (from.machines <= minPoolMachines || from.missing() > 0 || float64(from.wanted.CPU) > borrowThreshold*float64(from.capacity.CPU-m.Capacity.CPU)) {
+	}
+	spare := func(m *machine) bool { return pools[m.Pool] == nil }
+	slices.SortStableFunc(list, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(s.runsOn(a), s.runsOn(b)), -boolCompare(spare(a), spare(b)), boolCompare(a.due, b.due))
+	})
+	return list
+}
+
+// takeLender removes the first machine from a list of lenders that helps the borrower and that its
+// pool can spare, and returns it; nil if there is none.
+func takeLender(list *[]*machine, pools map[string]*demand, borrower *demand) *machine {
+	for i, m := range *list {
+		if m.Pool == borrower.pool || !m.Labels.Has(borrower.label) {
 			continue
 		}
-		// Machines that are due for maintenance go last, as they would leave again soon.
-		if best == nil || cmp.Or(cmp.Compare(s.runsOn(m), s.runsOn(best)), -boolCompare(spare, bestSpare), boolCompare(m.due, best.due), cmp.Compare(m.ID, best.ID)) < 0 {
-			best, bestSpare = m, spare
+		if from := pools[m.Pool]; from != nil && !from.canLend(m) {
+			continue
 		}
+		*list = slices.Delete(*list, i, i+1)
+		return m
 	}
-	return best
+	return nil
+}
+
+// canLend reports whether the pool has capacity enough without the machine.
+func (d *demand) canLend(m *machine) bool {
+	return d.machines > minPoolMachines && d.missing() == 0 && float64(d.wanted.CPU) <= borrowThreshold*float64(d.capacity.CPU-m.Capacity.CPU)
 }
 
 // runsOn counts the runs on a machine.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -134,10 +134,27 @@
 // higher numbers.
 func New(limits Limits, ownership int64, now time.Time) *Scheduler {
 	s := &Scheduler{
-		limits: limits, started: now, startWindow: maxWindow, fence: ownership * fencesPerOwner, now: now, lastRun: ownership * runsPerOwner,
-		jobs: make(map[string]*jobState), workers: make(map[string]*workerState), accounts: make(map[string]resource.Amount),
-		waiting: make(map[string][]*stepState), machines: make(map[string]*machine), waves: make(map[int64]*wave), relocationNeeds: make(map[relocationNeed]bool),
-		recoveryWorkers: make(map[string]bool), changedPools: make(map[string]bool), nextPass: make(map[string]time.Time), changedWorkers: make(map[*workerState]bool), dirty: make(map[string]*jobState), runTimes: make(map[string]*runTimeStats), shareBuckets: make(map[string]*shareBucket),
+		limits:  limits,
+		started: now, now: now,
+		startWindow: maxWindow,
+		fence:       ownership * fencesPerOwner,
+		lastRun:     ownership * runsPerOwner,
+
+		jobs:     make(map[string]*jobState),
+		waiting:  make(map[string][]*stepState),
+		dirty:    make(map[string]*jobState),
+		workers:  make(map[string]*workerState),
+		machines: make(map[string]*machine),
+		waves:    make(map[int64]*wave),
+		accounts: make(map[string]resource.Amount),
+
+		runTimes:        make(map[string]*runTimeStats),
+		shareBuckets:    make(map[string]*shareBucket),
+		relocationNeeds: make(map[relocationNeed]bool),
+		recoveryWorkers: make(map[string]bool),
+		changedPools:    make(map[string]bool),
+		changedWorkers:  make(map[*workerState]bool),
+		nextPass:        make(map[string]time.Time),
 	}
 	if mutation.restartRuns {
 		s.lastRun = 0
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -220,7 +220,7 @@
 	w.countRun(r, 1)
 	s.addUse(r.step.job.spec.Account, r.step.spec.Need)
 	t := &r.step.tasks[r.index]
-	t.run, t.last = r, r.number
+	t.run = r
 }
 
 func (w *workerState) countRun(r *run, n int) {
