--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -34,7 +34,7 @@
 	s.changedWorkers[w] = true
 	if w.unansweredPolls > 0 {
 		s.logEvent(LogEvent{Event: "worker-answered", Worker: w.registration.ID, AffectedCount: len(w.runs)})
-		w.unansweredPolls = 0
+		w.unansweredPolls, w.copiesQueued = 0, false
 	}
 	if w.incarnation != 0 && answer.Incarnation != w.incarnation {
 		s.newIncarnation(w, answer.Incarnation)
@@ -72,6 +72,9 @@
 	if first {
 		s.answers.recordPoll(false)
 		s.logEvent(LogEvent{Event: "worker-unanswered", Worker: w.registration.ID, AffectedCount: len(w.runs)})
+	}
+	if w.unansweredPolls >= s.copyAfter() && !w.copiesQueued {
+		w.copiesQueued = true
 		s.queueCopies(w)
 	}
 	if otherIncarnation {
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -31,6 +31,20 @@
 	r.step = d
 }
 
+// lossyCopyAfter is the number of unanswered polls in a row after which a worker counts as silent
+// while many answers are lost.
+const lossyCopyAfter = 2
+
+// copyAfter returns the number of unanswered polls in a row after which a worker's speculative tasks
+// get copies. While answers are often lost, a single lost one says little about the worker, and
+// copies take the room of other tasks.
+func (s *Scheduler) copyAfter() int {
+	if s.answers.lostShare > lossyShare {
+		return lossyCopyAfter
+	}
+	return 1
+}
+
 // queueCopies queues copies of the runs of a worker that does not answer, for those steps that
 // allow it.
 func (s *Scheduler) queueCopies(w *workerState) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -71,6 +71,8 @@
 	pollFence             int64
 	nextPoll              time.Time
 	unansweredPolls       int // since the last answer
+	// copiesQueued is set once its speculative tasks were queued again since the last answer.
+	copiesQueued bool
 	pausedUntil           time.Time
 	// serving and background count the runs with a latency target and the background runs, which
 	// disturb each other.
