--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -73,7 +73,7 @@
 	unansweredPolls       int // since the last answer
 	// copiesQueued is set once its speculative tasks were queued again since the last answer.
 	copiesQueued bool
-	pausedUntil           time.Time
+	pausedUntil  time.Time
 	// serving and background count the runs with a latency target and the background runs, which
 	// disturb each other.
 	serving, background, longRunning int
