--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -34,7 +34,7 @@
 		if w == nil {
 			return
 		}
-		s.reserveFor(st, w)
+		s.reserveFor(st, w, "no room for a waiting task")
 	}
 }
 
@@ -45,30 +45,42 @@
 	var best *workerState
 	var bestLack float64
 	for _, w := range workers {
-		others := w.reservedForOthers(st)
-		lasting := w.longRunningUse()
-		switch {
-		case !lasting.Add(others).Add(need).Within(w.registration.Capacity), s.dueForMaintenance(w), w.onTrial():
-			continue
-		case !w.registration.Labels.Has(st.spec.Label), st.refusedBy(w), w.reservationsOf(st) > 0:
-			continue
-		case st.spec.MaxPerWorker > 0 && s.siblings(st, w) >= st.spec.MaxPerWorker:
+		if !s.reservable(st, w) {
 			continue
 		}
-		free := w.registration.Capacity.Sub(w.used).Sub(others)
-		lack := max(
-			float64(need.CPU-free.CPU)/float64(max(1, w.registration.Capacity.CPU)),
-			float64(need.Memory-free.Memory)/float64(max(1, w.registration.Capacity.Memory)),
-			float64(need.Accelerators-free.Accelerators)/float64(max(1, w.registration.Capacity.Accelerators)),
-		)
-		if best == nil || lack < bestLack {
+		free := w.registration.Capacity.Sub(w.used).Sub(w.reservedForOthers(st))
+		if lack := largestLack(need, free, w.registration.Capacity); best == nil || lack < bestLack {
 			best, bestLack = w, lack
 		}
 	}
 	return best
 }
 
-// longRunningUse returns the capacity that long-running tasks use, which does not become free.
+// reservable reports whether a task of the step fits on the worker once its other tasks have ended,
+// apart from long-running ones and those with reservations.
+func (s *Scheduler) reservable(st *stepState, w *workerState) bool {
+	staying := w.longRunningUse().Add(w.reservedForOthers(st))
+	switch {
+	case !staying.Add(st.spec.Reserved()).Within(w.registration.Capacity):
+		return false
+	case s.dueForMaintenance(w), w.onTrial(), !w.registration.Labels.Has(st.spec.Label), st.refusedBy(w), w.reservationsOf(st) > 0:
+		return false
+	}
+	return st.spec.MaxPerWorker <= 0 || s.siblings(st, w) < st.spec.MaxPerWorker
+}
+
+// largestLack returns the largest part of a worker's capacity, over its resources, by which a need
+// exceeds what is free. It is negative if the need fits.
+func largestLack(need, free, capacity resource.Amount) float64 {
+	part := func(need, free, capacity int) float64 { return float64(need-free) / float64(max(1, capacity)) }
+	return max(
+		part(need.CPU, free.CPU, capacity.CPU),
+		part(need.Memory, free.Memory, capacity.Memory),
+		part(need.Accelerators, free.Accelerators, capacity.Accelerators),
+	)
+}
+
+// longRunningUse returns the capacity that long-running tasks of the worker use.
 func (w *workerState) longRunningUse() resource.Amount {
 	var sum resource.Amount
 	for _, r := range w.runs {
@@ -79,11 +91,12 @@
 	return sum
 }
 
-func (s *Scheduler) reserveFor(st *stepState, w *workerState) {
+// reserveFor reserves a worker for one task of a step; reason is logged.
+func (s *Scheduler) reserveFor(st *stepState, w *workerState, reason string) {
 	r := &reservation{st, w}
 	st.reservations = append(st.reservations, r)
 	w.reservations = append(w.reservations, r)
-	s.logEvent(LogEvent{Event: "worker-reserved", Job: st.job.spec.ID, Task: st.name(0), Worker: w.registration.ID, Waited: s.now.Sub(st.waitingSince), WaitReason: st.reason})
+	s.logEvent(LogEvent{Event: "worker-reserved", Job: st.job.spec.ID, Task: st.name(0), Worker: w.registration.ID, Reason: reason})
 }
 
 // endReservation removes a reservation.
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -368,7 +368,7 @@
 				continue
 			}
 		} else if !mutation.ignoreReservations {
-			s.reserveFor(r.step, target)
+			s.reserveFor(r.step, target, "to empty "+w.registration.ID)
 		}
 		s.stop(r, "machine is emptied")
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -160,8 +160,8 @@
 		s.byPool = nil
 	}
 	w.registration, w.registered = e, true
-	if e.ColdFor > 0 {
-		w.slowUntil = now.Add(e.ColdFor)
+	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
+		w.slowUntil = warm
 	}
 	s.changedWorkers[w] = true
 	if e.Leaving {
