--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -12,7 +12,7 @@
 const (
 	// minPoolMachines is the number of machines that a pool keeps at least when it lends others.
 	minPoolMachines = 6
-	// minPoolForBusyLoans is the number of machines from which on a pool lends machines with late
+	// minPoolForBusyLoans is the number of machines from which on pools lend machines with late
 	// tasks: such a machine is missing for two to three seconds, a tenth of a smaller pool.
 	minPoolForBusyLoans = 24
 	// borrowThreshold is the utilization above which a pool borrows machines: a machine arrives
@@ -21,23 +21,32 @@
 )
 
 // planMoves lends machines to pools whose tasks need more than their capacity: spare machines
-// first, then idle machines of pools with little demand.
+// first, then idle machines of pools with little demand. Where pools are large, work that can be in
+// time borrows before late work.
 func (s *Scheduler) planMoves() {
 	pools := s.demands()
+	lateApart := len(s.machines) >= minPoolForBusyLoans*len(pools)
+	if !lateApart {
+		includeLate(pools)
+	}
 	s.lendForRelocation(pools)
-	s.lendToShort(pools, false)
+	if lateApart {
+		s.lendToShort(pools, false)
+		includeLate(pools)
+	}
 	s.lendToShort(pools, true)
 }
 
-// lendToShort lends machines to pools that lack some for work that can be in time, or, after
-// that, for late work as well. Late work gets idle machines only; for other work, a large pool
-// gives machines that run nothing but late tasks.
-func (s *Scheduler) lendToShort(pools map[string]*demand, late bool) {
-	if late {
-		for _, d := range pools {
-			d.includeLate()
-		}
+// includeLate has late work count like other work.
+func includeLate(pools map[string]*demand) {
+	for _, d := range pools {
+		d.includeLate()
 	}
+}
+
+// lendToShort lends machines to pools that lack some. With idleOnly, it leaves out those of large
+// pools that run nothing but late tasks.
+func (s *Scheduler) lendToShort(pools map[string]*demand, idleOnly bool) {
 	var short []*demand
 	for _, d := range pools {
 		if d.missing() > 0 {
@@ -56,7 +65,7 @@
 	if len(short) == 0 {
 		return
 	}
-	lenders := s.lenders(pools, late)
+	lenders := s.lenders(pools, idleOnly)
 	for _, d := range short {
 		for d.missing() > 0 {
 			m := takeLender(&lenders, pools, d)
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -234,6 +234,7 @@
 func (s *Scheduler) poolStates() map[string]*poolState {
 	pools := make(map[string]*poolState)
 	demands := s.demands()
+	includeLate(demands)
 	for _, m := range s.machines {
 		p := pools[m.Pool]
 		if p == nil {
