--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -167,6 +167,8 @@
 	// orderTimeout is how long an owner waits for the answer to an order, and how long until it
 	// repeats a stop.
 	orderTimeout = 600 * time.Millisecond
+	// lateCallDelay is how late a worker carries out a call that was delayed.
+	lateCallDelay = 2 * time.Second
 )
 
 func newSimulation(workers int) *simulation {
@@ -449,8 +451,9 @@
 }
 
 // deliver makes a call to a worker with the outcome that callFault decides, and reports whether the
-// caller gets an answer.
-func (sim *simulation) deliver(kind string, w *fakeWorker, apply func()) bool {
+// caller gets an answer. A delayed call reaches the incarnation that the worker has by then: only
+// another ID at the address makes a worker refuse it.
+func (sim *simulation) deliver(kind string, w *fakeWorker, apply func(*fakeWorker)) bool {
 	if w.down || w.unreachable {
 		return false
 	}
@@ -458,17 +461,17 @@
 	case requestLost:
 		return false
 	case responseLost:
-		apply()
+		apply(w)
 		return false
 	case requestDelayed:
-		sim.late = append(sim.late, delayedCall{sim.now.Add(2 * time.Second), func() {
-			if !w.down && sim.workers[w.registration.ID] == w {
-				apply()
+		sim.late = append(sim.late, delayedCall{sim.now.Add(lateCallDelay), func() {
+			if current := sim.workers[w.registration.ID]; !current.down {
+				apply(current)
 			}
 		}})
 		return false
 	}
-	apply()
+	apply(w)
 	return true
 }
 
@@ -534,7 +537,7 @@
 	}
 	sim.lastRuns[a.Task] = a.Run
 	result := StartRejected
-	ok := sim.deliver("start", w, func() { result = sim.handleStart(w, a) })
+	ok := sim.deliver("start", w, func(w *fakeWorker) { result = sim.handleStart(w, a) })
 	if !ok {
 		result = StartUnanswered
 	}
@@ -642,7 +645,7 @@
 
 func (sim *simulation) stop(a Stop) {
 	w := sim.workers[a.Worker.ID]
-	ok := sim.deliver("stop", w, func() {
+	ok := sim.deliver("stop", w, func(w *fakeWorker) {
 		if a.Fence < w.fence {
 			return
 		}
@@ -661,7 +664,7 @@
 func (sim *simulation) poll(a Poll) {
 	w := sim.workers[a.Worker.ID]
 	var listing *worker.Listing
-	ok := sim.deliver("poll", w, func() {
+	ok := sim.deliver("poll", w, func(w *fakeWorker) {
 		if a.Fence < w.fence {
 			return
 		}
@@ -751,7 +754,7 @@
 
 func (sim *simulation) pace(a Pace) {
 	w := sim.workers[a.Worker.ID]
-	ok := sim.deliver("pace", w, func() {
+	ok := sim.deliver("pace", w, func(w *fakeWorker) {
 		if r := w.runs[a.Task]; r != nil && r.number == a.Run && a.Fence >= w.fence {
 			r.pace = a.Percent
 		}
