--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -108,8 +108,17 @@
 	o.post(func(now time.Time) { o.core.StartAnswered(a, result, reason, now) })
 }
 
+// mayCall reports whether the term allows a call, and logs a call that is not sent.
+func (o *Owner) mayCall(kind, subject string) bool {
+	if o.term.Valid() {
+		return true
+	}
+	o.Log.Warn("call-not-sent", zap.String("call", kind), zap.String("subject", subject), zap.Int64("term", o.term.Number))
+	return false
+}
+
 func (o *Owner) stopRun(a scheduler.Stop) {
-	if !o.term.Valid() {
+	if !o.mayCall("stop", a.Task.String()) {
 		return
 	}
 	o.Log.Info("run-stopped", zap.String("request", a.Task.Job), zap.Stringer("task", a.Task), zap.Int64("run", a.Run), zap.String("worker", a.Worker.ID), zap.String("reason", a.Reason))
@@ -123,7 +132,7 @@
 }
 
 func (o *Owner) pace(a scheduler.Pace) {
-	if !o.term.Valid() {
+	if !o.mayCall("pace", a.Task.String()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, paceTimeout)
@@ -144,7 +153,7 @@
 			return
 		}
 	}
-	if !o.term.Valid() {
+	if !o.mayCall("poll", a.Worker.ID) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, a.Wait+a.Timeout)
@@ -165,7 +174,7 @@
 }
 
 func (o *Owner) order(a scheduler.MachineOrder) {
-	if !o.term.Valid() {
+	if !o.mayCall("order", a.Machine) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -129,6 +129,7 @@
 		if listed.Checkpoint != "" {
 			r.checkpoint = listed.Checkpoint
 		}
+		s.logStoppedRun(r)
 		return
 	}
 	st := s.step(listed.Task)
@@ -145,6 +146,13 @@
 	s.markRunning(st.job)
 }
 
+// logStoppedRun logs a run that its worker lists although it has had the time to stop it.
+func (s *Scheduler) logStoppedRun(r *run) {
+	if r.state == stopping && !r.stopped.IsZero() && s.now.Sub(r.stopped) > s.limits.Stop {
+		s.logEvent(LogEvent{Event: "stopped-run-listed", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number})
+	}
+}
+
 // rejectRun stops a run that is not wanted. The run still counts against the capacity of the
 // worker and the limit of the account until it has ended.
 func (s *Scheduler) rejectRun(w *workerState, listed *worker.Run) {
