Stop recorded runs that no job needs

What callers saw: a long-running task went on after the cancellation of its job was acknowledged. A new owner that reads the record of an unresponsive worker books each run in it. If the job is cancelled by then, or the task is done or runs elsewhere, nobody wants the run, but it was booked as present without a stop; its listing found the number in the books, and polls extended the lease without end.

Such a run is stopped when the record is read. Besides, each listed run is compared with what its job needs, and stopped if no job needs it, whatever way it came into the books: that also covers an older recorded run beside a newer one.

Ruled out: runs that are listed without a record (applyRun rejects and stops them), copies of speculative tasks (finishJob and completeTask stop the earlier runs).

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -130,6 +130,9 @@
 			r.checkpoint = listed.Checkpoint
 		}
 		s.logStoppedRun(r)
+		if r.state != stopping && !s.wanted(r) {
+			s.stop(r, notWanted)
+		}
 		return
 	}
 	st := s.step(listed.Task)
@@ -153,13 +156,30 @@
 	}
 }
 
+// notWanted is why runs are stopped that no job needs, or no longer.
+const notWanted = "not wanted"
+
+// wanted reports whether a run is the current run of a task that is not done, or an earlier one
+// beside it.
+func (s *Scheduler) wanted(r *run) bool {
+	if r.step.job.state.Final() {
+		return false
+	}
+	if !r.step.detached {
+		// All members of a gang are done with the first one and end by themselves.
+		return !r.step.tasks[r.index].done || r.step.spec.Gang
+	}
+	st := s.step(r.step.name(r.index))
+	return st != nil && !st.tasks[r.index].done && slices.Contains(st.tasks[r.index].earlierRuns, r)
+}
+
 // rejectRun stops a run that is not wanted. The run still counts against the capacity of the
 // worker and the limit of the account until it has ended.
 func (s *Scheduler) rejectRun(w *workerState, listed *worker.Run) {
 	j := s.jobs[listed.Task.Job]
 	if j == nil || listed.Task.Step >= len(j.spec.Steps) || w.runs[listed.Task] != nil || listed.Task.Index >= j.spec.Steps[listed.Task.Step].Count {
 		w.hasUnknownRuns = true
-		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: "not wanted"})
+		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted})
 		return
 	}
 	step := &j.spec.Steps[listed.Task.Step]
@@ -167,7 +187,7 @@
 		job: j, occurrence: &occurrence{number: listed.Task.Occurrence}, number: listed.Task.Step, spec: step,
 		tasks: make([]task, step.Count), detached: true,
 	}
-	s.stop(s.adopt(w, detached, listed), "not wanted")
+	s.stop(s.adopt(w, detached, listed), notWanted)
 }
 
 // adopt takes over a run that this owner did not start.
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -95,7 +95,10 @@
 	// The first poll has a higher fencing token, so a run that it does not list is gone.
 	r.claim.setFence(w.fence - 1)
 	r.recorded = true
-	if current && st.spec.Speculative && !st.spec.Gang {
+	switch {
+	case !current:
+		s.stop(r, notWanted)
+	case st.spec.Speculative && !st.spec.Gang:
 		s.queueCopy(r, "worker does not answer")
 	}
 }
