Repeat a stop of a run that its worker still lists

What callers saw: a run of a cancelled job went on. A stop that a worker answered was final for the owner. If the worker then crashed and was back under the same ID before a late start of that run arrived, the run began in the new incarnation, which knew of no stop. Its listings confirmed the run, polls extended its lease, and no stop followed.

A stopping run that is listed 1.2 s after its last stop is stopped again (the worker needs up to 0.9 s), and a new incarnation of the worker makes earlier stops void, so that its first listing leads to a stop.

Ruled out: the same within one incarnation, as the worker remembers stops of runs that it doesn't have yet.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -129,10 +129,7 @@
 		if listed.Checkpoint != "" {
 			r.checkpoint = listed.Checkpoint
 		}
-		s.logStoppedRun(r)
-		if r.state != stopping && !s.wanted(r) {
-			s.stop(r, notWanted)
-		}
+		s.enforceStop(r)
 		return
 	}
 	st := s.step(listed.Task)
@@ -149,13 +146,26 @@
 	s.markRunning(st.job)
 }
 
-// logStoppedRun logs a run that its worker lists although it has had the time to stop it.
-func (s *Scheduler) logStoppedRun(r *run) {
-	if r.state == stopping && !r.stopped.IsZero() && s.now.Sub(r.stopped) > s.limits.Stop {
-		s.logEvent(LogEvent{Event: "stopped-run-listed", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number})
+// enforceStop stops a listed run that no job needs, and repeats a stop that has had no effect: the
+// run may have begun after its stop, in an incarnation of the worker that knows of none.
+func (s *Scheduler) enforceStop(r *run) {
+	if r.state != stopping {
+		if !s.wanted(r) {
+			s.stop(r, notWanted)
+		}
+		return
+	}
+	if r.worker.pollSent.Sub(r.stopSent) <= s.limits.Stop+stopRepeatMargin {
+		return
 	}
+	s.logEvent(LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Waited: s.now.Sub(r.stopSent), WaitReason: "the worker still lists the run"})
+	s.sendStop(r, "run still listed")
 }
 
+// stopRepeatMargin covers the time from the decision to stop a run until the worker has carried
+// out the stop, besides the time that it needs for that.
+const stopRepeatMargin = 300 * time.Millisecond
+
 // notWanted is why runs are stopped that no job needs, or no longer.
 const notWanted = "not wanted"
 
@@ -379,6 +389,7 @@
 }
 
 func (s *Scheduler) sendStop(r *run, reason string) {
+	r.stopSent = s.now
 	s.actions.Stops = append(s.actions.Stops, Stop{Worker: r.worker.registration, Task: r.step.name(r.index), Run: r.number, Fence: r.worker.fence, Reason: reason, Timeout: s.timeout(s.answerTimeout())})
 }
 
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -35,6 +35,10 @@
 	s.dropUnsent(w, restartedReason)
 	w.setFence(w.fence + 1)
 	w.processedEnd, w.durableEnd, w.acknowledgedEnd, w.unsavedEnds = 0, 0, 0, nil
+	for _, r := range w.runs {
+		// Stops were for the earlier incarnation. A run that this one lists is stopped again.
+		r.stopped, r.stopSent = time.Time{}, time.Time{}
+	}
 }
 
 // endIncarnation handles a worker whose address is now used by another one: all of its runs are
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -104,9 +104,10 @@
 	state     runState
 	sent      time.Time
 	confirmed time.Time
-	stopped   time.Time
-	percent   int
-	load      int
+	// stopped is when the first stop was answered, stopSent when the last one was planned.
+	stopped, stopSent time.Time
+	percent           int
+	load              int
 	// percentAllowed is the pace of a background task. paceKnown is false for a task that
 	// another owner has started, until this owner sets its pace.
 	percentAllowed int
