Delay calls while the renewal of the term is late, instead of dropping them

What callers saw: a run of a cancelled job went on. A stop, poll, pace or machine order that was due while the term was not valid returned without a report. If the answer to a renewal then made the term valid again, as after a host that was frozen for a moment, the owner went on and took the stop for one on its way: nothing repeated it, while polls extended the lease. A poll that was lost in this way was never repeated either, so the worker got no tasks for the rest of the term and the lease of its runs ended; a machine order stayed in flight for good.

Such calls wait until the term is valid again or over.

Ruled out: reporting them as unanswered, since each unanswered poll would start copies of speculative tasks on workers that were never asked. A start still ends the term, as before; nothing is lost by that.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -15,6 +15,8 @@
 	// paceTimeout is far above the usual response time of a few milliseconds.
 	paceTimeout    = 400 * time.Millisecond
 	stopRetryDelay = 200 * time.Millisecond
+	// termCheckInterval is the time between two checks of a term that is not valid.
+	termCheckInterval = 20 * time.Millisecond
 	// maxQuickPolls bounds the polls in flight that do not wait for an end. A new owner polls
 	// all workers at once; with thousands of them, a host with a fifth of a core would treat
 	// responses that arrived in time as missing.
@@ -108,17 +110,24 @@
 	o.post(func(now time.Time) { o.core.StartAnswered(a, result, reason, now) })
 }
 
-// mayCall reports whether the term allows a call, and logs a call that is not sent.
-func (o *Owner) mayCall(kind, subject string) bool {
+// awaitTerm waits until the term allows a call, and reports false once the term is over. Between
+// the expiry of a lease and the answer to a renewal that the store has carried out in time, a term
+// is not valid for a moment; a call that is dropped then would never be repeated.
+func (o *Owner) awaitTerm(kind, subject string) bool {
 	if o.term.Valid() {
 		return true
 	}
-	o.Log.Warn("call-not-sent", zap.String("call", kind), zap.String("subject", subject), zap.Int64("term", o.term.Number))
+	o.Log.Warn("call-delayed", zap.String("call", kind), zap.String("subject", subject), zap.Int64("term", o.term.Number))
+	for wait.For(o.ctx, termCheckInterval) {
+		if o.term.Valid() {
+			return true
+		}
+	}
 	return false
 }
 
 func (o *Owner) stopRun(a scheduler.Stop) {
-	if !o.mayCall("stop", a.Task.String()) {
+	if !o.awaitTerm("stop", a.Task.String()) {
 		return
 	}
 	o.Log.Info("run-stopped", zap.String("request", a.Task.Job), zap.Stringer("task", a.Task), zap.Int64("run", a.Run), zap.String("worker", a.Worker.ID), zap.String("reason", a.Reason))
@@ -132,7 +141,7 @@
 }
 
 func (o *Owner) pace(a scheduler.Pace) {
-	if !o.mayCall("pace", a.Task.String()) {
+	if !o.awaitTerm("pace", a.Task.String()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, paceTimeout)
@@ -153,7 +162,7 @@
 			return
 		}
 	}
-	if !o.mayCall("poll", a.Worker.ID) {
+	if !o.awaitTerm("poll", a.Worker.ID) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, a.Wait+a.Timeout)
@@ -174,7 +183,7 @@
 }
 
 func (o *Owner) order(a scheduler.MachineOrder) {
-	if !o.mayCall("order", a.Machine) {
+	if !o.awaitTerm("order", a.Machine) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
--- a/dispatch/validity_test.go
+++ b/dispatch/validity_test.go
@@ -35,6 +35,7 @@
 	return late, func() { cancel(); <-done }
 }
 
+// renewalDelay is how late the renewal is.
 const renewalDelay = 60 * time.Millisecond
 
 // Guards against a stop that is lost because it was due while the renewal of the term was late:
