Search for runs of cancelled jobs with random faults

The test cancels long-running jobs while workers are cut off and restarted, calls are lost or late and owners are replaced, and checks once calm returns that nothing of a cancelled job is left.

--- a/scheduler/cancelled_test.go
+++ b/scheduler/cancelled_test.go
@@ -1,10 +1,14 @@
 package scheduler
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"egretdrum.example/job"
 )
@@ -84,3 +88,59 @@
 	assertNothingRuns(t, sim, "a")
 	assertNoViolations(t, sim)
 }
+
+// TestCancelledRunsEnd cancels jobs while workers are cut off and restarted, calls are lost or late
+// and owners are replaced. It guards against a run of a cancelled job that goes on once the faults
+// are over.
+func TestCancelledRunsEnd(t *testing.T) { rapid.Check(t, simulateCancellations) }
+
+func simulateCancellations(t *rapid.T) {
+	sim := newSimulation(4)
+	sim.delayTimeouts = rapid.Bool().Draw(t, "slow silence")
+	fates := rapid.SliceOfN(rapid.SampledFrom([]callOutcome{answered, answered, requestLost, responseLost, requestDelayed}), 32, 32).Draw(t, "fates")
+	calls, faulty := 0, false
+	sim.callFault = func(string) callOutcome {
+		calls++
+		if !faulty {
+			return answered
+		}
+		return fates[calls%len(fates)]
+	}
+	sim.run(100 * time.Millisecond)
+	submitted := 0
+	actions := map[string]func(){
+		"submit": func() {
+			sim.submit(fmt.Sprintf("j%d", submitted), job.Step{Count: rapid.IntRange(1, 3).Draw(t, "count"), Need: small, LongRunning: rapid.IntRange(0, 3).Draw(t, "kind") > 0})
+			submitted++
+		},
+		"cancel": func() {
+			if submitted > 0 {
+				sim.cancel(fmt.Sprintf("j%d", rapid.IntRange(0, submitted-1).Draw(t, "job")))
+			}
+		},
+		"owner": func() { sim.replaceOwner() },
+		"cut":   func() { w := sim.workers[drawWorker(t)]; w.unreachable = !w.unreachable },
+		"restart": func() {
+			sim.restartUnnoticed(drawWorker(t), time.Duration(rapid.IntRange(0, 3).Draw(t, "delay"))*time.Second/2)
+		},
+		"down":   func() { sim.workers[drawWorker(t)].down = true },
+		"faults": func() { faulty = !faulty },
+	}
+	names := slices.Sorted(maps.Keys(actions))
+	for range rapid.IntRange(4, 20).Draw(t, "actions") {
+		actions[rapid.SampledFrom(names).Draw(t, "action")]()
+		sim.run(time.Duration(rapid.IntRange(1, 25).Draw(t, "steps")) * simulationStep)
+	}
+	faulty = false
+	for _, id := range slices.Sorted(maps.Keys(sim.workers)) {
+		sim.workers[id].unreachable = false
+		if sim.workers[id].down {
+			sim.restart(id)
+		}
+	}
+	sim.run(6 * time.Second)
+	sim.checkCancelledRuns()
+	if len(sim.violations) > 0 {
+		t.Fatalf("%d violations: %s", len(sim.violations), sim.violations[0])
+	}
+}
