Simulate workers whose capacity shrinks and grows

Workers may change their capacity while they run. No test did so, and the scheduler goes by capacities in several places besides placement.

The simulation changes capacities as events of which the owner learns up to 1.5 s later, and checks each start against the capacities that the owner may still go by; a call that a worker carries out late is checked against those of the time at which it was sent.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -504,13 +504,18 @@
 // as down. The mutants are tested without crashes, as runs with crashes reveal two of them too
 // rarely.
 func TestInvariantsWithCrashes(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { simulateFaults(t, true) })
+	rapid.Check(t, func(t *rapid.T) { simulateFaults(t, withCrashes) })
 }
 
-func simulateFaultsWithoutCrashes(t *rapid.T) { simulateFaults(t, false) }
+func simulateFaultsWithoutCrashes(t *rapid.T) { simulateFaults(t, nil) }
 
-// simulateFaults simulates random faults, with crashes of machines among them if crashes is set.
-func simulateFaults(t *rapid.T, crashes bool) {
+// withCrashes adds crashes of machines to the random faults.
+func withCrashes(sim *simulation, actions map[string]func(*rapid.T)) {
+	actions["power"] = func(t *rapid.T) { sim.powerOff(drawWorker(t)) }
+}
+
+// simulateFaults simulates random faults, besides those that the function further adds.
+func simulateFaults(t *rapid.T, further func(*simulation, map[string]func(*rapid.T))) {
 	sim := newSimulation(4)
 	// Half of the workers are in another pool, to which the queue may switch.
 	sim.catalog.Pools["league"] = &catalog.Pool{Name: "league"}
@@ -576,8 +581,8 @@
 			}
 		},
 	}
-	if crashes {
-		actions["power"] = func(t *rapid.T) { sim.powerOff(drawWorker(t)) }
+	if further != nil {
+		further(sim, actions)
 	}
 	t.Repeat(actions)
 	checkJobsEnd(t, sim)
@@ -621,6 +626,7 @@
 		reachable = "w2"
 	}
 	sim.workers[reachable].unreachable = false
+	sim.setCapacity(reachable, fullCapacity, 0)
 	if sim.workers[reachable].down {
 		sim.restart(reachable)
 	}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -34,6 +34,8 @@
 	ignoredEnds map[int64]bool
 	// addressReused is set if a different worker answers at the address.
 	addressReused bool
+	// earlierCapacities are those that an owner may still go by.
+	earlierCapacities []earlierCapacity
 	// interference is the share of its latency target by which a background task at full pace raises
 	// the tail latency of a task on this worker.
 	interference float64
@@ -59,11 +61,13 @@
 	core    *Scheduler
 	owner   int64
 	workers map[string]*fakeWorker
-	jobs    map[string]*job.Job
-	added   map[string]int64 // owner at the time of submission
-	stored  map[string]*progress.Record
-	cancels map[string]time.Time
-	catalog *catalog.Catalog
+	// machineList is what each new owner gets as the list of machines.
+	machineList []worker.Machine
+	jobs        map[string]*job.Job
+	added       map[string]int64 // owner at the time of submission
+	stored      map[string]*progress.Record
+	cancels     map[string]time.Time
+	catalog     *catalog.Catalog
 	// late holds calls that workers carry out after the owner has stopped waiting for the answer.
 	late []delayedCall
 	// applyingLate is set while a call of late is carried out.
@@ -208,9 +212,9 @@
 	sim.core.SetCatalog(sim.catalog)
 	sim.core.SetEvacuated(sim.evacuated)
 	for _, id := range slices.Sorted(maps.Keys(sim.workers)) {
-		sim.core.SetWorker(sim.workers[id].registration, sim.now)
+		sim.register(sim.workers[id])
 	}
-	sim.core.SetMachines(nil, sim.now, sim.now)
+	sim.core.SetMachines(sim.machineList, sim.now, sim.now)
 	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
 		sim.core.AddJob(sim.jobs[id], sim.stored[id], sim.added[id] < sim.owner, sim.now)
 	}
@@ -372,12 +376,8 @@
 	registration := w.registration
 	registration.Incarnation++
 	n := sim.addWorker(id)
-	n.registration = registration
-	if delay == 0 {
-		sim.core.SetWorker(registration, sim.now)
-		return
-	}
-	sim.answers = append(sim.answers, delayedCall{sim.now.Add(delay), func() { sim.core.SetWorker(registration, sim.now) }})
+	n.registration, n.earlierCapacities = registration, w.earlierCapacities
+	sim.registerLater(n, delay)
 }
 
 func (sim *simulation) outcome(kind string) callOutcome {
@@ -461,7 +461,7 @@
 		apply()
 		return false
 	case requestDelayed:
-		sim.late = append(sim.late, delayedCall{sim.now.Add(2 * time.Second), func() {
+		sim.late = append(sim.late, delayedCall{sim.now.Add(lateCallDelay), func() {
 			if !w.down && sim.workers[w.registration.ID] == w {
 				apply()
 			}
@@ -625,7 +625,7 @@
 	if step.MaxPerWorker > 0 && siblings >= step.MaxPerWorker {
 		sim.violation("%s started beside %d others of its step on %s", a.Task, siblings, w.registration.ID)
 	}
-	if !used.Add(step.Reserved()).Within(w.registration.Capacity) {
+	if !used.Add(step.Reserved()).Within(w.allowedCapacity(sim.now, sim.applyingLate)) {
 		sim.violation("%s exceeds the capacity of %s", a.Task, w.registration.ID)
 	}
 	for _, earlier := range step.After {
