Withdraw unsent starts that a shrunk worker has no room for

Starts wait in dispatch for one of two slots of their worker, for seconds if its answers are lost. They were sent although the owner had learned meanwhile that the capacity had shrunk. That they fit was checked only when they were planned.

A start is now withdrawn if its worker shrinks below what it runs, the newest first, as starts in an evacuated zone are. Checking the capacity again at the time of sending was ruled out: the goroutine that sends does not know what else runs on the worker. A gang of which a member is withdrawn ends as a whole.

--- /dev/null
+++ b/scheduler/capacity.go
@@ -0,0 +1,33 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"egretdrum.example/resource"
+)
+
+// changeCapacity applies a new capacity of a worker. Runs above a capacity that has shrunk go on, and
+// nothing is started beside them until there is room again.
+func (s *Scheduler) changeCapacity(w *workerState, capacity resource.Amount) {
+	if capacity == w.registration.Capacity {
+		return
+	}
+	w.registration.Capacity = capacity
+	s.dropUnsentAbove(w)
+}
+
+// dropUnsentAbove withdraws starts for a worker that wait to be sent, the newest first, until what
+// the worker runs is within its capacity.
+func (s *Scheduler) dropUnsentAbove(w *workerState) {
+	runs := w.sortedRuns()
+	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(b.number, a.number) })
+	for _, r := range runs {
+		if w.used.Within(w.registration.Capacity) {
+			return
+		}
+		if r.state == starting && r.claim.withdraw() {
+			s.drop(r, "the capacity of its worker has shrunk")
+		}
+	}
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -159,6 +159,7 @@
 	if w.registration.Pool != e.Pool {
 		s.byPool = nil
 	}
+	s.changeCapacity(w, e.Capacity)
 	w.registration, w.registered = e, true
 	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
 		w.slowUntil = warm
