Count the whole machine of a worker whose runs are unknown

A new owner counts the capacity of each worker that has not answered yet as used by every account, as a previous owner may have filled it. It counted the registered capacity: a worker that was full when it shrank counted for less than it runs, and an account used 9000 thousandths of a core with a limit of 6000 in the test.

The capacity of its machine now counts if it is larger. Storing the largest capacity of each worker was ruled out: it costs writes, and the list of machines, without which accounts with a limit start nothing in a recovery anyway, has the figure.

--- a/resource/amount.go
+++ b/resource/amount.go
@@ -26,6 +26,11 @@
 	return Amount{a.CPU * n, a.Memory * n, a.Accelerators * n}
 }
 
+// Max returns the larger one of each resource of a and b.
+func (a Amount) Max(b Amount) Amount {
+	return Amount{max(a.CPU, b.CPU), max(a.Memory, b.Memory), max(a.Accelerators, b.Accelerators)}
+}
+
 // Within reports whether a fits into the free capacity.
 func (a Amount) Within(free Amount) bool {
 	return a.CPU <= free.CPU && a.Memory <= free.Memory && a.Accelerators <= free.Accelerators
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -31,3 +31,13 @@
 		}
 	}
 }
+
+// largestCapacity returns an upper bound of what a worker may run. Runs that were started before its
+// capacity shrank may use as much as its machine has.
+func (s *Scheduler) largestCapacity(w *workerState) resource.Amount {
+	capacity := w.registration.Capacity
+	if m := s.machines[w.registration.Machine]; m != nil {
+		capacity = capacity.Max(m.Capacity)
+	}
+	return capacity
+}
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -64,10 +64,7 @@
 	allowed := w.registration.Capacity
 	for _, c := range w.earlierCapacities {
 		if c.until.IsZero() || late && now.Sub(c.until) <= lateCallDelay {
-			allowed = resource.Amount{
-				CPU: max(allowed.CPU, c.amount.CPU), Memory: max(allowed.Memory, c.amount.Memory),
-				Accelerators: max(allowed.Accelerators, c.amount.Accelerators),
-			}
+			allowed = allowed.Max(c.amount)
 		}
 	}
 	return allowed
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -137,8 +137,7 @@
 func maxFreeCapacity(workers []*workerState) resource.Amount {
 	var bound resource.Amount
 	for _, w := range workers {
-		free := w.registration.Capacity.Sub(w.used)
-		bound = resource.Amount{CPU: max(bound.CPU, free.CPU), Memory: max(bound.Memory, free.Memory), Accelerators: max(bound.Accelerators, free.Accelerators)}
+		bound = bound.Max(w.registration.Capacity.Sub(w.used))
 	}
 	return bound
 }
@@ -303,7 +302,7 @@
 	}
 	for id := range s.recoveryWorkers {
 		if w := s.workers[id]; w != nil && !w.answered && !w.runsAccounted {
-			sum = sum.Add(w.registration.Capacity)
+			sum = sum.Add(s.largestCapacity(w))
 		}
 	}
 	for _, m := range s.machines {
