End reservations on workers that have shrunk below the need

A worker that is reserved for a long-running task stayed reserved when its capacity shrank below what the task needs. The task had its reservation, so no other worker was reserved for it, and in a full pool it waited for as long as the worker stayed small; other tasks got no room there for nothing.

A reservation now ends by the rule by which it is made: the task has to fit beside what stays on the worker. TestReservationLeavesShrunkWorker passes.

--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -59,9 +59,8 @@
 // reservable reports whether a task of the step fits on the worker once its other tasks have ended,
 // apart from long-running ones and those with reservations.
 func (s *Scheduler) reservable(st *stepState, w *workerState) bool {
-	staying := w.longRunningUse().Add(w.reservedForOthers(st))
 	switch {
-	case !staying.Add(st.spec.Reserved()).Within(w.registration.Capacity):
+	case !w.canHold(st):
 		return false
 	case s.dueForMaintenance(w), w.onTrial(), !w.registration.Labels.Has(st.spec.Label), st.refusedBy(w), w.reservationsOf(st) > 0:
 		return false
@@ -69,6 +68,12 @@
 	return st.spec.MaxPerWorker <= 0 || s.siblings(st, w) < st.spec.MaxPerWorker
 }
 
+// canHold reports whether a task of the step fits on the worker beside its long-running tasks and the
+// reservations of other steps. Its capacity may have shrunk since it was reserved.
+func (w *workerState) canHold(st *stepState) bool {
+	return w.longRunningUse().Add(w.reservedForOthers(st)).Add(st.spec.Reserved()).Within(w.registration.Capacity)
+}
+
 // largestLack returns the largest part of a worker's capacity, over its resources, by which a need
 // exceeds what is free. It is negative if the need fits.
 func largestLack(need, free, capacity resource.Amount) float64 {
@@ -127,7 +132,7 @@
 func (s *Scheduler) dropReservations(pool string) {
 	for _, w := range s.workersOf(pool) {
 		for _, r := range slices.Clone(w.reservations) {
-			if len(r.step.reservations) > r.step.tasksToPlace() || !s.usable(w) || s.cordoned(w) || s.dueForMaintenance(w) {
+			if len(r.step.reservations) > r.step.tasksToPlace() || !s.usable(w) || s.cordoned(w) || s.dueForMaintenance(w) || !w.canHold(r.step) {
 				s.endReservation(r)
 			}
 		}
