Estimate pools by what their workers offer at present

The demand of a pool was compared with the capacity of its machines, which does not show that a worker has shrunk. A pool of six machines whose workers had shrunk to a quarter borrowed none of sixteen idle ones, and lent machines as if it had all of its room; waves took machines from it for the same reason.

A machine now counts with the capacity of its registered worker. The mean machine, by which missing machines are counted, keeps the full capacity.

--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -41,3 +41,19 @@
 	}
 	return capacity
 }
+
+// offeredCapacity returns the capacity that a machine has for tasks: that of its worker, which may have
+// shrunk, or that of the machine if its worker is not registered. A machine that is lent counts in the
+// other pool with the same capacity: what has shrunk its worker may stay with the machine.
+func (s *Scheduler) offeredCapacity(m *machine) resource.Amount {
+	if w := s.workers[m.Worker]; w != nil && w.registered {
+		return w.registration.Capacity
+	}
+	return m.Capacity
+}
+
+// shrunk reports whether a machine offers less than half of its capacity. It is not lent then: a move
+// takes more than a second of its time, and the other pool would gain little.
+func (m *machine) shrunk() bool {
+	return 2*m.offered.CPU < m.Capacity.CPU || 2*m.offered.Memory < m.Capacity.Memory
+}
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -180,6 +180,20 @@
 	assertNoViolations(t, sim.simulation)
 }
 
+// Guards against machines that are moved one after the other to a pool that lacks some, although they
+// have no room there either.
+func TestShrunkMachinesAreNotLent(t *testing.T) {
+	sim := newMachineSimulation(map[string]int{"desk": 2, "league": 20})
+	for _, w := range sorted(sim.workers) {
+		if w.registration.Pool == "league" {
+			sim.setCapacity(w.registration.ID, resource.Amount{CPU: 100, Memory: 8000}, 0)
+		}
+	}
+	sim.submitFor("rounds", "arbiters", "j", job.Step{Count: 40, Need: small})
+	sim.advance(2 * time.Second)
+	qt.Assert(t, sim.ordered, qt.HasLen, 0)
+}
+
 // Guards against tasks that wait after the capacity of a worker has grown until the next pass over
 // all pools, and against growth that is never noticed.
 func TestGrownWorkerTakesTasksAtOnce(t *testing.T) {
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -8,7 +8,7 @@
 // demand compares the capacity of a pool with what its running and waiting tasks need.
 type demand struct {
 	pool string
-	// capacity is that of the machines, wanted what running and waiting tasks need whose jobs can
+	// capacity is what the machines offer to tasks, wanted what running and waiting tasks need whose jobs can
 	// still be in time, and late what the others need.
 	capacity resource.Amount
 	wanted   resource.Amount
@@ -25,7 +25,7 @@
 // addMachine adds a machine to the pool.
 func (d *demand) addMachine(m *machine) {
 	d.machines++
-	d.capacity = d.capacity.Add(m.Capacity)
+	d.capacity = d.capacity.Add(m.offered)
 	for label, labelDemand := range d.labelled {
 		if m.Labels.Has(label) {
 			labelDemand.addMachine(m)
@@ -36,7 +36,7 @@
 // removeMachine removes a machine from the pool.
 func (d *demand) removeMachine(m *machine) {
 	d.machines--
-	d.capacity = d.capacity.Sub(m.Capacity)
+	d.capacity = d.capacity.Sub(m.offered)
 	for label, labelDemand := range d.labelled {
 		if m.Labels.Has(label) {
 			labelDemand.removeMachine(m)
@@ -118,6 +118,7 @@
 		}
 	}
 	for _, m := range s.sortedMachines {
+		m.offered = s.offeredCapacity(m)
 		pool := m.Pool
 		if m.moveTo != "" {
 			pool = m.moveTo
--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretdrum.example/resource"
 	"egretdrum.example/worker"
 )
 
@@ -29,6 +30,8 @@
 	unlisted  bool // while the list is replaced
 	// due is set while a wave still has to take the machine.
 	due bool
+	// offered is the capacity that the machine had for tasks in the last round of planning.
+	offered resource.Amount
 	// orderSequence is the number of the last order for the machine. It is added to the fencing
 	// token of the order, so that an older order which arrives late is refused.
 	orderSequence int64
--- a/scheduler/moves.go
+++ b/scheduler/moves.go
@@ -166,7 +166,7 @@
 
 // canLend reports whether the pool has capacity enough without the machine.
 func (d *demand) canLend(m *machine) bool {
-	return d.machines > minPoolMachines && d.missing() == 0 && float64(d.wanted.CPU) <= borrowThreshold*float64(d.capacity.CPU-m.Capacity.CPU)
+	return d.machines > minPoolMachines && d.missing() == 0 && float64(d.wanted.CPU) <= borrowThreshold*float64(d.capacity.CPU-m.offered.CPU)
 }
 
 // runsOn counts the runs on a machine.
@@ -180,7 +180,7 @@
 // lendable reports whether a machine may be moved to another pool: it is idle or, unless idleOnly
 // is set, runs nothing but late tasks.
 func (s *Scheduler) lendable(m *machine, idleOnly bool) bool {
-	if m.State != worker.Up || s.evacuatedMachine(m) || m.cordoned || m.orderInFlight || m.away || s.now.Before(m.retryAt) {
+	if m.State != worker.Up || s.evacuatedMachine(m) || m.cordoned || m.orderInFlight || m.away || s.now.Before(m.retryAt) || m.shrunk() {
 		return false
 	}
 	w := s.workers[m.Worker]
