Place waiting tasks as soon as a worker has grown

Between two passes over all pools, 0.1 s apart, a pool is looked at only if a task was added or a run has ended there. A grown capacity did not count, so that tasks waited for up to 0.1 s on a worker with room. A change of capacity now has its pool looked at.

--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -7,14 +7,11 @@
 	"egretdrum.example/resource"
 )
 
-// changeCapacity applies a new capacity of a worker. Runs above a capacity that has shrunk go on, and
-// nothing is started beside them until there is room again.
-func (s *Scheduler) changeCapacity(w *workerState, capacity resource.Amount) {
-	if capacity == w.registration.Capacity {
-		return
-	}
-	w.registration.Capacity = capacity
+// capacityChanged handles a registration of a worker with another capacity than before. Runs above a
+// capacity that has shrunk go on, and nothing is started beside them until there is room again.
+func (s *Scheduler) capacityChanged(w *workerState) {
 	s.dropUnsentAbove(w)
+	s.changedPools[w.registration.Pool] = true
 }
 
 // dropUnsentAbove withdraws starts for a worker that wait to be sent, the newest first, until what
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -159,8 +159,11 @@
 	if w.registration.Pool != e.Pool {
 		s.byPool = nil
 	}
-	s.changeCapacity(w, e.Capacity)
+	changed := w.registration.Capacity != e.Capacity
 	w.registration, w.registered = e, true
+	if changed {
+		s.capacityChanged(w)
+	}
 	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
 		w.slowUntil = warm
 	}
