--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -201,5 +201,8 @@
 	if n.Took != 0 {
 		fields = append(fields, zap.Duration("took", n.Took), zap.Duration("objective", n.Objective))
 	}
+	if c := n.Capacity; c != nil {
+		fields = append(fields, zap.Stringer("from", c.From), zap.Stringer("to", c.To), zap.Stringer("in-use", c.Used))
+	}
 	o.Log.Info(n.Event, fields...)
 }
--- a/resource/amount.go
+++ b/resource/amount.go
@@ -1,6 +1,8 @@
 // Package resource counts the processors, memory and accelerators of workers and tasks.
 package resource
 
+import "fmt"
+
 // Amount is an amount of resources that a task needs, a worker has or an account uses.
 type Amount struct {
 	// CPU is in thousandths of a core.
@@ -11,6 +13,11 @@
 	Accelerators int `cbor:"3,keyasint,omitempty"`
 }
 
+// String returns the amount as it is logged, with CPU in thousandths of a core.
+func (a Amount) String() string {
+	return fmt.Sprintf("%dm cpu, %d MiB, %d accelerators", a.CPU, a.Memory, a.Accelerators)
+}
+
 // Add returns a + b.
 func (a Amount) Add(b Amount) Amount {
 	return Amount{a.CPU + b.CPU, a.Memory + b.Memory, a.Accelerators + b.Accelerators}
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretdrum.example/job"
+	"egretdrum.example/resource"
 	"egretdrum.example/worker"
 )
 
@@ -143,8 +144,13 @@
 	// Took is the time that the last occurrence of a job needed, Objective the time in which it
 	// was to be done.
 	Took, Objective time.Duration
+	// Capacity is set for a worker whose capacity has changed.
+	Capacity *CapacityChange
 }
 
+// CapacityChange is a change of the capacity of a worker while its runs use some of it.
+type CapacityChange struct{ From, To, Used resource.Amount }
+
 // TakeActions returns the actions since the last call.
 func (s *Scheduler) TakeActions() Actions {
 	a := s.actions
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -7,9 +7,10 @@
 	"egretdrum.example/resource"
 )
 
-// capacityChanged handles a registration of a worker with another capacity than before. Runs above a
+// capacityChanged handles a registration of a worker with another capacity than that before. Runs above a
 // capacity that has shrunk go on, and nothing is started beside them until there is room again.
-func (s *Scheduler) capacityChanged(w *workerState) {
+func (s *Scheduler) capacityChanged(w *workerState, before resource.Amount) {
+	s.logEvent(LogEvent{Event: "worker-capacity", Worker: w.registration.ID, Capacity: &CapacityChange{From: before, To: w.registration.Capacity, Used: w.used}})
 	s.dropUnsentAbove(w)
 	s.changedPools[w.registration.Pool] = true
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -159,10 +159,10 @@
 	if w.registration.Pool != e.Pool {
 		s.byPool = nil
 	}
-	changed := w.registration.Capacity != e.Capacity
+	before := w.registration.Capacity
 	w.registration, w.registered = e, true
-	if changed {
-		s.capacityChanged(w)
+	if before != e.Capacity {
+		s.capacityChanged(w, before)
 	}
 	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
 		w.slowUntil = warm
