Have random runs change capacities of full workers

The random runs of TestInvariantsWithCapacityChanges never had a start waiting to be sent when a worker shrank. The delay of calls is fixed for each run: a change of it between two calls made the simulation send them in reverse order.

--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -21,7 +21,7 @@
 	runs := w.sortedRuns()
 	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(b.number, a.number) })
 	for _, r := range runs {
-		if w.used.Within(w.registration.Capacity) {
+		if w.used.Within(w.registration.Capacity) || mutation.keepUnsent {
 			return
 		}
 		if r.state == starting && r.claim.withdraw() {
@@ -34,7 +34,7 @@
 // capacity shrank may use as much as its machine has.
 func (s *Scheduler) largestCapacity(w *workerState) resource.Amount {
 	capacity := w.registration.Capacity
-	if m := s.machines[w.registration.Machine]; m != nil {
+	if m := s.machines[w.registration.Machine]; m != nil && !mutation.countShrunk {
 		capacity = capacity.Max(m.Capacity)
 	}
 	return capacity
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -1,14 +1,17 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"egretdrum.example/catalog"
 	"egretdrum.example/job"
 	"egretdrum.example/progress"
+	"egretdrum.example/property"
 	"egretdrum.example/resource"
 	"egretdrum.example/worker"
 )
@@ -82,9 +85,9 @@
 	sim.core.SetMachines(sim.machineList, sim.now, sim.now)
 }
 
-// withCapacityChanges adds changes of the capacity of workers to the random faults. The owner learns
-// of each up to 1.5 s later, the interval at which workers register.
-func withCapacityChanges(sim *simulation, actions map[string]func(*rapid.T)) {
+// addCapacityChanges adds changes of the capacity of workers to the actions of a state machine. The
+// owner learns of each up to 1.5 s later, the interval at which workers register.
+func addCapacityChanges(sim *simulation, actions map[string]func(*rapid.T)) {
 	sim.listMachines()
 	actions["capacity"] = func(t *rapid.T) {
 		amount := resource.Amount{CPU: 1000 * rapid.IntRange(0, 4).Draw(t, "cores"), Memory: 500 * rapid.IntRange(0, 16).Draw(t, "memory")}
@@ -93,11 +96,90 @@
 }
 
 // TestInvariantsWithCapacityChanges simulates the faults of TestInvariants, and workers whose capacity
-// shrinks and grows. It guards against starts above a capacity of which the owner has learned, against
-// limits of accounts that are exceeded because the runs of a shrunk worker are unknown, and against
-// tasks that stay where they are not started after the capacity has grown again.
+// shrinks and grows. It guards against the faults that TestInvariants guards against, and against tasks
+// that are not started after the capacity has grown again.
 func TestInvariantsWithCapacityChanges(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { simulateFaults(t, withCapacityChanges) })
+	rapid.Check(t, func(t *rapid.T) { simulateFaults(t, addCapacityChanges) })
+}
+
+// TestChangingCapacities simulates full workers whose capacity shrinks and grows often, beside lost
+// answers, new owners, restarts and starts that wait to be sent. It guards against starts above a
+// capacity of which the owner has learned, and against tasks that are not started after the capacity
+// has grown again.
+func TestChangingCapacities(t *testing.T) {
+	rapid.Check(t, simulateChangingCapacities)
+}
+
+// Guards against a simulation that does not notice starts above a shrunk capacity.
+func TestChangingCapacitiesMutants(t *testing.T) {
+	property.CheckMutants(t, map[string]*bool{
+		"starts that wait to be sent stay": &mutation.keepUnsent,
+		"capacity of a worker is ignored":  &mutation.ignoreCapacity,
+	}, func(t testing.TB) { rapid.Check(t, simulateChangingCapacities) })
+	// Random runs reach this case too rarely.
+	property.CheckMutants(t, map[string]*bool{"unknown runs fit into what has shrunk": &mutation.countShrunk}, simulateUnknownShrunkWorker)
+}
+
+func simulateChangingCapacities(t *rapid.T) {
+	sim := newSimulation(4)
+	for id, w := range sim.workers {
+		w.registration.Machine = "m-" + id
+	}
+	// The tasks of one account stay below its limit while those of the others fill the workers.
+	sim.catalog.Accounts["small"] = &catalog.Account{Name: "small"}
+	fates := rapid.SliceOfN(rapid.SampledFrom([]callOutcome{answered, answered, answered, answered, answered, answered, requestLost, responseLost, requestDelayed}), 64, 64).Draw(t, "fates")
+	calls := 0
+	sim.callFault = func(string) callOutcome {
+		calls++
+		return fates[calls%len(fates)]
+	}
+	sim.lag = rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "lag")
+	submitted := 0
+	actions := map[string]func(*rapid.T){
+		"submit": func(t *rapid.T) {
+			sim.taskDuration = rapid.SampledFrom([]time.Duration{300 * time.Millisecond, 5 * time.Second}).Draw(t, "duration")
+			kind := rapid.IntRange(0, 7).Draw(t, "kind")
+			id := fmt.Sprintf("j%d", submitted)
+			submitted++
+			sim.submit(id, job.Step{
+				Count: rapid.IntRange(1, 6).Draw(t, "count"), Need: resource.Amount{CPU: 500 * (1 + kind%3), Memory: 500},
+				Gang: kind == 1, Background: kind == 2, LongRunning: kind == 3, Speculative: kind == 4,
+			})
+			if kind%2 == 0 {
+				sim.jobs[id].Account = "small"
+			}
+		},
+		"wait": func(t *rapid.T) {
+			sim.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "steps")) * simulationStep)
+		},
+		"owner":   func(*rapid.T) { sim.replaceOwner() },
+		"restart": func(t *rapid.T) { sim.restartUnnoticed(drawWorker(t), time.Second) },
+		"cut": func(t *rapid.T) {
+			w := sim.workers[drawWorker(t)]
+			w.unreachable = !w.unreachable
+		},
+		"": func(t *rapid.T) {
+			if len(sim.violations) > 0 {
+				t.Fatalf("%d violations: %s", len(sim.violations), sim.violations[0])
+			}
+		},
+	}
+	addCapacityChanges(sim, actions)
+	sim.replaceOwner()
+	sim.run(300 * time.Millisecond)
+	t.Repeat(actions)
+	sim.taskDuration = 300 * time.Millisecond
+	for _, w := range sorted(sim.workers) {
+		w.unreachable = false
+		sim.setCapacity(w.registration.ID, fullCapacity, 0)
+	}
+	for _, j := range sorted(sim.jobs) {
+		if j.Steps[0].LongRunning {
+			sim.cancel(j.ID)
+			sim.stored[j.ID] = &progress.Record{State: progress.Cancelled}
+		}
+	}
+	checkJobsEnd(t, sim)
 }
 
 // Pattern: a burst of starts waits to be sent to a worker when its capacity shrinks. Guards against
@@ -118,7 +200,9 @@
 // Pattern: a worker is full when its capacity shrinks, and a new owner takes over before it has
 // answered. Guards against a limit of an account that is exceeded because the new owner assumes that
 // the worker runs no more than the shrunk capacity holds.
-func TestRecoveryCountsRunsAboveShrunkCapacity(t *testing.T) {
+func TestRecoveryCountsRunsAboveShrunkCapacity(t *testing.T) { simulateUnknownShrunkWorker(t) }
+
+func simulateUnknownShrunkWorker(t testing.TB) {
 	sim := newSimulation(3)
 	for id, w := range sim.workers {
 		w.registration.Machine = "m-" + id
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -504,13 +504,13 @@
 // as down. The mutants are tested without crashes, as runs with crashes reveal two of them too
 // rarely.
 func TestInvariantsWithCrashes(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { simulateFaults(t, withCrashes) })
+	rapid.Check(t, func(t *rapid.T) { simulateFaults(t, addCrashes) })
 }
 
 func simulateFaultsWithoutCrashes(t *rapid.T) { simulateFaults(t, nil) }
 
-// withCrashes adds crashes of machines to the random faults.
-func withCrashes(sim *simulation, actions map[string]func(*rapid.T)) {
+// addCrashes adds crashes of machines to the random faults.
+func addCrashes(sim *simulation, actions map[string]func(*rapid.T)) {
 	actions["power"] = func(t *rapid.T) { sim.powerOff(drawWorker(t)) }
 }
 
