Test what owners do without news of capacities

An owner learns of a shrunk capacity by a watch, and by a read after a failed watch or dropped history (TestOwnerFollowsCapacity passes). TestStartsWaitingForASlotLeaveShrunkWorker passes, and fails if unsent starts are not withdrawn.

--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -82,7 +82,7 @@
 		return subscription.OperatorItem{}, nil
 	}
 	return subscription.OperatorItem{Catalog: catalog.New(1,
-		[]*catalog.Queue{{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: time.Second}}, []*catalog.Pool{{Name: "desk"}}, nil, 0)}, nil
+		[]*catalog.Queue{{Name: "rounds", Pool: "desk", MaxAttempts: 3, Stretch: 1.6, Allowance: time.Second}}, []*catalog.Pool{{Name: "desk", EnforcesCapacity: string(item.Value) == enforcing}}, nil, 0)}, nil
 }
 
 func newCluster(t *testing.T, workers int) *testCluster {
