Shrink the worker in the test once its first start is being sent

It now waits for the first start, passes with the withdrawal, and sees four runs instead of two without it.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -26,6 +26,11 @@
 
 // startCapacityOwner starts an owner of one worker whose registration has its capacity.
 func startCapacityOwner(c *testCluster) (kill func()) {
+	kill, _ = c.runOwner(newCapacityOwner(c))
+	return kill
+}
+
+func newCapacityOwner(c *testCluster) *Owner {
 	o := c.newOwner()
 	o.Calls.DecodeWorker = func(item kv.Item) (worker.Entry, error) {
 		machine, cpu, _ := strings.Cut(string(item.Value), " ")
@@ -37,13 +42,7 @@
 		}
 		return e, err
 	}
-	start := o.Calls.Start
-	o.Calls.Start = func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string) {
-		time.Sleep(80 * time.Millisecond)
-		return start(ctx, a)
-	}
-	kill, _ = c.runOwner(o)
-	return kill
+	return o
 }
 
 // setCapacity registers the worker w0 with another capacity.
@@ -104,10 +103,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1)
 		defer c.close()
-		defer startCapacityOwner(c)()
+		o := newCapacityOwner(c)
+		sent := make(chan job.Task, 100)
+		o.Calls.Start = func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string) {
+			sent <- a.Task
+			time.Sleep(80 * time.Millisecond)
+			return c.start(ctx, a)
+		}
+		kill, _ := c.runOwner(o)
+		defer kill()
 		time.Sleep(time.Second)
 		c.submit(t, "a", job.Step{Count: 4, Need: taskNeed})
-		time.Sleep(40 * time.Millisecond)
+		<-sent
 		c.setCapacity(2000)
 		qt.Assert(t, c.maxRuns(5*time.Second), qt.Equals, 2)
 		assertStored(t, c, "a", progress.Succeeded)
