Start nothing by capacities that may have shrunk without notice

An owner keeps its term while renewals pass, even if its reads of the store fail. It went on starting tasks by the last registrations of any age.

It now notes when the newest read that it has applied was requested. From 2.5 s on it starts nothing in pools whose workers do not enforce their capacity, and withdraws the starts that wait to be sent. To go on was ruled out, as an overfull worker slows the tasks of others; to stop workers that enforce their capacity as well, as they refuse what does not fit.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -108,3 +108,9 @@
 
 // ByKey returns the account that has the key, or nil.
 func (c *Catalog) ByKey(key string) *Account { return c.byKey[key] }
+
+// EnforcesCapacity reports whether the workers of a pool reject tasks that exceed their free capacity.
+func (c *Catalog) EnforcesCapacity(pool string) bool {
+	p := c.Pools[pool]
+	return p != nil && p.EnforcesCapacity
+}
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -84,7 +84,7 @@
 }
 
 // start sends a start request if this host is still the owner, the zone of the worker is not
-// under evacuation and the run is still wanted.
+// under evacuation, its capacity is known and the run is still wanted.
 func (o *Owner) start(a scheduler.Start, slot chan struct{}) {
 	select {
 	case slot <- struct{}{}:
@@ -96,7 +96,7 @@
 		o.stop()
 		return
 	}
-	if !o.mayStart(a) || !a.Claim() {
+	if !o.mayStart(a) || !o.mayHaveRoom(a.Worker.Pool) || !a.Claim() {
 		o.post(func(now time.Time) { o.core.StartAnswered(a, scheduler.StartNotSent, "", now) })
 		return
 	}
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -48,6 +48,10 @@
 	eventDelay eventDelay
 	// zonesUnknown is set while it is not known which zones are under evacuation.
 	zonesUnknown bool
+	// registrationsRead is when the newest read of the registrations that is applied was requested;
+	// capacitiesUnknown is set while it is too long ago.
+	registrationsRead atomic.Pointer[time.Time]
+	capacitiesUnknown bool
 	// applyingJob is the job that is being added to the scheduler; setAside holds the jobs
 	// on which that failed.
 	applyingJob string
@@ -131,7 +135,7 @@
 	o.term = term
 	o.events, o.queries = make(chan event, eventBuffer), make(chan func(), eventBuffer)
 	o.eventDelay = eventDelay{}
-	o.zonesUnknown = false
+	o.zonesUnknown, o.capacitiesUnknown = false, false
 	o.startSlots = make(map[string]chan struct{})
 	o.quickPollSlots = make(chan struct{}, maxQuickPolls)
 	o.waves = make(map[int64]waveRecord)
@@ -159,8 +163,12 @@
 	o.linkTerm.Store(&linkTerm{term: term, events: o.events, queries: o.queries, done: o.ctx.Done()})
 	done := []<-chan struct{}{
 		o.inBackground("saver", func() { o.saver.run(o.ctx, o.stop, o.recordSaved) }),
-		o.inBackground("workers", func() { o.follow(o.Calls.WorkerPrefix, from.workers, o.workerEvent, o.reloadWorkers) }),
-		o.inBackground("submissions", func() { o.follow(storekeys.Submissions, from.submissions, o.submissionEvent, o.reloadSubmissions) }),
+		o.inBackground("workers", func() {
+			o.follow(o.Calls.WorkerPrefix, from.workers, o.workerEvent, o.reloadWorkers, o.noteRegistrationsRead())
+		}),
+		o.inBackground("submissions", func() {
+			o.follow(storekeys.Submissions, from.submissions, o.submissionEvent, o.reloadSubmissions, func(time.Time) {})
+		}),
 		o.inBackground("keys", func() { o.keyWriter.run(o.ctx, o.stop, o.keyWritten) }),
 		o.inBackground("machines", o.pollMachines),
 		o.inBackground("counts", o.writeCounts),
@@ -214,6 +222,7 @@
 	for {
 		o.updateEventDelay(time.Now())
 		o.checkZones()
+		o.checkCapacities()
 		o.core.Tick(time.Now())
 		o.execute(o.core.TakeActions())
 		for queried := true; queried; {
@@ -280,6 +289,7 @@
 	defer cancel()
 	var workers, submissions, results, waves, unresponsive, pools []kv.Item
 	var from watchRevisions
+	requested := time.Now()
 	reads := []<-chan error{
 		o.rangeAsync(ctx, o.Calls.WorkerPrefix, &workers, &from.workers),
 		o.rangeAsync(ctx, storekeys.Submissions, &submissions, &from.submissions),
@@ -293,6 +303,7 @@
 			return watchRevisions{}, err
 		}
 	}
+	o.registrationsRead.Store(&requested)
 	now := time.Now()
 	o.loadWaves(waves)
 	for _, item := range workers {
--- /dev/null
+++ b/dispatch/registrations.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// maxRegistrationsAge is the age of the registrations from which on no task is started on
+	// workers that do not enforce their capacity, as it may have shrunk since. A worker reports a
+	// shrunk capacity within 1.5 s, and a start above it is a fault 3 s after that; the rest is for
+	// starts in flight. Watches without a response, each followed by a read, leave them up to 2 s
+	// old.
+	maxRegistrationsAge = 2500 * time.Millisecond
+	// registrationsReadInterval is the least time between two notes of a watch without events.
+	registrationsReadInterval = 200 * time.Millisecond
+)
+
+// noteRegistrationsRead returns a function that notes, behind the events that it has brought, a read
+// of the registrations which was requested at the given time.
+func (o *Owner) noteRegistrationsRead() func(requested time.Time) {
+	var last time.Time
+	return func(requested time.Time) {
+		if requested.Sub(last) < registrationsReadInterval {
+			return
+		}
+		last = requested
+		o.post(func(time.Time) { o.registrationsRead.Store(&requested) })
+	}
+}
+
+// capacitiesKnown reports whether the registrations are recent enough to start tasks by the
+// capacities in them, and how old they are.
+func (o *Owner) capacitiesKnown() (known bool, age time.Duration) {
+	read := o.registrationsRead.Load()
+	if read == nil {
+		return false, 0
+	}
+	age = time.Since(*read)
+	return age <= maxRegistrationsAge, age
+}
+
+// checkCapacities tells the scheduler whether the capacities of the workers are known.
+func (o *Owner) checkCapacities() {
+	known, age := o.capacitiesKnown()
+	o.core.SetCapacitiesKnown(known)
+	if known == o.capacitiesUnknown {
+		o.capacitiesUnknown = !known
+		o.Log.Info("capacities-known", zap.Bool("known", known), zap.Duration("age", age))
+	}
+}
+
+// mayHaveRoom reports whether a start may be sent to a worker of the pool: the capacities of workers
+// are known now, or the worker rejects what exceeds its own.
+func (o *Owner) mayHaveRoom(pool string) bool {
+	if known, _ := o.capacitiesKnown(); known {
+		return true
+	}
+	c, _, _ := o.Config.Current()
+	return c != nil && c.EnforcesCapacity(pool)
+}
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -26,10 +26,11 @@
 )
 
 // follow watches a prefix and applies its events. After a failed watch it reads the whole
-// prefix again.
-func (o *Owner) follow(prefix string, after int64, event func(kv.Event), reload func([]kv.Item)) {
+// prefix again. read is called for each response that is applied, with the time of its request.
+func (o *Owner) follow(prefix string, after int64, event func(kv.Event), reload func([]kv.Item), read func(requested time.Time)) {
 	watchFailed := false
 	for o.ctx.Err() == nil {
+		requested := time.Now()
 		ctx, cancel := context.WithTimeout(o.ctx, watchWait+watchTimeout)
 		events, revision, err := o.Store.Watch(ctx, prefix, after, watchWait)
 		cancel()
@@ -45,6 +46,7 @@
 			for _, e := range events {
 				event(e)
 			}
+			read(requested)
 			if len(events) > 0 {
 				wait.For(o.ctx, watchBatchDelay)
 			}
@@ -54,8 +56,10 @@
 			o.Log.Warn("feed-lost", zap.String("prefix", prefix), zap.Error(err), zap.Bool("history-dropped", errors.Is(err, kv.ErrCompacted)))
 		}
 		// A failed watch may have missed events; the range read returns the current state.
+		requested = time.Now()
 		if items, revision, ok := o.readRange(prefix); ok {
 			reload(items)
+			read(requested)
 			after = revision
 		}
 		// Without this delay, a store that rejects watches immediately would cause a busy loop.
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -7,6 +7,17 @@
 	"egretdrum.example/resource"
 )
 
+// SetCapacitiesKnown reports whether the owner knows the present capacities of the workers. While it
+// doesn't, they may have shrunk, and tasks are started only in pools whose workers reject what exceeds
+// their capacity.
+func (s *Scheduler) SetCapacitiesKnown(known bool) {
+	if s.capacitiesUnknown == !known {
+		return
+	}
+	s.capacitiesUnknown = !known
+	s.changeAll()
+}
+
 // capacityChanged handles a registration of a worker with another capacity than that before. Runs above a
 // capacity that has shrunk go on, and nothing is started beside them until there is room again.
 func (s *Scheduler) capacityChanged(w *workerState, before resource.Amount) {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -49,6 +49,8 @@
 				st.reason = "its queue has changed to another pool"
 			case !s.ensurePoolUseStored(st):
 				st.reason = "the use of the pool is being stored"
+			case s.capacitiesUnknown && !s.catalog.EnforcesCapacity(pool):
+				st.reason = "the capacities of the workers are not known at present"
 			case !st.spec.Reserved().Within(maxFree), unplaceable.covers(st):
 				st.reason = noFreeCapacity
 			case st.spec.Gang:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -48,7 +48,9 @@
 	// evacuations. zonesUnknown is set while the owner does not know which ones are.
 	evacuatedZones map[string]int64
 	zonesUnknown   bool
-	nextPlan       time.Time
+	// capacitiesUnknown is set while the capacities of the workers may have shrunk without notice.
+	capacitiesUnknown bool
+	nextPlan          time.Time
 	// relocationNeeds has the machines that pools lack to relocate long-running tasks that
 	// have to leave their worker.
 	relocationNeeds map[relocationNeed]bool
