--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -86,7 +86,7 @@
 }
 
 // start sends a start request if this host is still the owner, the zone of the worker is not
-// under evacuation and the run is still wanted.
+// under evacuation, its capacity is known and the run is still wanted.
 func (o *Owner) start(a scheduler.Start, slot chan struct{}) {
 	select {
 	case slot <- struct{}{}:
@@ -98,7 +98,7 @@
 		o.stop()
 		return
 	}
-	if !o.mayStart(a) || !a.Claim() {
+	if !o.mayStart(a) || !o.mayHaveRoom(a.Worker.Pool) || !a.Claim() {
 		o.post(func(now time.Time) { o.core.StartAnswered(a, scheduler.StartNotSent, "", now) })
 		return
 	}
@@ -219,5 +219,8 @@
 	if n.Took != 0 {
 		fields = append(fields, zap.Duration("took", n.Took), zap.Duration("objective", n.Objective))
 	}
+	if c := n.Capacity; c != nil {
+		fields = append(fields, zap.Stringer("from", c.From), zap.Stringer("to", c.To), zap.Stringer("in-use", c.Used))
+	}
 	o.Log.Info(n.Event, fields...)
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -160,7 +160,11 @@
 	if w.registration.Pool != e.Pool {
 		s.byPool = nil
 	}
+	before := w.registration.Capacity
 	w.registration, w.registered = e, true
+	if before != e.Capacity {
+		s.capacityChanged(w, before)
+	}
 	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
 		w.slowUntil = warm
 	}
