Test what owners keep of what earlier owners have begun

In an upgrade each host is replaced, and the owner changes several times. The new tests have an owner load what another one has stored or started, and look at what it stores in its turn. They fail for repeating jobs if the clock of the new owner is behind: the progress of an occurrence that is not due by that clock is dropped, its runs are stopped, and tasks whose ends were acknowledged run again ("started after its end was acknowledged").

--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -1,11 +1,15 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
+	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 
 	"egretdrum.example/job"
+	"egretdrum.example/progress"
 	"egretdrum.example/property"
 )
 
@@ -31,3 +35,81 @@
 	}, encode, decode)
 	property.CheckEncoding(t, storedPoolUse, PoolUse{"rounds": {"desk", "league"}, "teams": {"league"}}, encode, decode)
 }
+
+// storedProgress is the record of a repeating job as commit 7e6a023 writes it: occurrence 0 is done,
+// occurrence 1 has a done task and a task with a failed run.
+var storedProgress = progress.Record{
+	State: progress.Running, Queue: "rounds", Account: "arbiters", Finished: []int{0},
+	Steps: []progress.StepProgress{{Occurrence: 1, Done: []byte{1}, Failures: []progress.Failure{{Index: 1, Runs: []int64{7}}}}},
+}
+
+// rewriteProgress has a new owner load storedProgress, and returns the first record that it saves
+// after a task of another occurrence has ended. Occurrence 1 is due when the owner begins its term, or
+// later by the clock of its host.
+func rewriteProgress(t *testing.T, dueIn time.Duration) *progress.Record {
+	sim := newSimulation(2)
+	interval := 10 * time.Second
+	sim.jobs["j"] = &job.Job{
+		ID: "j", Queue: "rounds", Account: "arbiters", Repeat: 3, Interval: interval, Start: sim.now.Add(dueIn - interval),
+		Steps: []job.Step{{Count: 3, Need: small}},
+	}
+	stored := storedProgress
+	// Occurrence 0 is not done yet, so that the record changes while occurrence 1 is not due.
+	if dueIn > 0 {
+		stored.Finished = nil
+	}
+	sim.stored["j"] = &stored
+	sim.replaceOwner()
+	sim.run(2 * time.Second)
+	assertNoViolations(t, sim)
+	qt.Assert(t, sim.stored["j"], qt.Not(qt.Equals), &stored)
+	return sim.stored["j"]
+}
+
+// Guards against an owner that loses progress when it writes a record that an earlier owner has
+// written: the next owner would run done tasks again, or give failed ones more attempts.
+func TestRewrittenRecordsKeepProgress(t *testing.T) {
+	for name, dueIn := range map[string]time.Duration{"due": 0, "not due by the clock of the new owner": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			r := rewriteProgress(t, dueIn)
+			i := slices.IndexFunc(r.Steps, func(p progress.StepProgress) bool { return p.Occurrence == 1 })
+			if i < 0 {
+				qt.Assert(t, r.Finished, qt.Contains, 1)
+				return
+			}
+			qt.Check(t, r.Steps[i].IsDone(0), qt.IsTrue)
+			qt.Check(t, r.Steps[i].Failures, qt.DeepEquals, storedProgress.Steps[0].Failures)
+		})
+	}
+}
+
+// Guards against a new owner whose clock is behind and that does not know runs, or ends, of an
+// occurrence that the previous owner has begun: the runs would be stopped, and tasks that are done would
+// run again.
+func TestOccurrenceBegunBeforeItsTimeGoesOn(t *testing.T) {
+	for name, ended := range map[string]bool{"runs": false, "ends that are not stored": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(2)
+			sim.submit("j", job.Step{Count: 2, Need: small})
+			j := sim.jobs["j"]
+			j.Repeat, j.Interval, j.Start = 2, 10*time.Second, sim.now.Add(100*time.Millisecond)
+			sim.replaceOwner()
+			sim.run(300 * time.Millisecond)
+			sim.storeDown = true
+			for sim.done[job.Task{Job: "j"}] != ended {
+				sim.step()
+			}
+			sim.storeDown = false
+			later := *j
+			later.Start = j.Start.Add(4 * time.Second)
+			sim.jobs["j"] = &later
+			sim.replaceOwner()
+			sim.run(3 * time.Second)
+			assertNoViolations(t, sim)
+			qt.Check(t, sim.done[job.Task{Job: "j"}], qt.IsTrue)
+			sim.run(4 * time.Second)
+			assertNoViolations(t, sim)
+			qt.Assert(t, sim.starts, qt.Equals, 2)
+		})
+	}
+}
