Go on with occurrences that an earlier owner has begun

A new owner begins the occurrences of a repeating job that are due by its own clock. If that clock is behind the one of the previous owner, an occurrence with runs, ends and stored progress was unknown to it: it dropped the progress with its next save, stopped the runs, and let workers forget ends that it had not recorded, so that done tasks ran again when the occurrence came due.

It now begins each occurrence that the stored record or a listing of a worker names. Tasks of it that have not started wait until it is due by the clock of the new owner; to start them at once was ruled out, as that may be early. Only keeping the stored progress in the record was ruled out too, as ends and runs that are not stored yet would still be lost. The record of unresponsive workers is treated in the same way.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -131,7 +131,7 @@
 		}
 		return
 	}
-	st := s.step(listed.Task)
+	st := s.listedStep(listed.Task)
 	if st != nil {
 		st.detachOlderRecord(listed.Task.Index, listed.Run)
 	}
@@ -189,7 +189,7 @@
 
 // processEnd applies an end that a worker lists.
 func (s *Scheduler) processEnd(w *workerState, e worker.End) {
-	st := s.step(e.Task)
+	st := s.listedStep(e.Task)
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run && r.step.detached {
 		s.release(r)
 	}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -129,6 +129,11 @@
 	if spec.Repeat > 0 {
 		s.repeating = append(s.repeating, j)
 		s.startDue()
+		if r != nil {
+			for _, p := range r.Steps {
+				s.beginEarlier(j, p.Occurrence)
+			}
+		}
 		return true
 	}
 	s.begin(j, 0)
@@ -183,7 +188,7 @@
 	if j.spec.Repeat > 0 {
 		// Due times are on the wall clock, which may jump; all other times are on the monotonic
 		// clock.
-		o.due = s.now.Add(-max(0, s.now.Round(0).Sub(j.spec.Due(number))))
+		o.due = s.now.Add(j.spec.Due(number).Sub(s.now.Round(0)))
 	}
 	j.occurrences[number] = o
 	j.nextOccurrence = number + 1
@@ -329,7 +334,7 @@
 
 // timeOccurrence sets how long an occurrence took and the objective for it.
 func (s *Scheduler) timeOccurrence(j *jobState, o *occurrence) {
-	j.took = s.now.Sub(o.due)
+	j.took = max(0, s.now.Sub(o.due))
 	if q, _ := s.pool(j.spec.Queue); q != nil {
 		path, _ := s.criticalPath(j.spec.Queue, o)
 		j.objective = objective(q, path)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -164,13 +164,13 @@
 	}
 }
 
-// mustWait reports whether a step must not start yet: earlier steps are not done, runs of it that
+// mustWait reports whether a step must not start yet: its occurrence is not due, earlier steps are not done, runs of it that
 // the previous owner has started may be unknown, its queue is not configured any more, or it
 // waits for the list of machines.
 func (s *Scheduler) mustWait(st *stepState) bool {
 	// Tasks that may have several runs need not wait for those of the previous owner.
 	unknown := st.job.inherited && !st.spec.Speculative && s.mayHaveUnknownRuns(st.job.spec.Queue) && !mutation.ignoreUnknown
-	return (st.blocked > 0 && !mutation.ignoreDependencies) || unknown || s.catalog.Queues[st.job.spec.Queue] == nil || s.awaitsMachineList(st)
+	return (st.blocked > 0 && !mutation.ignoreDependencies) || st.occurrence.due.After(s.now) || unknown || s.catalog.Queues[st.job.spec.Queue] == nil || s.awaitsMachineList(st)
 }
 
 // awaitsMachineList reports whether a long-running task waits for the list of machines.
@@ -180,6 +180,8 @@
 
 func (s *Scheduler) waitReason(st *stepState) string {
 	switch {
+	case st.occurrence.due.After(s.now):
+		return "not due yet"
 	case st.blocked > 0:
 		return "earlier steps are not done"
 	case s.catalog.Queues[st.job.spec.Queue] == nil:
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -79,7 +79,7 @@
 		return
 	}
 	listed := &worker.Run{Task: v.Task, Run: v.Run}
-	st := s.step(v.Task)
+	st := s.listedStep(v.Task)
 	if st != nil {
 		st.detachOlderRecord(v.Task.Index, v.Run)
 	}
