Give the stop of an unknown run the time to be sent

Seen by a reviewer of the fixes for runs of cancelled jobs: the stop of a listed run whose job the owner does not know, such as one that is set aside after a panic, had no timeout. Its context had expired before it was sent; the log said run-stopped all the same. Beside another run, polls extended the lease, and the run went on for good: 500 unsent stops in 10 s of simulated time.

The simulation delivered such stops; it drops them now, as the owner's loop does. TestUnknownRunBesideAnotherIsStopped fails without the timeout and passes with it.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -189,7 +189,7 @@
 	j := s.jobs[listed.Task.Job]
 	if j == nil || listed.Task.Step >= len(j.spec.Steps) || w.runs[listed.Task] != nil || listed.Task.Index >= j.spec.Steps[listed.Task.Step].Count {
 		w.hasUnknownRuns = true
-		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted})
+		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted, Timeout: s.timeout(s.answerTimeout())})
 		return
 	}
 	step := &j.spec.Steps[listed.Task.Step]
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -652,6 +652,11 @@
 }
 
 func (sim *simulation) stop(a Stop) {
+	if a.Timeout <= 0 {
+		// The time for the call is over before it is sent.
+		sim.report(false, 0, func() { sim.core.StopAnswered(a, false, sim.now) })
+		return
+	}
 	w := sim.workers[a.Worker.ID]
 	ok := sim.deliver("stop", w, func(w *fakeWorker) {
 		if a.Fence < w.fence {
