--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -189,6 +189,8 @@
 	j := s.jobs[listed.Task.Job]
 	if j == nil || listed.Task.Step >= len(j.spec.Steps) || w.runs[listed.Task] != nil || listed.Task.Index >= j.spec.Steps[listed.Task.Step].Count {
 		w.hasUnknownRuns = true
+		// No run in the books stands for it: each listing leads to another stop until it is gone.
+		w.nextPoll = s.now.Add(pollRetry)
 		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted, Timeout: s.timeout(s.answerTimeout())})
 		return
 	}
--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -26,7 +26,7 @@
 	if w.replaced || w.polling || s.now.Before(w.nextPoll) {
 		return
 	}
-	unknown := !w.answered || w.uncertain
+	unknown := !w.answered || w.uncertain || w.hasUnknownRuns
 	if !w.registered && len(w.runs) == 0 && !w.uncertain && s.recovered {
 		return
 	}
--- a/scheduler/unknown_test.go
+++ b/scheduler/unknown_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretdrum.example/job"
+	"egretdrum.example/progress"
 )
 
 // addUnknownRun lets worker w0 have a run of job "ghost", which no owner knows.
@@ -24,3 +25,15 @@
 	assertNothingRuns(t, sim, "ghost")
 	assertNoViolations(t, sim)
 }
+
+// Guards against a worker that is never polled and never used again, because it once listed a run of
+// a job that the owner doesn't know and nothing else.
+func TestWorkerIsUsedAfterUnknownRun(t *testing.T) {
+	sim := newSimulation(1)
+	addUnknownRun(sim)
+	sim.run(5 * time.Second)
+	assertNothingRuns(t, sim, "ghost")
+	sim.submit("a", job.Step{Count: 1, Need: small})
+	sim.run(5 * time.Second)
+	assertState(t, sim, "a", progress.Succeeded)
+}
