Remember the highest fencing token of workers that are gone

The state of a worker is dropped some seconds after its registration is gone, and with it the fencing token that the worker was given. If it came back under its ID, calls began again at the first token of the owner. A worker that had only been cut off refused them for the rest of the term; one that had restarted was polled with a token that did not fence an older start, so that a run of a cancelled job could begin there without anybody who polls it.

Workers that are registered anew begin above the tokens of all workers that were removed.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -79,6 +79,8 @@
 	// lastRun is the last run number in use. The numbers of an owner are above those of all
 	// previous owners.
 	lastRun int64
+	// forgottenFence is above the fencing tokens of all workers that were removed and may come back.
+	forgottenFence int64
 	// recovered is set once every run of previous owners is known or has ended. Until then,
 	// tasks of jobs that a previous owner may have seen are not started.
 	recovered        bool
@@ -138,9 +140,10 @@
 	s := &Scheduler{
 		limits:  limits,
 		started: now, now: now,
-		startWindow: maxWindow,
-		fence:       ownership * fencesPerOwner,
-		lastRun:     ownership * runsPerOwner,
+		startWindow:    maxWindow,
+		fence:          ownership * fencesPerOwner,
+		forgottenFence: ownership * fencesPerOwner,
+		lastRun:        ownership * runsPerOwner,
 
 		jobs:     make(map[string]*jobState),
 		waiting:  make(map[string][]*stepState),
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -140,7 +140,7 @@
 	w := s.workers[e.ID]
 	if w == nil {
 		w = &workerState{firstSeen: now, speed: 1, newest: new(atomic.Int64), runs: make(map[job.Task]*run)}
-		w.setFence(s.fence)
+		w.setFence(s.forgottenFence)
 		w.registration = e
 		s.workers[e.ID] = w
 		at, _ := slices.BinarySearchFunc(s.sortedWorkers, e.ID, func(w *workerState, id string) int { return cmp.Compare(w.registration.ID, id) })
@@ -263,6 +263,8 @@
 		if w.recordStored {
 			s.actions.UnresponsiveEnds = append(s.actions.UnresponsiveEnds, w.registration.ID)
 		}
+		// If the worker comes back, it may have seen this token, and older calls may be in flight.
+		s.forgottenFence = max(s.forgottenFence, w.fence+1)
 		delete(s.workers, w.registration.ID)
 		s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(other *workerState) bool { return other == w })
 		s.byPool = nil
