--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -158,7 +158,12 @@
 	if r.worker.pollSent.Sub(r.stopSent) <= s.limits.Stop+stopRepeatMargin {
 		return
 	}
-	s.logEvent(LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Waited: s.now.Sub(r.stopSent), WaitReason: "the worker still lists the run"})
+	e := LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Reason: "its worker has restarted since"}
+	if !r.stopSent.IsZero() {
+		e.Reason = "its worker still lists it"
+		e.Waited, e.WaitReason = s.now.Sub(r.stopSent), "its end"
+	}
+	s.logEvent(e)
 	s.sendStop(r, "run still listed")
 }
 
