--- a/command/app.go
+++ b/command/app.go
@@ -41,6 +41,7 @@
 			serviceCommand(),
 			auditCommand(),
 			demoCommand(),
+			emulateCommand(),
 			statusCommand(),
 			explainCommand(),
 			measureCommand(),
