Model workers and machines without sockets

The fake store drops its history by age and finds the events of a watch by a binary search, since a process that runs for hours would otherwise keep and scan all changes.

--- a/kvfake/fake.go
+++ b/kvfake/fake.go
@@ -3,6 +3,7 @@
 package kvfake
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -38,9 +39,13 @@
 	items             map[string]kv.Item
 	history           []kv.Event
 	compactedRevision int64
-	leases            map[int64]*lease
-	changed           chan struct{}
-	calls             map[string]int
+	// retention is how long the history is kept, zero for ever; written has the time of each
+	// event of the history.
+	retention time.Duration
+	written   []time.Time
+	leases    map[int64]*lease
+	changed   chan struct{}
+	calls     map[string]int
 }
 
 type lease struct {
@@ -104,11 +109,26 @@
 	return f.items[key]
 }
 
+// SetRetention drops changes from the history that are older than d.
+func (f *Fake) SetRetention(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retention = d
+}
+
+// Status returns the revision and the number of keys.
+func (f *Fake) Status() (revision int64, keys int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expire()
+	return f.revision, len(f.items)
+}
+
 // Compact drops the history.
 func (f *Fake) Compact() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.history, f.compactedRevision = nil, f.revision
+	f.history, f.written, f.compactedRevision = nil, nil, f.revision
 	f.notifyWatches()
 }
 
@@ -191,8 +211,9 @@
 			return nil, 0, kv.ErrCompacted
 		}
 		var events []kv.Event
-		for _, e := range f.history {
-			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+		first, _ := slices.BinarySearchFunc(f.history, after+1, func(e kv.Event, revision int64) int { return cmp.Compare(e.Revision, revision) })
+		for _, e := range f.history[first:] {
+			if strings.HasPrefix(e.Key, prefix) {
 				events = append(events, e)
 			}
 		}
@@ -260,9 +281,28 @@
 			f.history = append(f.history, kv.Event{Item: kv.Item{Key: key, Revision: f.revision}, Deleted: true})
 		}
 	}
+	f.trimHistory()
 	f.notifyWatches()
 }
 
+// trimHistory drops the changes that are older than the retention.
+func (f *Fake) trimHistory() {
+	if f.retention == 0 {
+		return
+	}
+	now := time.Now()
+	for len(f.written) < len(f.history) {
+		f.written = append(f.written, now)
+	}
+	dropped := 0
+	for dropped < len(f.written) && now.Sub(f.written[dropped]) > f.retention {
+		f.compactedRevision = f.history[dropped].Revision
+		dropped++
+	}
+	// The slices share their arrays, so that dropping them costs a copy from time to time only.
+	f.history, f.written = f.history[dropped:], f.written[dropped:]
+}
+
 func (f *Fake) notifyWatches() {
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/promises/recorder.go
+++ b/promises/recorder.go
@@ -29,6 +29,7 @@
 	StartAfterCrashes Check = "start-after-crashes"
 	UnknownJob        Check = "unknown-job"
 	RefusedJob        Check = "refused-job"
+	WrongOrder        Check = "wrong-order"
 	WrongPool         Check = "wrong-pool"
 	MissingLabel      Check = "missing-label"
 	TooManyOnWorker   Check = "too-many-on-worker"
--- a/promises/workers.go
+++ b/promises/workers.go
@@ -107,6 +107,11 @@
 	r.checkEnds(at, j, s.Task)
 }
 
+// WrongOrder records an order whose payload or checkpoint is not that of the task.
+func (r *Recorder) WrongOrder(at time.Time, id string, t job.Task, detail string) {
+	r.violate(at, WrongOrder, Violation{Job: t.Job, Task: t.String(), Worker: id, Detail: detail})
+}
+
 // checkTask checks the runs of the task and the state of its job.
 func (r *Recorder) checkTask(at time.Time, j *jobRecord, task *taskRecord, step *job.Step, v Violation) {
 	if len(task.running) > 0 && !step.Speculative {
--- /dev/null
+++ b/workermodel/advance.go
@@ -0,0 +1,81 @@
+package workermodel
+
+import (
+	"slices"
+	"time"
+
+	"egretdrum.example/job"
+	"egretdrum.example/worker"
+)
+
+// Outcome is what has happened on a worker since the last call of Advance.
+type Outcome struct {
+	Ended []worker.End
+	// LeaseExpired is set if the lease expired while tasks were running.
+	LeaseExpired bool
+	// Crashed is the task that has crashed the worker, which is then gone; nil without one.
+	Crashed *job.Task
+}
+
+// Advance ends the runs whose time has come.
+func (w *Worker) Advance(now time.Time) Outcome {
+	var o Outcome
+	if len(w.runs) == 0 {
+		return o
+	}
+	before := w.lastEnd
+	for _, r := range w.sorted() {
+		at, reason, crash := r.finish()
+		over := !at.IsZero() && !now.Before(at)
+		stopped := !r.stopped.IsZero() && !now.Before(r.stopped)
+		switch {
+		case over && (r.stopped.IsZero() || at.Before(r.stopped)):
+			if crash {
+				o.Crashed = &r.task
+				return o
+			}
+			w.end(now, r, reason)
+		case stopped:
+			w.end(now, r, worker.Stopped)
+		case r.behavior.Gang && r.atWork.IsZero() && now.After(r.present.Add(w.cfg.GangTimeout)):
+			w.end(now, r, worker.GangTimeout)
+		}
+	}
+	if len(w.runs) > 0 && w.Clock(now) > w.lease {
+		o.LeaseExpired = true
+		for _, r := range w.sorted() {
+			w.end(now, r, worker.LeaseExpired)
+		}
+	}
+	first := len(w.ended) - int(w.lastEnd-before)
+	o.Ended = slices.Clone(w.ended[first:])
+	return o
+}
+
+func (w *Worker) end(now time.Time, r *run, reason worker.EndReason) {
+	w.lastEnd++
+	checkpoint := ""
+	if reason != worker.Done {
+		checkpoint = w.checkpoint(now, r, reason == worker.Stopped)
+	}
+	w.ended = append(w.ended, worker.End{Number: w.lastEnd, Task: r.task, Run: r.key.run, Reason: reason, Checkpoint: checkpoint})
+	w.highest[r.task] = max(w.highest[r.task], r.key.run)
+	delete(w.runs, r.key)
+}
+
+// BeginGang lets a run of a gang work, once all members are present.
+func (w *Worker) BeginGang(now time.Time, t job.Task, number int64) {
+	if r := w.runs[key{t, number}]; r != nil && r.atWork.IsZero() {
+		w.begin(now, r)
+	}
+}
+
+// Break ends a run because another member of its gang has ended.
+func (w *Worker) Break(now time.Time, t job.Task, number int64) (worker.End, bool) {
+	r := w.runs[key{t, number}]
+	if r == nil {
+		return worker.End{}, false
+	}
+	w.end(now, r, worker.GangBroken)
+	return w.ended[len(w.ended)-1], true
+}
