Emulate the platform for real platform-host processes

egretdrum emulate FILE serves the store, the workers, the machines and an ingress on loopback sockets, and takes commands at a control address. Each host gets addresses of its own for store and machines, since on loopback nothing else tells hosts apart, so that a fault can concern one host.

--- a/command/emulate.go
+++ b/command/emulate.go
@@ -39,10 +39,14 @@
 			}
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			return emulator.New(&emulator.Config{
+			e := emulator.New(&emulator.Config{
 				File: file, Settings: s, Hosts: cmd.Int("hosts"), SettingsDir: cmd.String("settings-dir"),
 				Listeners: cmd.Root().Writer, Log: eventlog.New(os.Stderr),
-			}).Run(ctx)
+			})
+			if err := e.Listen(ctx); err != nil {
+				return err
+			}
+			return e.Run(ctx)
 		},
 	}
 }
--- /dev/null
+++ b/emulator/listen.go
@@ -0,0 +1,178 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretdrum.example/fleetmodel"
+	"egretdrum.example/platform/emulated"
+	"egretdrum.example/worker"
+)
+
+const settingsFileMode = 0o600
+
+// Listen opens all listeners, writes the configuration, and starts the workers. Calls are
+// served from then on; ctx ends late ones.
+func (e *Emulator) Listen(ctx context.Context) error {
+	e.gate.Context = ctx
+	if err := e.listen(); err != nil {
+		e.close()
+		return err
+	}
+	return nil
+}
+
+func (e *Emulator) listen() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	control, err := e.serve(e.settings.ControlPort, e.controlHandler())
+	if err != nil {
+		return err
+	}
+	ingress, err := e.serve(e.settings.IngressPort, e.ingressHandler())
+	if err != nil {
+		return err
+	}
+	e.control, e.ingress = control.String(), ingress.String()
+	if err := e.configure(e.settings); err != nil {
+		return err
+	}
+	for i := range e.settings.Pools {
+		p := &e.settings.Pools[i]
+		for range p.Workers {
+			if _, err := e.addMachine(p.Name, ""); err != nil {
+				return err
+			}
+		}
+	}
+	if err := e.writeRegistrations(); err != nil {
+		return err
+	}
+	for n := range e.cfg.Hosts {
+		if err := e.addHost(n); err != nil {
+			return err
+		}
+	}
+	return e.printListeners()
+}
+
+func (e *Emulator) printListeners() error {
+	lines := fmt.Sprintf("control %s\ningress %s\n", e.control, e.ingress)
+	for _, h := range e.hosts {
+		lines += fmt.Sprintf("host %s callers %s store %s machines %s settings %s\n", h.Name, h.Callers, h.Store, h.Machines, h.settingsFile)
+	}
+	_, err := fmt.Fprint(e.cfg.Listeners, lines+"ready\n")
+	return err
+}
+
+// serve serves a handler at a port, zero for one that the system chooses.
+func (e *Emulator) serve(port uint16, handler http.Handler) (netip.AddrPort, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.AddrPortFrom(e.settings.Address, port)))
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	// Aborted calls are faults on purpose; net/http would log each of them.
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	e.servers = append(e.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			select {
+			case e.failed <- err:
+			default:
+			}
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// close closes all listeners and connections, and waits for late calls.
+func (e *Emulator) close() {
+	e.mu.Lock()
+	servers := e.servers
+	e.mu.Unlock()
+	for _, s := range servers {
+		if err := s.Close(); err != nil {
+			e.log.Warn("listener-not-closed", zap.Error(err))
+		}
+	}
+	e.gate.Wait()
+}
+
+// addHost opens the listeners of an entry host and writes its settings file.
+func (e *Emulator) addHost(n int) error {
+	h := &host{misses: missesNotReady}
+	h.Name = fmt.Sprintf("entry-%d", n+1)
+	zones := e.zones()
+	h.Zone = zones[n%len(zones)]
+	h.Callers = netip.AddrPortFrom(e.settings.Address, e.settings.FirstHostPort+uint16(n*emulated.HostPorts))
+	var err error
+	h.Store, err = e.serve(0, &emulated.StoreHandler{
+		Store: e.store.Store(), Gate: e.gate, Host: h.Name, Writes: e.writes, Reads: e.reads,
+		LeastTTL: e.settings.Store.LeastLease, MaxValueBytes: e.settings.Store.LongestValue,
+	})
+	if err != nil {
+		return err
+	}
+	h.Machines, err = e.serve(0, &emulated.MachineHandler{
+		Gate: e.gate, Host: h.Name, Lists: e.lists, Orders: e.orders, List: e.machines, Order: e.orderMachine,
+	})
+	if err != nil {
+		return err
+	}
+	e.hosts = append(e.hosts, h)
+	if e.cfg.SettingsDir == "" {
+		return nil
+	}
+	h.settingsFile = filepath.Join(e.cfg.SettingsDir, h.Name+".conf")
+	return os.WriteFile(h.settingsFile, h.Settings(e.settings), settingsFileMode)
+}
+
+// zones returns the zones of all pools.
+func (e *Emulator) zones() []string {
+	var zones []string
+	for i := range e.settings.Pools {
+		zones = append(zones, e.settings.Pools[i].Zones...)
+	}
+	return zones
+}
+
+// addMachine adds a machine to a pool, in the given zone or the next one.
+func (e *Emulator) addMachine(pool, zone string) (string, error) {
+	handler := &emulated.WorkerHandler{Gate: e.gate}
+	address, err := e.serve(0, handler)
+	if err != nil {
+		return "", err
+	}
+	id, ok := e.fleet.AddMachine(time.Now(), pool, zone, e.machineCounts[pool], address)
+	if !ok {
+		return "", fmt.Errorf("no pool %q, or no zone %q in it", pool, zone)
+	}
+	e.machineCounts[pool]++
+	e.connect(handler, id)
+	return id, nil
+}
+
+func (e *Emulator) machines() []worker.Machine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fleet.Machines()
+}
+
+func (e *Emulator) orderMachine(o *fleetmodel.MachineOrder) fleetmodel.OrderResult {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	result := e.fleet.Order(time.Now(), o)
+	e.wake(o.Machine)
+	e.log.Info("machine-order", zap.String("machine", o.Machine), zap.String("pool", o.Pool), zap.Int64("wave", o.Wave),
+		zap.String("holder", o.Holder), zap.Int64("fence", o.Fence), zap.String("result", string(result)))
+	return result
+}
--- a/fleetmodel/fleet.go
+++ b/fleetmodel/fleet.go
@@ -126,15 +126,18 @@
 	return nil
 }
 
-// AddMachine adds the nth machine of a pool, with a worker unless the pool is on standby. It
-// returns the ID of the machine, or false without such a pool.
-func (f *Fleet) AddMachine(now time.Time, pool string, n int, address netip.AddrPort) (string, bool) {
+// AddMachine adds the nth machine of a pool, with a worker unless the pool is on standby. An
+// empty zone stands for the next one. It returns the ID of the machine, or false without such a
+// pool or zone.
+func (f *Fleet) AddMachine(now time.Time, pool, zone string, n int, address netip.AddrPort) (string, bool) {
 	p := f.pool(pool)
-	if p == nil {
+	if p == nil || zone != "" && !slices.Contains(p.Zones, zone) {
 		return "", false
 	}
 	f.lastMachine++
-	zone := p.Zones[n%len(p.Zones)]
+	if zone == "" {
+		zone = p.Zones[n%len(p.Zones)]
+	}
 	m := &machine{
 		id: fmt.Sprintf("m-%04d", f.lastMachine), pool: pool, zone: zone,
 		rack: fmt.Sprintf("%s-r%d", zone, n/len(p.Zones)%p.Racks+1), kind: p.Kind, capacity: p.Capacity,
--- a/fleetmodel/orders.go
+++ b/fleetmodel/orders.go
@@ -96,8 +96,12 @@
 	return l, nil
 }
 
-// HasEnds reports whether a worker lists ends, so that a poll need not wait.
-func (f *Fleet) HasEnds(machineID string) bool {
+// Clock returns the incarnation of the worker of a machine and the reading of its clock, zero
+// without a worker.
+func (f *Fleet) Clock(now time.Time, machineID string) (int64, time.Duration) {
 	m := f.byID[machineID]
-	return m == nil || m.model == nil || m.model.HasEnds()
+	if m == nil || m.model == nil {
+		return 0, 0
+	}
+	return m.model.Incarnation(), m.model.Clock(now)
 }
--- a/promises/jobs.go
+++ b/promises/jobs.go
@@ -209,3 +209,18 @@
 	}
 	return startRecord{}
 }
+
+// Progress returns how many tasks of a job have ended as done, and how many it has.
+func (r *Recorder) Progress(id string) (done, tasks int) {
+	j := r.jobs[id]
+	if j == nil {
+		return 0, 0
+	}
+	for i := range j.job.Steps {
+		tasks += j.job.Steps[i].Count * j.job.Occurrences()
+	}
+	for _, n := range j.doneCount {
+		done += n
+	}
+	return done, tasks
+}
--- a/workermodel/worker.go
+++ b/workermodel/worker.go
@@ -237,9 +237,6 @@
 // Unacknowledged returns the number of ends that were not acknowledged.
 func (w *Worker) Unacknowledged() int { return len(w.ended) }
 
-// HasEnds reports whether there are ends that were not acknowledged.
-func (w *Worker) HasEnds() bool { return len(w.ended) > 0 }
-
 // sorted returns the runs in order of their tasks.
 func (w *Worker) sorted() []*run {
 	runs := make([]*run, 0, len(w.runs))
