--- a/promises/recorder.go
+++ b/promises/recorder.go
@@ -60,6 +60,15 @@
 	maxCrashes = 3
 )
 
+// Checks returns all checks.
+func Checks() []Check {
+	return []Check{
+		TwoRuns, OverCapacity, StartAfterDone, StepOrder, EarlyStart, StartAfterCancel, RunAfterCancel, AccountLimit, WithdrawnKey,
+		TooManyAttempts, StartAfterCrashes, UnknownJob, RefusedJob, WrongOrder, WrongPool, MissingLabel, TooManyOnWorker, LostJob,
+		EarlySuccess, WrongFailure, WaveLimit, EarlyWaveEnd, MachineFence,
+	}
+}
+
 // Violation is an observation that breaks a promise.
 type Violation struct {
 	At     time.Time
