--- a/emulator/listen.go
+++ b/emulator/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -113,8 +114,11 @@
 	h.Name = fmt.Sprintf("entry-%d", n+1)
 	zones := e.zones()
 	h.Zone = zones[n%len(zones)]
-	h.Callers = netip.AddrPortFrom(e.settings.Address, e.settings.FirstHostPort+uint16(n*emulated.HostPorts))
-	var err error
+	port, err := e.hostPort(n)
+	if err != nil {
+		return err
+	}
+	h.Callers = netip.AddrPortFrom(e.settings.Address, port)
 	h.Store, err = e.serve(0, &emulated.StoreHandler{
 		Store: e.store.Store(), Gate: e.gate, Host: h.Name, Writes: e.writes, Reads: e.reads,
 		LeastTTL: e.settings.Store.LeastLease, MaxValueBytes: e.settings.Store.LongestValue,
@@ -136,6 +140,49 @@
 	return os.WriteFile(h.settingsFile, h.Settings(e.settings), settingsFileMode)
 }
 
+const (
+	// Free ports for hosts are searched between these; the system chooses ports above them for
+	// connections and for listeners without a port.
+	lowestHostPort, highestHostPort = 20_000, 32_000
+	portSearches                    = 100
+)
+
+// hostPort returns the first port of the nth host. If the settings have none, it searches for
+// free ones: another process may still take them before the host starts.
+func (e *Emulator) hostPort(n int) (uint16, error) {
+	if e.settings.FirstHostPort != 0 {
+		return e.settings.FirstHostPort + uint16(n*emulated.HostPorts), nil
+	}
+	var err error
+	for range portSearches {
+		blocks := (highestHostPort - lowestHostPort) / emulated.HostPorts
+		first := uint16(lowestHostPort + rand.IntN(blocks)*emulated.HostPorts)
+		if err = e.checkFree(first); err == nil {
+			return first, nil
+		}
+	}
+	return 0, err
+}
+
+// checkFree reports whether a host can listen at its ports.
+func (e *Emulator) checkFree(first uint16) error {
+	for _, h := range e.hosts {
+		if h.Callers.Port() == first {
+			return errors.New("the ports are those of another host")
+		}
+	}
+	for port := first; port < first+emulated.HostPorts; port++ {
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.AddrPortFrom(e.settings.Address, port)))
+		if err != nil {
+			return err
+		}
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // zones returns the zones of all pools.
 func (e *Emulator) zones() []string {
 	var zones []string
