Crash workers early, and allow the starts that are in flight

In the users' traces a run crashes its worker 10 ms after its start, not half way; the payload can set another time. Two starts after the third crash are allowed, as hosts learn of a crash with a delay, and a job may be given up from the second crash on.

--- a/emulation/keys.go
+++ b/emulation/keys.go
@@ -184,6 +184,8 @@
 	duration("heartbeat", "1500ms", func(s *Settings) *time.Duration { return &s.Workers.Heartbeat }),
 	duration("longest-lease", "10s", func(s *Settings) *time.Duration { return &s.Workers.LongestLease }),
 	duration("stop-time", "900ms", func(s *Settings) *time.Duration { return &s.Workers.StopTime }),
+	duration("restart-time", "1s", func(s *Settings) *time.Duration { return &s.Workers.RestartTime }),
+	boolean("keep-ids", "true", func(s *Settings) *bool { return &s.Workers.KeepIDs }),
 	number("slowest-clock", "0.98", "a number from 0.98 to 1", parseClockRate, func(s *Settings) *float64 { return &s.Workers.SlowestClock }),
 	duration("checkpoint-interval", "1s", func(s *Settings) *time.Duration { return &s.Workers.CheckpointInterval }),
 	duration("restore-time", "600ms", func(s *Settings) *time.Duration { return &s.Workers.RestoreTime }),
--- a/emulation/settings.go
+++ b/emulation/settings.go
@@ -40,6 +40,10 @@
 // Workers holds the properties that all workers share.
 type Workers struct {
 	Heartbeat, LongestLease, StopTime time.Duration
+	// RestartTime is how long a worker that a task has crashed is down. KeepIDs is set if it
+	// starts again under the same ID.
+	RestartTime time.Duration
+	KeepIDs     bool
 	// SlowestClock is the lowest rate of a worker's clock; 1 is the rate of real time.
 	SlowestClock                                              float64
 	CheckpointInterval, RestoreTime, StartupTime, GangTimeout time.Duration
--- a/fleetmodel/behavior.go
+++ b/fleetmodel/behavior.go
@@ -20,8 +20,10 @@
 	runTimeFactorRange = 0.5
 	// longRunFailure is the time within which a long-running task fails, if it does.
 	longRunFailure = 10 * time.Second
-	// failureShare is the share of its run time after which a run fails or crashes its worker.
+	// failureShare is the share of its run time after which a run fails.
 	failureShare = 0.5
+	// crashAfter is how long a run that crashes its worker is at work, unless its payload says otherwise.
+	crashAfter = 10 * time.Millisecond
 )
 
 // words are the settings in the payload of a job that say how its tasks behave.
@@ -30,11 +32,12 @@
 	failures    int64
 	failureRate float64
 	crashes     int64
+	crashAfter  time.Duration
 }
 
 // readWords reads the words KEY=VALUE of a payload; all others are ignored.
 func readWords(payload string) words {
-	var w words
+	w := words{crashAfter: crashAfter}
 	for _, word := range strings.Fields(payload) {
 		key, value, _ := strings.Cut(word, "=")
 		switch key {
@@ -42,6 +45,10 @@
 			if d, err := time.ParseDuration(value); err == nil && d > 0 {
 				w.runTime = d
 			}
+		case "crash-after":
+			if d, err := time.ParseDuration(value); err == nil && d > 0 {
+				w.crashAfter = d
+			}
 		case "failures":
 			if n, err := strconv.ParseInt(value, 10, 64); err == nil {
 				w.failures = n
@@ -95,7 +102,7 @@
 		b.FailAfter = max(middle, time.Millisecond)
 	}
 	if past < w.crashes {
-		b.CrashAfter = max(middle, time.Millisecond)
+		b.CrashAfter = w.crashAfter
 	}
 	return b
 }
--- a/promises/jobs.go
+++ b/promises/jobs.go
@@ -28,7 +28,8 @@
 	starts  []startRecord
 	ends    []*endRecord
 	done    bool
-	crashes int
+	// startsAfter counts the starts after maxCrashes crashes.
+	crashes, startsAfter int
 }
 
 type runKey struct {
@@ -151,7 +152,7 @@
 				failures++
 			}
 		}
-		if failures >= limit || t.crashes >= maxCrashes {
+		if failures >= limit || t.crashes >= givenUpCrashes {
 			return true
 		}
 	}
--- a/promises/recorder.go
+++ b/promises/recorder.go
@@ -56,8 +56,12 @@
 	visibleTime = 3 * time.Second
 	// limitTolerance is the share by which an account may exceed its limit, besides one task.
 	limitTolerance = 0.1
-	// maxCrashes is the number of workers that a task may crash.
-	maxCrashes = 3
+	// maxCrashes is the number of workers that a task may crash. A few starts more are
+	// tolerated: hosts learn of a crash with a delay.
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 2
+	// givenUpCrashes is the number of crashes from which on a task may fail its job.
+	givenUpCrashes = 2
 )
 
 // Checks returns all checks.
--- a/promises/workers.go
+++ b/promises/workers.go
@@ -121,7 +121,10 @@
 		r.violate(at, TwoRuns, v)
 	}
 	if task.crashes >= maxCrashes {
-		v.Detail = fmt.Sprintf("the task has crashed %d workers", task.crashes)
+		task.startsAfter++
+	}
+	if task.startsAfter > maxStartsAfterCrashes {
+		v.Detail = fmt.Sprintf("start %d after the task has crashed %d workers", task.startsAfter, task.crashes)
 		r.violate(at, StartAfterCrashes, v)
 	}
 	occurrence := taskOccurrence(v.Task)
