--- a/emulation/keys.go
+++ b/emulation/keys.go
@@ -170,6 +170,7 @@
 	port("ingress-port", "18347", func(s *Settings) *uint16 { return &s.IngressPort }),
 	port("first-host-port", "18400", func(s *Settings) *uint16 { return &s.FirstHostPort }),
 	duration("revoke-within", "5s", func(s *Settings) *time.Duration { return &s.RevokeWithin }),
+	duration("evacuate-within", "5s", func(s *Settings) *time.Duration { return &s.EvacuateWithin }),
 }
 
 var storeKeys = []key[Settings]{
--- a/emulation/settings.go
+++ b/emulation/settings.go
@@ -17,11 +17,12 @@
 	// Address is the IP address of all listeners. A port of zero is chosen by the system.
 	Address                                 netip.Addr
 	ControlPort, IngressPort, FirstHostPort uint16
-	// RevokeWithin is the time after which hosts must no longer accept a withdrawn key.
-	RevokeWithin time.Duration
-	Store        Store
-	Workers      Workers
-	Machines     Machines
+	// RevokeWithin is the time after which hosts must no longer accept a withdrawn key,
+	// EvacuateWithin the time after which no task may start in an evacuated zone.
+	RevokeWithin, EvacuateWithin time.Duration
+	Store                        Store
+	Workers                      Workers
+	Machines                     Machines
 	// Pools, Queues and Accounts are sorted by name.
 	Pools    []Pool
 	Queues   []*catalog.Queue
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -291,6 +291,7 @@
 	}
 	e.evacuated[body.Zone] = true
 	e.store.Put(platform.EvacuationPrefix+body.Zone, []byte("{}"))
+	e.recorder.Evacuate(time.Now(), body.Zone)
 	return struct{}{}, nil
 }
 
@@ -301,6 +302,7 @@
 	}
 	delete(e.evacuated, zone)
 	e.store.Delete(platform.EvacuationPrefix + zone)
+	e.recorder.Restore(zone)
 	return struct{}{}, nil
 }
 
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -97,7 +97,7 @@
 		writes: &emulated.Bucket{PerSecond: s.Store.WritesPerSecond}, reads: &emulated.Bucket{PerSecond: s.Store.ReadsPerSecond},
 		lists: &emulated.Bucket{PerSecond: s.Machines.ListsPerSecond}, orders: &emulated.Bucket{PerSecond: s.Machines.OrdersPerSecond},
 	}
-	e.recorder.RevokeWithin, e.recorder.StopTime = s.RevokeWithin, s.Workers.StopTime
+	e.recorder.RevokeWithin, e.recorder.EvacuateWithin, e.recorder.StopTime = s.RevokeWithin, s.EvacuateWithin, s.Workers.StopTime
 	e.store.SetRetention(s.Store.History)
 	e.fleet = fleetmodel.New(s, e.recorder)
 	e.faults = faultList{random: rand.New(rand.NewPCG(uint64(s.Seed), 1))}
--- a/fleetmodel/fleet.go
+++ b/fleetmodel/fleet.go
@@ -226,6 +226,7 @@
 		return false
 	}
 	m.draining, m.leaveAt = true, now.Add(leaveAfter)
+	f.recorder.Drain(now, m.workerID)
 	f.register(now, m)
 	return true
 }
--- a/promises/recorder.go
+++ b/promises/recorder.go
@@ -32,6 +32,8 @@
 	WrongOrder        Check = "wrong-order"
 	WrongPool         Check = "wrong-pool"
 	MissingLabel      Check = "missing-label"
+	EvacuatedZone     Check = "evacuated-zone"
+	DrainingWorker    Check = "draining-worker"
 	TooManyOnWorker   Check = "too-many-on-worker"
 	LostJob           Check = "lost-job"
 	EarlySuccess      Check = "early-success"
@@ -52,6 +54,8 @@
 	calmTime = 3 * time.Second
 	// earlyTime is how much earlier than its due time an occurrence may start.
 	earlyTime = 250 * time.Millisecond
+	// drainTime is the time after which no task may start on a worker that drains.
+	drainTime = 2 * time.Second
 	// visibleTime is how long a host may not know of a job that another one has accepted.
 	visibleTime = 3 * time.Second
 	// limitTolerance is the share by which an account may exceed its limit, besides one task.
@@ -68,7 +72,7 @@
 func Checks() []Check {
 	return []Check{
 		TwoRuns, OverCapacity, StartAfterDone, StepOrder, EarlyStart, StartAfterCancel, RunAfterCancel, AccountLimit, WithdrawnKey,
-		TooManyAttempts, StartAfterCrashes, UnknownJob, RefusedJob, WrongOrder, WrongPool, MissingLabel, TooManyOnWorker, LostJob,
+		TooManyAttempts, StartAfterCrashes, UnknownJob, RefusedJob, WrongOrder, WrongPool, MissingLabel, EvacuatedZone, DrainingWorker, TooManyOnWorker, LostJob,
 		EarlySuccess, WrongFailure, WaveLimit, EarlyWaveEnd, MachineFence,
 	}
 }
@@ -85,9 +89,10 @@
 
 // Recorder records observations. Their times must not decrease. It is not safe for concurrent use.
 type Recorder struct {
-	// RevokeWithin is the time from which a withdrawn key must not be accepted, StopTime the
-	// longest time that a worker needs to end a run.
-	RevokeWithin, StopTime time.Duration
+	// RevokeWithin is the time from which a withdrawn key must not be accepted, EvacuateWithin
+	// the time from which no task may start in an evacuated zone, StopTime the longest time that
+	// a worker needs to end a run.
+	RevokeWithin, EvacuateWithin, StopTime time.Duration
 
 	violations []Violation
 	catalogs   []dated[*catalog.Catalog]
@@ -99,6 +104,8 @@
 	accounts  map[string]resource.Amount
 	machines  map[string]*machineRecord
 	waves     map[int64]*waveRecord
+	// evacuated has the zones under evacuation, since when.
+	evacuated map[string]time.Time
 	// calmFrom is the end of the last fault.
 	calmFrom time.Time
 }
@@ -123,6 +130,7 @@
 	return &Recorder{
 		keys: make(map[string]time.Time), workers: make(map[string]*workerRecord), jobs: make(map[string]*jobRecord), cancelled: make(map[string]*jobRecord),
 		accounts: make(map[string]resource.Amount), machines: make(map[string]*machineRecord), waves: make(map[int64]*waveRecord),
+		evacuated: make(map[string]time.Time),
 	}
 }
 
@@ -149,6 +157,12 @@
 	}
 }
 
+// Evacuate records that the store has acknowledged the evacuation of a zone.
+func (r *Recorder) Evacuate(at time.Time, zone string) { r.evacuated[zone] = at }
+
+// Restore records that the evacuation of a zone ends.
+func (r *Recorder) Restore(zone string) { delete(r.evacuated, zone) }
+
 // Disturb records that faults may have effects until the given time.
 func (r *Recorder) Disturb(until time.Time) {
 	if until.After(r.calmFrom) {
--- a/promises/recorder_test.go
+++ b/promises/recorder_test.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	jobID        = "5c0e7a21d94b36f8"
-	revokeWithin = 5 * time.Second
-	stopTime     = time.Second
+	jobID          = "5c0e7a21d94b36f8"
+	revokeWithin   = 5 * time.Second
+	stopTime       = time.Second
+	evacuateWithin = 5 * time.Second
 )
 
 // scene is a recorder with one account, two workers and a job of two steps.
@@ -36,10 +37,10 @@
 
 func newScene(t *testing.T) *scene {
 	s := &scene{Recorder: promises.New(), t: t, now: time.UnixMilli(1_000_000)}
-	s.RevokeWithin, s.StopTime = revokeWithin, stopTime
+	s.RevokeWithin, s.EvacuateWithin, s.StopTime = revokeWithin, evacuateWithin, stopTime
 	s.Configure(s.now, newCatalog(1, catalog.Queue{MaxAttempts: 2}, 10_000, "key-1"))
 	for _, id := range []string{"w1", "w2"} {
-		s.Join(s.now, worker.Entry{ID: id, Pool: "desk", Capacity: resource.Amount{CPU: 2000}, Incarnation: 1, Labels: worker.Labels{"small"}})
+		s.Join(s.now, worker.Entry{ID: id, Pool: "desk", Zone: "zone-a", Capacity: resource.Amount{CPU: 2000}, Incarnation: 1, Labels: worker.Labels{"small"}})
 	}
 	s.job = &job.Job{ID: jobID, Queue: "rounds", Account: "arbiters", Steps: []job.Step{
 		{Count: 3, Need: resource.Amount{CPU: 1000}}, {Count: 1, Need: resource.Amount{CPU: 1000}, After: []int{0}},
@@ -240,6 +241,27 @@
 		broken: func(s *scene) { s.job.Steps[0].Label = "large"; s.start("w1", task(0, 0), 1) },
 		kept:   func(s *scene) { s.job.Steps[0].Label = "small"; s.start("w1", task(0, 0), 1) },
 	},
+	promises.EvacuatedZone: {
+		broken: func(s *scene) { s.Evacuate(s.now, "zone-a"); s.after(evacuateWithin); s.start("w1", task(0, 0), 1) },
+		kept: func(s *scene) {
+			s.Evacuate(s.now, "zone-a")
+			s.after(evacuateWithin - time.Second)
+			s.start("w1", task(0, 0), 1)
+			s.after(2 * time.Second)
+			s.Restore("zone-a")
+			s.start("w2", task(0, 1), 2)
+		},
+	},
+	promises.DrainingWorker: {
+		broken: func(s *scene) { s.Drain(s.now, "w1"); s.after(2 * time.Second); s.start("w1", task(0, 0), 1) },
+		kept: func(s *scene) {
+			s.Drain(s.now, "w1")
+			s.after(2 * time.Second)
+			s.Disturb(s.now)
+			s.start("w1", task(0, 0), 1)
+			s.start("w2", task(0, 1), 2)
+		},
+	},
 	promises.TooManyOnWorker: {
 		broken: func(s *scene) { s.job.Steps[0].MaxPerWorker = 1; s.fill(2, "w1") },
 		kept:   func(s *scene) { s.job.Steps[0].MaxPerWorker = 1; s.fill(2, "w1", "w2") },
--- a/promises/workers.go
+++ b/promises/workers.go
@@ -15,6 +15,8 @@
 	capacities []dated[resource.Amount]
 	runs       map[workerRun]resource.Amount
 	listed     []*endRecord
+	// draining is when the worker has told that it leaves, zero if it has not.
+	draining time.Time
 }
 
 type workerRun struct {
@@ -34,6 +36,13 @@
 	}
 }
 
+// Drain records that a worker has told that it leaves.
+func (r *Recorder) Drain(at time.Time, id string) {
+	if w := r.workers[id]; w != nil && w.draining.IsZero() {
+		w.draining = at
+	}
+}
+
 // Lose records that a worker is gone, with its runs and with the ends that were not acknowledged.
 func (r *Recorder) Lose(id string) {
 	w := r.workers[id]
@@ -96,7 +105,7 @@
 	}
 	step, task := j.step(s.Task), j.task(s.Task)
 	r.checkTask(at, j, task, step, v)
-	r.checkTimes(at, j, s, v)
+	r.checkTimes(at, j, w, s, v)
 	r.checkPlace(at, j, w, s.Task, v)
 	need := step.Reserved()
 	w.runs[workerRun{s.Task, s.Run}] = need
@@ -142,16 +151,36 @@
 	return t.Occurrence
 }
 
-// checkTimes checks the due time and the time since a cancellation.
-func (r *Recorder) checkTimes(at time.Time, j *jobRecord, s Start, v Violation) {
+// checkTimes checks the due time, and the time since a cancellation, an evacuation or the notice
+// of a worker that leaves.
+func (r *Recorder) checkTimes(at time.Time, j *jobRecord, w *workerRecord, s Start, v Violation) {
 	if due := j.job.Due(s.Task.Occurrence); at.Before(due.Add(-earlyTime)) {
 		v.Detail = "starts " + due.Sub(at).String() + " before its time"
 		r.violate(at, EarlyStart, v)
 	}
-	if !s.Late && !j.cancelled.IsZero() && at.After(j.cancelled.Add(cancelTime)) {
+	if s.Late {
+		return
+	}
+	if !j.cancelled.IsZero() && at.After(j.cancelled.Add(cancelTime)) {
 		v.Detail = "starts " + at.Sub(j.cancelled).String() + " after the cancellation"
 		r.violate(at, StartAfterCancel, v)
 	}
+	if since, evacuated := r.evacuated[w.entry.Zone]; evacuated && at.After(since.Add(r.EvacuateWithin)) {
+		v.Detail = "starts " + at.Sub(since).String() + " after the evacuation of zone " + w.entry.Zone
+		r.violate(at, EvacuatedZone, v)
+	}
+	// Hosts learn of the notice by the store, if no fault keeps them from it.
+	if w.draining.IsZero() {
+		return
+	}
+	known := w.draining
+	if calm := r.calmFrom.Add(calmTime); calm.After(known) {
+		known = calm
+	}
+	if at.After(known.Add(drainTime)) {
+		v.Detail = "starts " + at.Sub(w.draining).String() + " after the worker has told that it leaves"
+		r.violate(at, DrainingWorker, v)
+	}
 }
 
 // checkPlace checks that the worker may run the task.
--- a/workermodel/advance.go
+++ b/workermodel/advance.go
@@ -20,7 +20,7 @@
 // Advance ends the runs whose time has come.
 func (w *Worker) Advance(now time.Time) Outcome {
 	var o Outcome
-	if len(w.runs) == 0 {
+	if len(w.runs) == 0 || now.Before(w.due) {
 		return o
 	}
 	before := w.lastEnd
@@ -38,7 +38,7 @@
 			w.end(now, r, reason)
 		case stopped:
 			w.end(now, r, worker.Stopped)
-		case r.behavior.Gang && r.atWork.IsZero() && now.After(r.present.Add(w.cfg.GangTimeout)):
+		case r.behavior.Gang && r.atWork.IsZero() && now.After(r.gangTimeout(w.cfg.GangTimeout)):
 			w.end(now, r, worker.GangTimeout)
 		}
 	}
@@ -49,9 +49,32 @@
 		}
 	}
 	o.Ended = w.endedAfter(before)
+	w.due = w.nextDue()
 	return o
 }
 
+// nextDue returns when the next run ends or the lease expires at the earliest.
+func (w *Worker) nextDue() time.Time {
+	due := w.started.Add(time.Duration(float64(w.lease) / w.cfg.ClockRate))
+	for _, r := range w.runs {
+		at, _, _ := r.finish()
+		for _, t := range []time.Time{at, r.stopped, r.gangTimeout(w.cfg.GangTimeout)} {
+			if !t.IsZero() && t.Before(due) {
+				due = t
+			}
+		}
+	}
+	return due
+}
+
+// gangTimeout returns when the run ends because its gang is not complete, zero if it does not.
+func (r *run) gangTimeout(timeout time.Duration) time.Time {
+	if !r.behavior.Gang || !r.atWork.IsZero() {
+		return time.Time{}
+	}
+	return r.present.Add(timeout)
+}
+
 // endedAfter returns the ends with numbers above before.
 func (w *Worker) endedAfter(before int64) []worker.End {
 	return slices.Clone(w.ended[len(w.ended)-int(w.lastEnd-before):])
@@ -72,6 +95,7 @@
 func (w *Worker) BeginGang(now time.Time, t job.Task, number int64) {
 	if r := w.runs[key{t, number}]; r != nil && r.atWork.IsZero() {
 		w.begin(now, r)
+		w.due = time.Time{}
 	}
 }
 
--- a/workermodel/worker.go
+++ b/workermodel/worker.go
@@ -55,6 +55,9 @@
 	runs    map[key]*run
 	ended   []worker.End
 	lastEnd int64
+	// due is when the next run ends or the lease expires at the earliest, zero if that is not
+	// known. Without it, each pass over a fleet would look at each run.
+	due time.Time
 	// highest is the highest run of each task that was stopped or has ended.
 	highest map[job.Task]int64
 }
@@ -145,6 +148,7 @@
 
 // extendLease extends the lease, which never becomes shorter.
 func (w *Worker) extendLease(now time.Time, end time.Duration) {
+	w.due = time.Time{}
 	w.lease = max(w.lease, min(end, w.Clock(now)+w.cfg.LongestLease))
 }
 
@@ -176,7 +180,7 @@
 	if !b.Gang {
 		w.begin(now, r)
 	}
-	w.runs[k] = r
+	w.runs[k], w.due = r, time.Time{}
 	return Started
 }
 
@@ -198,6 +202,7 @@
 	}
 	w.highest[t] = max(w.highest[t], number)
 	if r := w.runs[key{t, number}]; r != nil && r.stopped.IsZero() {
+		w.due = time.Time{}
 		r.stopped = now.Add(min(r.behavior.StopTime, w.cfg.StopTime))
 	}
 	return true
