Play faults against entry hosts that run as processes

Need: all tests so far run hosts in one process with a paused clock, or on the bench; nothing shows what real connections, signals and restarts do together. Ruled out: faults in the transport of the client, as they would need seams in the code and would not cover the kernel.

Hosts run as processes, each behind links of its own to the store, to each worker and to the owner: a view of the store replaces the addresses that the store gives out. A seeded schedule disturbs links, processes, store, workers and operators; callers in an open loop check what they are shown, and the workers' record of runs is compared with it at the end.

--- /dev/null
+++ b/soak/operate_test.go
@@ -0,0 +1,186 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// worker disturbs a worker.
+func (i *inflictor) worker(f *fault) error {
+	id, err := i.c.pickWorker(f.pick)
+	if err != nil {
+		return err
+	}
+	i.c.note("%s is for %s", f.kind, id)
+	post := func(call string, body any) error {
+		return i.c.control.call(http.MethodPost, "/workers/"+call, body, nil)
+	}
+	type restart struct {
+		DownFor string `json:"down-for"`
+		NewID   bool   `json:"new-id"`
+	}
+	switch f.kind {
+	case "worker-restart":
+		return post(id+"/restart", restart{f.length.String(), false})
+	case "worker-replace":
+		return post(id+"/restart", restart{f.length.String(), true})
+	case "worker-capacity":
+		return i.resize(f, id)
+	}
+	if err := post(id+"/drain", struct {
+		LeaveAfter string `json:"leave-after"`
+	}{drainTime.String()}); err != nil {
+		return err
+	}
+	sleep(context.Background(), drainTime+f.length)
+	return post("add", struct {
+		Pool string `json:"pool"`
+		Zone string `json:"zone"`
+	}{[]string{"rounds", "rounds", "notices"}[f.pick%3], []string{"zone-a", "zone-b"}[f.pick/3%2]})
+}
+
+// resize shrinks a worker and lets it grow again.
+func (i *inflictor) resize(f *fault, id string) error {
+	pool, cores := "", 2.0
+	e, err := i.c.control.state()
+	if err != nil {
+		return err
+	}
+	for _, w := range e.Workers {
+		if w.ID == id {
+			pool = w.Pool
+		}
+	}
+	if pool == "rounds" {
+		cores = 4
+	}
+	type amount struct {
+		Cores  float64 `json:"cores"`
+		Memory int     `json:"memory"`
+	}
+	path := "/workers/" + id + "/capacity"
+	if err := i.c.control.call(http.MethodPost, path, amount{cores / 2, int(cores) * 1024}, nil); err != nil {
+		return err
+	}
+	sleep(context.Background(), f.length)
+	return i.c.control.call(http.MethodPost, path, amount{cores, int(cores) * 2048}, nil)
+}
+
+// operate does what operators do.
+func (i *inflictor) operate(f *fault) error {
+	switch f.kind {
+	case "store-history":
+		return i.c.control.call(http.MethodPost, "/store/compact", struct{}{}, nil)
+	case "configuration":
+		return i.configure(f)
+	case "key":
+		return i.rotateKey(f)
+	case "wave":
+		return i.startWave(f)
+	case "evacuation":
+		return i.evacuate(f)
+	}
+	return fmt.Errorf("unknown fault")
+}
+
+// configure adds a queue and removes it later.
+func (i *inflictor) configure(f *fault) error {
+	i.mu.Lock()
+	i.queues++
+	name := fmt.Sprintf("extra-%d", i.queues)
+	i.mu.Unlock()
+	type change struct {
+		Set    map[string]map[string]string `json:"set,omitempty"`
+		Remove []string                     `json:"remove,omitempty"`
+	}
+	queue := map[string]string{"host": name + ".example", "prefix": "/" + name + "/", "pool": "rounds", "max-attempts": "3"}
+	added := change{Set: map[string]map[string]string{"queue." + name: queue}}
+	if err := i.c.control.call(http.MethodPost, "/configuration", added, nil); err != nil {
+		return err
+	}
+	sleep(context.Background(), f.length)
+	return i.c.control.call(http.MethodPost, "/configuration", change{Remove: []string{"queue." + name}}, nil)
+}
+
+// rotateKey gives an account a new key, withdraws the old one and checks that it is refused.
+func (i *inflictor) rotateKey(f *fault) error {
+	account := []string{limitedAccount, otherAccount}[f.pick%2]
+	old, key := i.callers.keys.current(account), i.callers.keys.next(account)
+	type change struct {
+		Account string `json:"account"`
+		Key     string `json:"key"`
+	}
+	if err := i.c.control.call(http.MethodPost, "/keys/add", change{account, key}, nil); err != nil {
+		return err
+	}
+	i.callers.keys.use(account, key)
+	sleep(context.Background(), f.length)
+	if err := i.c.control.call(http.MethodPost, "/keys/withdraw", change{account, old}, nil); err != nil {
+		return err
+	}
+	withdrawn := time.Now()
+	queue := "rounds"
+	if account == otherAccount {
+		queue = "ratings"
+	}
+	// A job that was never submitted: a host that takes the key answers that there is none.
+	p := &plan{id: "0000000000000000", queue: queue}
+	for sleep(context.Background(), time.Second) && time.Since(withdrawn) < 2*revokeWithin {
+		for _, h := range i.c.hosts {
+			sent := time.Now()
+			a := i.callers.send(context.Background(), h, http.MethodGet, h.callers.String(), p, old, nil)
+			if (a.status == http.StatusOK || a.status == http.StatusGone) && sent.Sub(withdrawn) > revokeWithin {
+				i.c.fail("withdrawn-key", "%s takes key %s %v after its withdrawal", h.name, old, sent.Sub(withdrawn).Round(time.Millisecond))
+			}
+		}
+	}
+	return nil
+}
+
+func (i *inflictor) startWave(f *fault) error {
+	e, err := i.c.control.state()
+	if err != nil {
+		return err
+	}
+	var machines []string
+	for n := range e.Workers {
+		w := e.Workers[(n+int(f.pick%1024))%len(e.Workers)]
+		if len(machines) < 3 && w.State == "ready" && w.Machine != "" {
+			machines = append(machines, w.Machine)
+		}
+	}
+	var started struct {
+		Wave int64 `json:"wave"`
+	}
+	err = i.c.control.call(http.MethodPost, "/waves", struct {
+		Machines []string `json:"machines"`
+		Limit    int      `json:"limit"`
+		Term     string   `json:"term"`
+	}{machines, 1, "20s"}, &started)
+	if err == nil {
+		i.c.note("wave %d of %s", started.Wave, strings.Join(machines, ", "))
+		i.mu.Lock()
+		i.waves = append(i.waves, started.Wave)
+		i.mu.Unlock()
+	}
+	return err
+}
+
+func (i *inflictor) evacuate(f *fault) error {
+	zone := []string{"zone-a", "zone-b"}[f.pick%2]
+	if err := i.c.control.call(http.MethodPost, "/evacuations", struct {
+		Zone string `json:"zone"`
+	}{zone}, nil); err != nil {
+		return err
+	}
+	s := span{from: time.Now()}
+	sleep(context.Background(), 2*f.length)
+	s.to = time.Now()
+	i.mu.Lock()
+	i.evacuations = append(i.evacuations, evacuated{zone, s})
+	i.mu.Unlock()
+	return i.c.control.call(http.MethodDelete, "/evacuations/"+zone, nil, nil)
+}
