--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,6 +59,7 @@
 		soak(t, *seedFlag, *hostsFlag, *durationFlag)
 		return
 	}
+	t.Parallel()
 	for _, seed := range append(readSeeds(t), ciSeed) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
