--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"egretdrum.example/platform"
 )
 
 const (
@@ -261,13 +259,9 @@
 
 // checkEvacuations checks that nothing was started in an evacuated zone.
 func (i *inflictor) checkEvacuations(h *history, zones map[string]string) {
-	settings, err := platform.LoadSettings(i.c.hosts[0].settings)
-	if err != nil || settings.EvacuateWithin == 0 {
-		return
-	}
 	for _, e := range i.evacuations {
 		for _, r := range h.starts {
-			if zones[r.worker] == e.zone && r.from.After(e.span.from.Add(settings.EvacuateWithin)) && r.from.Before(e.span.to) {
+			if zones[r.worker] == e.zone && r.from.After(e.span.from.Add(evacuateWithin)) && r.from.Before(e.span.to) {
 				i.c.fail("evacuation", "%s was started on %s in %s, %v after the start of its evacuation", r.task, r.worker, e.zone, r.from.Sub(e.span.from))
 			}
 		}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -30,6 +30,8 @@
 	// grace is the time between SIGTERM and SIGKILL; two thirds of what hosts assume if their
 	// settings do not say, so that a run has more stops.
 	grace = 4 * time.Second
+	// evacuateWithin is when nothing may start in an evacuated zone any more.
+	evacuateWithin = 4 * time.Second
 	// portsPerHost is the number of ports that the emulator sets aside for each host.
 	portsPerHost = 8
 	// observer is the name of a host that is never started. Its store listener serves the test.
@@ -199,7 +201,7 @@
 		content = strings.Replace(content, "cloud.address="+machines.String(), "cloud.address="+h.machines.address().String(), 1)
 	}
 	// The last value of a key counts.
-	content += fmt.Sprintf("\nbounds.graceS=%d\n", int(grace.Seconds()))
+	content += fmt.Sprintf("\nbounds.graceS=%d\nbounds.evacuateMs=%d\n", int(grace.Seconds()), evacuateWithin.Milliseconds())
 	h.settings = strings.TrimSuffix(settings, ".conf") + ".linked.conf"
 	return os.WriteFile(h.settings, []byte(content), 0o600)
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -18,7 +19,11 @@
 var binary string
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	os.Exit(func() int {
+		if binary = *binaryFlag; binary != "" {
+			return m.Run()
+		}
 		dir, err := os.MkdirTemp("", "egretdrum-soak-build")
 		if err != nil {
 			panic(err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,7 @@
 	rateFlag     = flag.Float64("rate", 10, "jobs a second for 5 hosts; it rises with the hosts")
 	intervalFlag = flag.Duration("fault-interval", 600*time.Millisecond, "mean time between two faults")
 	keepLogs     = flag.Bool("keep-logs", false, "keep the logs also of a run without a broken promise")
+	binaryFlag   = flag.String("binary", "", "program to play, built from this source if empty")
 	logsFlag     = flag.String("logs", "", "directory for logs, the system's one for temporary files if empty")
 )
 
