--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -72,6 +72,15 @@
 	return h
 }
 
+// lines describes each run.
+func (h *history) lines() string {
+	var b strings.Builder
+	for _, r := range h.starts {
+		fmt.Fprintf(&b, "%s %s run %d on %s until %s %s\n", r.from.Format(time.RFC3339Nano), r.task, r.run, r.worker, r.to.Format(time.RFC3339Nano), r.how)
+	}
+	return b.String()
+}
+
 func allEvents(c *control, kind string) ([]runEvent, error) {
 	var all []runEvent
 	for {
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -394,8 +394,13 @@
 		_ = os.RemoveAll(c.dir)
 		return
 	}
-	if err := os.WriteFile(filepath.Join(c.dir, "timeline.txt"), []byte(lines+"\n"), 0o600); err != nil {
-		c.t.Logf("timeline: %v", err)
-	}
+	c.save("timeline.txt", lines+"\n")
 	c.t.Logf("logs of all processes and the timeline are kept in %s", c.dir)
 }
+
+// save writes a file beside the logs.
+func (c *cluster) save(name, content string) {
+	if err := os.WriteFile(filepath.Join(c.dir, name), []byte(content), 0o600); err != nil {
+		c.t.Logf("%s: %v", name, err)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -196,6 +196,7 @@
 		r.c.fail("history", "%v", err)
 		return
 	}
+	r.c.save("runs.txt", history.lines())
 	r.callers.checkRuns(history, r.calmFrom())
 	r.stopMonitor()
 	<-r.monitor.done
--- a/workermodel/advance.go
+++ b/workermodel/advance.go
@@ -32,6 +32,7 @@
 		case over && (r.stopped.IsZero() || at.Before(r.stopped)):
 			if crash {
 				o.Crashed = &r.task
+				o.Ended = w.endedAfter(before)
 				return o
 			}
 			w.end(now, r, reason)
@@ -47,11 +48,15 @@
 			w.end(now, r, worker.LeaseExpired)
 		}
 	}
-	first := len(w.ended) - int(w.lastEnd-before)
-	o.Ended = slices.Clone(w.ended[first:])
+	o.Ended = w.endedAfter(before)
 	return o
 }
 
+// endedAfter returns the ends with numbers above before.
+func (w *Worker) endedAfter(before int64) []worker.End {
+	return slices.Clone(w.ended[len(w.ended)-int(w.lastEnd-before):])
+}
+
 func (w *Worker) end(now time.Time, r *run, reason worker.EndReason) {
 	w.lastEnd++
 	checkpoint := ""
