--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,9 +3,11 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -277,6 +279,7 @@
 		r.seed, len(c.hosts), c.processes, total, c.faults, r.monitor.owners, r.monitor.memory)
 	c.t.Logf("jobs %d %v; calls %v; %s at most %d thousandths of a core", len(s.jobs), outcomes, s.calls, limitedAccount, s.mostInUse)
 	c.t.Logf("from the intended time: accepted %s; final state seen %s", quantiles(s.accepting), quantiles(s.finishing))
+	c.t.Logf("slowest: %s", s.slowest())
 	if len(broken) == 0 {
 		return
 	}
@@ -304,6 +307,20 @@
 	return "refused"
 }
 
+// slowest describes the jobs that took longest, apart from those that were to be cancelled. The
+// lock must be held.
+func (s *callers) slowest() string {
+	const shown = 3
+	jobs := slices.DeleteFunc(slices.Collect(maps.Values(s.jobs)), func(j *submitted) bool { return j.final == "" || j.cancelAfter > 0 })
+	took := func(j *submitted) time.Duration { return j.finalSeen.Sub(j.due).Round(time.Millisecond) }
+	slices.SortFunc(jobs, func(a, b *submitted) int { return cmp.Compare(took(b), took(a)) })
+	var b strings.Builder
+	for _, j := range jobs[:min(shown, len(jobs))] {
+		fmt.Fprintf(&b, "%s (%s of %s, due %s) %v; ", j.id, j.kind, j.queue, j.due.UTC().Format("15:04:05.000"), took(j))
+	}
+	return b.String()
+}
+
 // newHistogram returns a histogram of times from a microsecond to ten minutes.
 func newHistogram() *hdrhistogram.Histogram {
 	const digits = 3
