Send half of the submissions to hosts that the caller names

Planned stops were checked for queries only; submissions and cancellations that a host named by the caller cuts now count as well. Seeds keep the number of hosts and the time with faults, as a schedule depends on both.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync"
 	"time"
@@ -249,12 +249,14 @@
 		a.status == http.StatusUnauthorized || a.status == http.StatusNotFound
 }
 
-// call makes a call through the ingress, which chooses a host. Half of the questions for a state
-// go to a host directly, on connections that stay open until its process is gone.
+// call makes a call, half of the time to a host that the caller chooses: queries for a state go
+// to it directly, on connections that stay open until its process is gone, others through the
+// ingress, which knows of all submissions. Otherwise the ingress chooses.
 func (s *callers) call(ctx context.Context, method string, j *submitted, body []byte, rng *rand.Rand) answer {
-	to, h := s.c.ingress, (*host)(nil)
-	if method == http.MethodGet && rng.IntN(2) == 0 {
-		h = s.c.hosts[rng.IntN(len(s.c.hosts))]
+	to, h := s.c.ingress, s.c.hosts[rng.IntN(len(s.c.hosts))]
+	if p := h.current(); rng.IntN(2) == 0 || method != http.MethodGet && (p == nil || !p.running()) {
+		h = nil
+	} else if method == http.MethodGet {
 		to = h.callers.String()
 	}
 	return s.send(ctx, h, method, to, j.plan, s.keys.current(j.account), body)
@@ -277,6 +279,9 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Token "+key)
 	}
+	if h != nil && to == s.c.ingress {
+		req.Header.Set("Egretdrum-Host", h.name)
+	}
 	sent := time.Now()
 	resp, err := s.direct.Do(req)
 	if err == nil {
@@ -289,7 +294,10 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		a.status = 0
-		s.checkCut(h, method, p, sent, err)
+		s.checkCut(h, method, p, sent, isEnd(err), err.Error())
+	}
+	if a.status == http.StatusBadGateway && ctx.Err() == nil {
+		s.checkCut(h, method, p, sent, endText.Match(a.body), string(a.body))
 	}
 	s.mu.Lock()
 	s.calls[fmt.Sprintf("%s %d", method, a.status)]++
@@ -297,15 +305,18 @@
 	return a
 }
 
+// endText matches the answer of the ingress if a host has ended the connection.
+var endText = regexp.MustCompile("EOF|reset by peer|broken pipe|closed")
+
 // checkCut fails if a host ended a connection with a request that it had read, although neither
 // it nor what it needs was disturbed. A planned stop is no excuse.
-func (s *callers) checkCut(h *host, method string, p *plan, sent time.Time, err error) {
+func (s *callers) checkCut(h *host, method string, p *plan, sent time.Time, ended bool, reason string) {
 	took := time.Since(sent)
-	if h == nil || !isEnd(err) || took < cutSlack || errors.Is(err, context.DeadlineExceeded) {
+	if h == nil || !ended || took < cutSlack {
 		return
 	}
 	if h.calm(sent.Add(-contact), time.Now()) {
-		s.c.fail("cut-request", "%s of %s by %s after %v: %v", method, p.id, h.name, took.Round(time.Millisecond), err)
+		s.c.fail("cut-request", "%s of %s by %s after %v: %s", method, p.id, h.name, took.Round(time.Millisecond), reason)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -63,30 +62,40 @@
 		return
 	}
 	t.Parallel()
-	for _, seed := range append(readSeeds(t), ciSeed) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+	for _, p := range append(readSeeds(t), played{ciSeed, *hostsFlag, *durationFlag}) {
+		t.Run(fmt.Sprint(p.seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed, *hostsFlag, *durationFlag)
+			soak(t, p.seed, p.hosts, p.trouble)
 		})
 	}
 }
 
+// played is a run that repeats.
+type played struct {
+	seed    uint64
+	hosts   int
+	trouble time.Duration
+}
+
 func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
 
-// readSeeds returns the seeds that have failed before.
-func readSeeds(t *testing.T) (seeds []uint64) {
+// readSeeds returns the runs that have failed before.
+func readSeeds(t *testing.T) (runs []played) {
 	b, err := os.ReadFile("seeds.txt")
 	qt.Assert(t, err, qt.IsNil)
 	for line := range strings.Lines(string(b)) {
-		word, _, _ := strings.Cut(strings.TrimSpace(line), " ")
-		if word == "" || strings.HasPrefix(word, "#") {
+		if strings.HasPrefix(line, "#") {
 			continue
 		}
-		seed, err := strconv.ParseUint(word, 10, 64)
+		var p played
+		var trouble string
+		_, err := fmt.Sscan(line, &p.seed, &p.hosts, &trouble)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", line))
+		p.trouble, err = time.ParseDuration(trouble)
 		qt.Assert(t, err, qt.IsNil)
-		seeds = append(seeds, seed)
+		runs = append(runs, p)
 	}
-	return seeds
+	return runs
 }
 
 // soak plays one seed.
