Void ends of workers whose lease expires after their last run

The ends were on workers whose lease had expired before anybody acknowledged them, which makes them void; but the model noticed an expiry only while tasks were running. The owner had started the tasks again after the lease had ended, which is right.

--- a/workermodel/advance.go
+++ b/workermodel/advance.go
@@ -11,7 +11,8 @@
 // Outcome is what has happened on a worker since the last call of Advance.
 type Outcome struct {
 	Ended []worker.End
-	// LeaseExpired is set if the lease expired while tasks were running.
+	// LeaseExpired is set if the lease has expired, also if nothing was running any more: ends that
+	// are acknowledged later do not count.
 	LeaseExpired bool
 	// Crashed is the task that has crashed the worker, which is then gone; nil without one.
 	Crashed *job.Task
@@ -20,7 +21,8 @@
 // Advance ends the runs whose time has come.
 func (w *Worker) Advance(now time.Time) Outcome {
 	var o Outcome
-	if len(w.runs) == 0 || now.Before(w.due) {
+	expired := !w.expired && w.Clock(now) > w.lease
+	if !expired && (len(w.runs) == 0 || now.Before(w.due)) {
 		return o
 	}
 	before := w.lastEnd
@@ -42,8 +44,8 @@
 			w.end(now, r, worker.GangTimeout)
 		}
 	}
-	if len(w.runs) > 0 && w.Clock(now) > w.lease {
-		o.LeaseExpired = true
+	if expired {
+		w.expired, o.LeaseExpired = true, true
 		for _, r := range w.sorted() {
 			w.end(now, r, worker.LeaseExpired)
 		}
--- a/workermodel/worker.go
+++ b/workermodel/worker.go
@@ -51,7 +51,9 @@
 	started  time.Time
 	fence    int64
 	// lease is the end of the lease on the worker's clock.
-	lease   time.Duration
+	lease time.Duration
+	// expired is set once the lease has expired, until it is extended.
+	expired bool
 	runs    map[key]*run
 	ended   []worker.End
 	lastEnd int64
@@ -150,6 +152,7 @@
 func (w *Worker) extendLease(now time.Time, end time.Duration) {
 	w.due = time.Time{}
 	w.lease = max(w.lease, min(end, w.Clock(now)+w.cfg.LongestLease))
+	w.expired = w.expired && w.Clock(now) > w.lease
 }
 
 // Start carries out an order to start a run.
--- a/workermodel/worker_test.go
+++ b/workermodel/worker_test.go
@@ -176,6 +176,18 @@
 	}
 }
 
+// Guards against an end that counts although the lease of the worker expired before the end was
+// acknowledged: once all runs had ended, nobody noticed the expiry.
+func TestLeaseExpiresWithoutRuns(t *testing.T) {
+	w, b := newWorker(nil), behavior()
+	w.Start(at(0), order(1, 1), b)
+	qt.Assert(t, reasons(w.Advance(at(runTime)).Ended), qt.DeepEquals, []worker.EndReason{worker.Done})
+	qt.Assert(t, w.Advance(at(leaseEnd+5*time.Millisecond)).LeaseExpired, qt.IsTrue)
+	qt.Assert(t, w.Advance(at(leaseEnd+10*time.Millisecond)).LeaseExpired, qt.IsFalse)
+	w.Poll(at(leaseEnd+time.Second), 1, 0, leaseEnd+2*time.Second)
+	qt.Assert(t, w.Advance(at(leaseEnd+2*time.Second+5*time.Millisecond)).LeaseExpired, qt.IsTrue)
+}
+
 // Guards against a stop that frees the capacity before the run has ended, and against a stop
 // that loses the work since the last checkpoint.
 func TestStop(t *testing.T) {
