Keep late writes of the owner from restoring older values

A write of the record of an unresponsive worker was not answered and was repeated; the record was removed; then the store carried out the first attempt, whose only condition was the owner's key. The next owner took the record, which said that nothing runs there, for true, did not wait for the worker, and started its tasks elsewhere. Waves, pools in use and counts were written in the same way: a wave could fall back to an earlier state.

These writes now depend on the revision of each key that they write too, as progress records do. A key that was removed has revision zero again, as before its first write, so a key with an unanswered first write is left without a value in place of being deleted; the next owner deletes it.

Ruled out: progress records, which have had such conditions.

--- a/dispatch/keywriter.go
+++ b/dispatch/keywriter.go
@@ -18,11 +18,9 @@
 	"egretdrum.example/wait"
 )
 
-// keyWriter writes the newest values of some keys. Each change is conditional on the revision
-// of the owner's key, so that a previous owner never replaces a value of a later one.
+// keyWriter writes the newest values of some keys.
 type keyWriter struct {
-	store   kv.Store
-	term    int64
+	keys    *guardedKeys
 	log     *zap.Logger
 	changed chan struct{}
 
@@ -31,8 +29,8 @@
 	pending map[string][]byte
 }
 
-func newKeyWriter(store kv.Store, term int64, log *zap.Logger) *keyWriter {
-	return &keyWriter{store: store, term: term, log: log, changed: make(chan struct{}, 1), pending: make(map[string][]byte)}
+func newKeyWriter(keys *guardedKeys, log *zap.Logger) *keyWriter {
+	return &keyWriter{keys: keys, log: log, changed: make(chan struct{}, 1), pending: make(map[string][]byte)}
 }
 
 // set queues a value, nil to remove the key. It replaces a pending value of the same key.
@@ -85,7 +83,7 @@
 	defer v.mu.Unlock()
 	batch := make(map[string][]byte)
 	for _, key := range slices.Sorted(maps.Keys(v.pending)) {
-		if len(batch) == kv.MaxEntries-1 {
+		if len(batch) == guardedKeysPerChange {
 			break
 		}
 		batch[key] = v.pending[key]
@@ -96,27 +94,28 @@
 
 // write repeats a change until it is stored. It reports false if ownership is lost or ctx ends.
 func (v *keyWriter) write(ctx context.Context, batch map[string][]byte) bool {
-	c := kv.Change{Conditions: []kv.Condition{{Key: storekeys.Owner, Revision: v.term}}}
-	for key, value := range batch {
-		if value == nil {
-			c.Deletes = append(c.Deletes, key)
-			continue
+	var puts []kv.Put
+	var deletes []string
+	for _, key := range slices.Sorted(maps.Keys(batch)) {
+		if value := batch[key]; value != nil {
+			puts = append(puts, kv.Put{Key: key, Value: value})
+		} else {
+			deletes = append(deletes, key)
 		}
-		c.Puts = append(c.Puts, kv.Put{Key: key, Value: value})
 	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, saveTimeout)
-		_, err := v.store.Commit(call, c)
+		err := v.keys.commit(call, puts, deletes)
 		cancel()
-		var conflict *kv.ConflictError
+		var replaced *ownerReplacedError
 		switch {
 		case err == nil:
-			v.log.Info("keys-stored", zap.Strings("written", keysOf(c.Puts)), zap.Strings("removed", c.Deletes))
+			v.log.Info("keys-stored", zap.Strings("written", keysOf(puts)), zap.Strings("removed", deletes))
 			return true
-		case errors.As(err, &conflict):
+		case errors.As(err, &replaced):
 			return false
 		}
-		v.log.Warn("keys-not-stored", zap.Int("written", len(c.Puts)), zap.Int("removed", len(c.Deletes)), zap.Error(err))
+		v.log.Warn("keys-not-stored", zap.Int("written", len(puts)), zap.Int("removed", len(deletes)), zap.Error(err))
 		wait.For(ctx, saveRetryDelay)
 	}
 	return false
@@ -148,6 +147,12 @@
 
 func (o *Owner) loadUnresponsive(items []kv.Item, now time.Time) {
 	for _, item := range items {
+		o.keys.setRevision(item.Key, item.Revision)
+		if len(item.Value) == 0 {
+			// The previous owner had to empty the key in place of deleting it.
+			o.keyWriter.set(item.Key, nil)
+			continue
+		}
 		var v scheduler.UnresponsiveWorker
 		if err := cbor.Unmarshal(item.Value, &v); err != nil {
 			o.Log.Warn("silence-not-decoded", zap.String("key", item.Key), zap.Error(err))
@@ -161,6 +166,7 @@
 // recovery holds back the tasks of all queues.
 func (o *Owner) loadPoolUse(items []kv.Item, now time.Time) {
 	for _, item := range items {
+		o.keys.setRevision(item.Key, item.Revision)
 		var pools scheduler.PoolUse
 		if err := cbor.Unmarshal(item.Value, &pools); err != nil {
 			o.Log.Warn("pool-use-not-decoded", zap.String("key", item.Key), zap.Error(err))
--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -76,6 +76,7 @@
 
 func (o *Owner) loadWaves(items []kv.Item) {
 	for _, item := range items {
+		o.keys.setRevision(item.Key, item.Revision)
 		number, err := strconv.ParseInt(strings.TrimPrefix(item.Key, storekeys.Waves), 10, 64)
 		var r waveRecord
 		if err := errors.Join(err, cbor.Unmarshal(item.Value, &r)); err != nil {
@@ -146,16 +147,13 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, saveTimeout)
-		_, err = o.Store.Commit(ctx, kv.Change{
-			Conditions: []kv.Condition{{Key: storekeys.Owner, Revision: o.term.Number}},
-			Puts: []kv.Put{
-				{Key: storekeys.Wave(number), Value: value},
-				{Key: o.Calls.WaveStatusPrefix + strconv.FormatInt(number, 10), Value: status},
-			},
-		})
+		err = o.keys.commit(ctx, []kv.Put{
+			{Key: storekeys.Wave(number), Value: value},
+			{Key: o.Calls.WaveStatusPrefix + strconv.FormatInt(number, 10), Value: status},
+		}, nil)
 		cancel()
-		var conflict *kv.ConflictError
-		if err == nil || errors.As(err, &conflict) {
+		var replaced *ownerReplacedError
+		if err == nil || errors.As(err, &replaced) {
 			o.Log.Info("wave-stored", zap.Int64("wave", number), zap.Int("done", len(r.Done)), zap.Int("begun", len(r.Begun)), zap.Bool("finished", r.Finished), zap.Error(err))
 			if err == nil {
 				state := scheduler.WaveState{Wave: number, Finished: r.Finished, Done: r.Done, Begun: r.Begun}
@@ -210,10 +208,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, saveTimeout)
-		_, err = o.Store.Commit(ctx, kv.Change{
-			Conditions: []kv.Condition{{Key: storekeys.Owner, Revision: o.term.Number}},
-			Puts:       []kv.Put{{Key: storekeys.Counts, Value: value}},
-		})
+		err = o.keys.commit(ctx, []kv.Put{{Key: storekeys.Counts, Value: value}}, nil)
 		cancel()
 		if err == nil {
 			last = counts
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -60,7 +60,9 @@
 	// quickPollSlots is a semaphore for the polls in flight that do not wait for an end.
 	quickPollSlots chan struct{}
 	saver          *saver
-	// keyWriter writes the scheduler's state other than the progress of jobs.
+	// keys are those of the scheduler's state other than the progress of jobs; keyWriter writes
+	// most of them.
+	keys      *guardedKeys
 	keyWriter *keyWriter
 	ctx       context.Context
 	stop      context.CancelFunc
@@ -142,7 +144,8 @@
 	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
 	o.core = scheduler.New(o.Limits(), term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log, o.Supervisor)
-	o.keyWriter = newKeyWriter(o.Store, term.Number, o.Log)
+	o.keys = newGuardedKeys(o.Store, term.Number)
+	o.keyWriter = newKeyWriter(o.keys, o.Log)
 	// Items that arrive during the load wait for the loop. There is no channel for queries
 	// yet, so hosts read the store instead.
 	o.linkTerm.Store(&linkTerm{term: term, events: o.events, done: o.ctx.Done()})
