--- a/promises/recorder.go
+++ b/promises/recorder.go
@@ -158,7 +158,11 @@
 }
 
 // Evacuate records that the store has acknowledged the evacuation of a zone.
-func (r *Recorder) Evacuate(at time.Time, zone string) { r.evacuated[zone] = at }
+func (r *Recorder) Evacuate(at time.Time, zone string) {
+	if r.evacuated[zone].IsZero() {
+		r.evacuated[zone] = at
+	}
+}
 
 // Restore records that the evacuation of a zone ends.
 func (r *Recorder) Restore(zone string) { delete(r.evacuated, zone) }
--- a/promises/recorder_test.go
+++ b/promises/recorder_test.go
@@ -242,7 +242,12 @@
 		kept:   func(s *scene) { s.job.Steps[0].Label = "small"; s.start("w1", task(0, 0), 1) },
 	},
 	promises.EvacuatedZone: {
-		broken: func(s *scene) { s.Evacuate(s.now, "zone-a"); s.after(evacuateWithin); s.start("w1", task(0, 0), 1) },
+		broken: func(s *scene) {
+			s.Evacuate(s.now, "zone-a")
+			s.after(evacuateWithin)
+			s.Evacuate(s.now, "zone-a")
+			s.start("w1", task(0, 0), 1)
+		},
 		kept: func(s *scene) {
 			s.Evacuate(s.now, "zone-a")
 			s.after(evacuateWithin - time.Second)
