Answer a waiting poll from the incarnation that it has reached

A poll that waited while its worker restarted under the same ID was carried out a second time by the new incarnation, which took over the fencing token and the acknowledgement. A real worker breaks the connection.

--- a/emulator/workers.go
+++ b/emulator/workers.go
@@ -34,27 +34,35 @@
 	}
 }
 
-// poll carries out a poll, and waits for an end without holding the lock.
+// poll carries out a poll, and waits for an end without holding the lock. The answer comes from
+// the incarnation that the poll has reached: a worker that ends meanwhile breaks the connection.
 func (e *Emulator) poll(ctx context.Context, machine, id string, p fleetmodel.Poll, wait time.Duration) (*worker.Listing, error) {
-	deadline := time.Now().Add(wait)
-	for {
-		e.mu.Lock()
-		l, err := e.fleet.Poll(time.Now(), machine, id, p)
-		news := e.news[machine]
-		if news == nil {
-			news = make(chan struct{})
-			e.news[machine] = news
-		}
-		e.mu.Unlock()
-		left := time.Until(deadline)
-		if err != nil || len(l.Ended) > 0 || left <= 0 {
-			return l, err
-		}
-		select {
-		case <-news:
-		case <-time.After(left):
-		case <-ctx.Done():
-			return nil, fleetmodel.ErrNoWorker
-		}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	e.mu.Lock()
+	l, err := e.fleet.Poll(time.Now(), machine, id, p)
+	news := e.awaitNews(machine)
+	e.mu.Unlock()
+	if err != nil || len(l.Ended) > 0 || wait <= 0 {
+		return l, err
+	}
+	select {
+	case <-news:
+	case <-timeout.C:
+	case <-ctx.Done():
+		return nil, fleetmodel.ErrNoWorker
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fleet.List(time.Now(), machine, l.Incarnation)
+}
+
+// awaitNews returns the channel that wake closes.
+func (e *Emulator) awaitNews(machine string) <-chan struct{} {
+	news := e.news[machine]
+	if news == nil {
+		news = make(chan struct{})
+		e.news[machine] = news
 	}
+	return news
 }
--- a/fleetmodel/fleet_test.go
+++ b/fleetmodel/fleet_test.go
@@ -138,20 +138,25 @@
 	qt.Assert(t, f.machine("m-0005").State, qt.Equals, worker.Up)
 }
 
-// Guards against a restart under the same ID that keeps the fencing token or the runs.
+// Guards against a restart under the same ID that keeps the fencing token or the runs, or that
+// answers a poll of the incarnation before.
 func TestRestartForgets(t *testing.T) {
 	f := newFleet(t)
 	f.submit("", job.Step{Count: 1, Estimate: time.Minute})
 	before := f.machine("m-0001").Worker
 	incarnation := f.registry[before].Incarnation
+	_, err := f.List(f.now, "m-0001", incarnation)
+	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, f.start("m-0001", 0, 1), qt.Equals, workermodel.Started)
 	qt.Assert(t, f.Restart(f.now, "m-0001", time.Second, false), qt.IsTrue)
 	qt.Assert(t, f.machine("m-0001").State, qt.Equals, worker.Down)
-	_, _, err := f.Start(f.now, "m-0001", before, &fleetmodel.StartOrder{})
+	_, _, err = f.Start(f.now, "m-0001", before, &fleetmodel.StartOrder{})
 	qt.Assert(t, err, qt.Equals, fleetmodel.ErrNoWorker)
 	f.after(1100 * time.Millisecond)
 	qt.Assert(t, f.machine("m-0001").Worker, qt.Equals, before)
 	qt.Assert(t, f.registry[before].Incarnation > incarnation, qt.IsTrue)
+	_, err = f.List(f.now, "m-0001", incarnation)
+	qt.Assert(t, err, qt.Equals, fleetmodel.ErrNoWorker)
 	l, err := f.Poll(f.now, "m-0001", before, fleetmodel.Poll{Fence: 0})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, l.Running, qt.HasLen, 0)
--- a/fleetmodel/orders.go
+++ b/fleetmodel/orders.go
@@ -96,6 +96,16 @@
 	return l, nil
 }
 
+// List returns what runs and has ended on a worker, for the answer to a poll that has waited. The
+// incarnation is the one that the poll has reached.
+func (f *Fleet) List(now time.Time, machineID string, incarnation int64) (*worker.Listing, error) {
+	m := f.byID[machineID]
+	if m == nil || m.model == nil || m.model.Incarnation() != incarnation {
+		return nil, ErrNoWorker
+	}
+	return m.model.List(now), nil
+}
+
 // Clock returns the incarnation of the worker of a machine and the reading of its clock, zero
 // without a worker.
 func (f *Fleet) Clock(now time.Time, machineID string) (int64, time.Duration) {
