Build the fake workers of tests on the model of the emulated platform

workerfake modeled workers a second time, without leases, stops that take time or slow clocks. It now runs fleetmodel without sockets and checks all promises, where it noticed overlapping runs only. The jobs come from the store.

Changed checks: the recovery test and the demo require that no promise is broken, which includes the check for overlapping runs that they had.

--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -59,7 +59,10 @@
 	defer cancel()
 	store := kvfake.New()
 	store.Put(jobConfig, nil)
-	fleet := workerfake.New(store, "desk", jobWorkers, resource.Amount{CPU: 4000, Memory: 4000}, jobTaskTime)
+	fleet, err := workerfake.New(store, "desk", jobWorkers, resource.Amount{CPU: 4000, Memory: 4000}, jobTaskTime)
+	if err != nil {
+		return err
+	}
 	var hosts []*jobHost
 	defer func() {
 		for _, h := range hosts {
@@ -88,9 +91,12 @@
 			return err
 		}
 	}
-	runs, duplicated := fleet.Runs()
-	if len(runs) != jobCount*jobTasks || len(duplicated) > 0 {
-		d.report.violations = append(d.report.violations, fmt.Sprintf("jobs: %d tasks ran, %d wanted, %d ran twice at the same time", len(runs), jobCount*jobTasks, len(duplicated)))
+	runs := fleet.Runs()
+	if len(runs) != jobCount*jobTasks {
+		d.report.violations = append(d.report.violations, fmt.Sprintf("jobs: %d tasks ran, %d wanted", len(runs), jobCount*jobTasks))
+	}
+	for _, v := range fleet.Violations() {
+		d.report.violations = append(d.report.violations, fmt.Sprintf("jobs: %s, task %s on worker %s: %s", v.Check, v.Task, v.Worker, v.Detail))
 	}
 	for t, n := range runs {
 		if n != 1 {
--- a/fleetmodel/behavior.go
+++ b/fleetmodel/behavior.go
@@ -85,6 +85,9 @@
 		Need: step.Need, Reserved: step.Reserved(), RunTime: w.runTime, Slowdown: 1, LongRunning: step.LongRunning,
 		Checkpointing: step.Checkpointing, Gang: step.Gang,
 	}
+	if b.RunTime == 0 {
+		b.RunTime = f.runTime
+	}
 	if b.RunTime == 0 {
 		b.RunTime = time.Duration(float64(step.Estimate) * (leastRunTimeFactor + runTimeFactorRange*f.share(name)))
 	}
--- a/fleetmodel/fleet.go
+++ b/fleetmodel/fleet.go
@@ -31,8 +31,10 @@
 	byID     map[string]*machine
 	byWorker map[string]*machine
 	jobs     map[string]*job.Job
-	gangs    map[gangRun]map[job.Task]*machine
-	waves    map[int64]map[string]bool
+	// runTime is that of all tasks whose payload sets none, zero for their estimates.
+	runTime time.Duration
+	gangs   map[gangRun]map[job.Task]*machine
+	waves   map[int64]map[string]bool
 	// lastMachine and lastWorker number the machines and workers.
 	lastMachine, lastWorker int
 	// checked is when the runs of cancelled jobs were last checked.
@@ -101,6 +103,9 @@
 // Configure applies changed settings of pools.
 func (f *Fleet) Configure(s *emulation.Settings) { f.settings = s }
 
+// SetRunTime replaces the run times that follow from the estimates of steps.
+func (f *Fleet) SetRunTime(d time.Duration) { f.runTime = d }
+
 // AddJob tells the workers what the tasks of a job do.
 func (f *Fleet) AddJob(j *job.Job) { f.jobs[j.ID] = j }
 
--- a/jobhost/recovery_test.go
+++ b/jobhost/recovery_test.go
@@ -61,7 +61,9 @@
 func newTestCluster(t *testing.T) *testCluster {
 	c := &testCluster{t: t, store: kvfake.New(), started: time.Now()}
 	c.store.Put(configKey, nil)
-	c.fleet = workerfake.New(c.store, "desk", workers, resource.Amount{CPU: 4000, Memory: 4000}, taskTime)
+	var err error
+	c.fleet, err = workerfake.New(c.store, "desk", workers, resource.Amount{CPU: 4000, Memory: 4000}, taskTime)
+	qt.Assert(t, err, qt.IsNil)
 	for n := range hosts {
 		c.start(n)
 	}
@@ -170,7 +172,7 @@
 			c.hosts[n] = nil
 		}
 		measuredFrom := time.Now()
-		runsBefore, _ := c.fleet.Runs()
+		runsBefore := c.fleet.Runs()
 		jobsBefore := c.jobs
 		if f.store {
 			time.Sleep(storeDownTime)
@@ -186,7 +188,7 @@
 				}
 				killed = nil
 			}
-			if runs, _ := c.fleet.Runs(); r.firstStart == 0 && len(runs) > len(runsBefore) {
+			if runs := c.fleet.Runs(); r.firstStart == 0 && len(runs) > len(runsBefore) {
 				r.firstStart = time.Since(measuredFrom)
 			}
 			if r.allDone == 0 && c.succeeded(jobsBefore) {
@@ -196,11 +198,10 @@
 				t.Fatalf("seed %d: not recovered after 20 s", seed)
 			}
 		}
-		runs, concurrent := c.fleet.Runs()
-		for _, n := range runs {
+		for _, n := range c.fleet.Runs() {
 			r.restarts += n - 1
 		}
-		qt.Check(t, concurrent, qt.HasLen, 0)
+		qt.Check(t, c.fleet.Violations(), qt.HasLen, 0)
 		for _, h := range c.hosts {
 			if h != nil {
 				h.kill()
--- a/workerfake/fleet.go
+++ b/workerfake/fleet.go
@@ -1,9 +1,10 @@
-// Package workerfake is an in-memory fake of workers that run the tasks of jobs. Each task takes a
-// fixed time, and the starts of each task are recorded.
+// Package workerfake runs a fleet of package fleetmodel without sockets, for tests and the demo.
+// Each task takes a fixed time, and what the workers observe is checked.
 package workerfake
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -12,56 +13,89 @@
 	"sync"
 	"time"
 
+	"egretdrum.example/catalog"
 	"egretdrum.example/dispatch"
+	"egretdrum.example/emulation"
+	"egretdrum.example/fleetmodel"
 	"egretdrum.example/job"
 	"egretdrum.example/kv"
 	"egretdrum.example/kvfake"
+	"egretdrum.example/promises"
 	"egretdrum.example/resource"
 	"egretdrum.example/scheduler"
+	"egretdrum.example/storekeys"
 	"egretdrum.example/worker"
+	"egretdrum.example/workermodel"
 )
 
 // Prefix is the key prefix under which the workers are registered in the store.
 const Prefix = "workers/"
 
-// pollInterval is how often a waiting poll checks for ended runs.
-const pollInterval = 5 * time.Millisecond
+// step is the interval at which the model advances, and a waiting poll checks for ended runs.
+const step = 5 * time.Millisecond
 
 // Fleet is a pool of workers with the same capacity. It is safe for concurrent use.
 type Fleet struct {
-	pool     string
-	capacity resource.Amount
-	taskTime time.Duration
-	started  time.Time
-
-	mu          sync.Mutex
-	workers     map[string]*workerState
-	runs        map[job.Task]int
-	overlapping []job.Task
+	store *kvfake.Fake
+
+	mu       sync.Mutex
+	model    *fleetmodel.Fleet
+	recorder *promises.Recorder
+	advanced time.Time
+	// known has the jobs whose tasks have been started, queues their queues.
+	known   map[string]bool
+	queues  map[string]*catalog.Queue
+	pool    string
+	entries map[string]worker.Entry
 }
 
-// workerState is the state of one worker.
-type workerState struct {
-	fencingToken int64
-	running      map[job.Task]*run
-	ended        []worker.End
-	lastEnd      int64
+// New registers the workers of a pool in the store; each task takes taskTime. All queues use the
+// pool.
+func New(store *kvfake.Fake, pool string, workers int, capacity resource.Amount, taskTime time.Duration) (*Fleet, error) {
+	_, s, err := emulation.Parse("workerfake", []byte("[pool."+pool+"]\n"))
+	if err != nil {
+		return nil, err
+	}
+	s.Pools[0].Capacity = capacity
+	f := &Fleet{
+		store: store, recorder: promises.New(), advanced: time.Now(), pool: pool,
+		known: make(map[string]bool), queues: make(map[string]*catalog.Queue), entries: make(map[string]worker.Entry),
+	}
+	f.recorder.StopTime = s.Workers.StopTime
+	f.model = fleetmodel.New(s, f.recorder)
+	f.model.SetRunTime(taskTime)
+	for n := range workers {
+		if _, ok := f.model.AddMachine(f.advanced, pool, "", n, netip.MustParseAddrPort("127.0.0.1:9")); !ok {
+			return nil, fmt.Errorf("pool %q has no machine %d", pool, n)
+		}
+	}
+	f.register()
+	return f, nil
 }
 
-type run struct {
-	number int64
-	endsAt time.Time
+// register writes the changed registrations to the store.
+func (f *Fleet) register() {
+	for _, r := range f.model.Registrations() {
+		if r.Entry == nil {
+			f.store.Delete(Prefix + r.ID)
+			continue
+		}
+		f.entries[r.ID] = *r.Entry
+		f.store.Put(Prefix+r.ID, nil)
+	}
 }
 
-// New registers the workers of a pool in the store; each task takes taskTime.
-func New(store *kvfake.Fake, pool string, workers int, capacity resource.Amount, taskTime time.Duration) *Fleet {
-	f := &Fleet{pool: pool, capacity: capacity, taskTime: taskTime, started: time.Now(), workers: make(map[string]*workerState), runs: make(map[job.Task]int)}
-	for n := range workers {
-		id := fmt.Sprintf("worker-%d", n+1)
-		f.workers[id] = &workerState{running: make(map[job.Task]*run)}
-		store.Put(Prefix+id, nil)
+// advance carries out what is due, in steps so that events keep their order.
+func (f *Fleet) advance() time.Time {
+	now := time.Now()
+	for f.advanced.Add(step).Before(now) {
+		f.advanced = f.advanced.Add(step)
+		f.model.Advance(f.advanced)
 	}
-	return f
+	f.advanced = now
+	f.model.Advance(now)
+	f.register()
+	return now
 }
 
 // Calls returns the functions with which an owner calls the workers.
@@ -80,92 +114,96 @@
 }
 
 func (f *Fleet) decode(item kv.Item) (worker.Entry, error) {
-	return worker.Entry{
-		ID: strings.TrimPrefix(item.Key, Prefix), Pool: f.pool, Address: netip.MustParseAddrPort("127.0.0.1:9"),
-		Capacity: f.capacity, Incarnation: 1,
-	}, nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries[strings.TrimPrefix(item.Key, Prefix)], nil
 }
 
-// Runs returns how often each task was started, and the tasks of which two runs overlapped in
-// time.
-func (f *Fleet) Runs() (runs map[job.Task]int, overlapping []job.Task) {
+// Runs returns how often each task was started.
+func (f *Fleet) Runs() map[job.Task]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.runs), slices.Clone(f.overlapping)
+	runs := make(map[job.Task]int)
+	for _, s := range f.model.Starts() {
+		runs[s.Task]++
+	}
+	return runs
 }
 
-func (f *Fleet) start(_ context.Context, a scheduler.Start) (scheduler.StartResult, string) {
+// Violations returns the promises that were broken so far.
+func (f *Fleet) Violations() []promises.Violation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.workers[a.Worker.ID]
-	if a.Fence < w.fencingToken {
-		return scheduler.StartRejected, "fence"
+	return f.recorder.Violations()
+}
+
+// learn reads a job whose task is started from the store, where it was accepted before.
+func (f *Fleet) learn(now time.Time, id string) {
+	if f.known[id] {
+		return
 	}
-	w.fencingToken = a.Fence
-	if r := w.running[a.Task]; r != nil && r.number == a.Run {
-		return scheduler.StartAccepted, ""
+	j, err := job.Decode(f.store.Item(storekeys.Job(id)).Value)
+	if err != nil {
+		// The start counts as that of an unknown job.
+		return
 	}
-	for _, other := range f.workers {
-		if r := other.running[a.Task]; r != nil && time.Now().Before(r.endsAt) {
-			f.overlapping = append(f.overlapping, a.Task)
-		}
+	f.known[id] = true
+	f.model.AddJob(j)
+	if f.queues[j.Queue] == nil {
+		f.queues[j.Queue] = &catalog.Queue{Name: j.Queue, Pool: f.pool}
+		f.recorder.Configure(now, catalog.New(1, slices.Collect(maps.Values(f.queues)), nil, nil, 0))
 	}
-	f.runs[a.Task]++
-	w.running[a.Task] = &run{a.Run, time.Now().Add(f.taskTime)}
-	return scheduler.StartAccepted, ""
+	f.recorder.Submit(j)
+	f.recorder.Accept(now, id)
 }
 
-func (f *Fleet) stop(_ context.Context, a scheduler.Stop) bool {
+func (f *Fleet) start(_ context.Context, a scheduler.Start) (scheduler.StartResult, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.workers[a.Worker.ID]
-	if r := w.running[a.Task]; r != nil && r.number == a.Run && a.Fence >= w.fencingToken {
-		w.end(a.Task, worker.Stopped)
+	now := f.advance()
+	f.learn(now, a.Task.Job)
+	result, _, err := f.model.Start(now, a.Worker.Machine, a.Worker.ID, &fleetmodel.StartOrder{
+		Order: workermodel.Order{Task: a.Task, Run: a.Run, Fence: a.Fence, LeaseEnd: a.LeaseEnd, Checkpoint: a.Checkpoint}, Payload: a.Spec,
+	})
+	switch {
+	case errors.Is(err, fleetmodel.ErrOtherWorker):
+		return scheduler.StartOtherIncarnation, err.Error()
+	case err != nil:
+		return scheduler.StartUnanswered, err.Error()
+	case result == workermodel.Started, result == workermodel.Present:
+		return scheduler.StartAccepted, ""
+	case result == workermodel.Fenced:
+		return scheduler.StartFenced, string(result)
 	}
-	return true
-}
-
-func (w *workerState) end(t job.Task, reason worker.EndReason) {
-	w.lastEnd++
-	w.ended = append(w.ended, worker.End{Number: w.lastEnd, Task: t, Run: w.running[t].number, Reason: reason})
-	delete(w.running, t)
+	return scheduler.StartRejected, string(result)
 }
 
-// percent returns the progress of a run in percent.
-func (f *Fleet) percent(r *run) int {
-	return int(100 * (f.taskTime - time.Until(r.endsAt)) / f.taskTime)
+func (f *Fleet) stop(_ context.Context, a scheduler.Stop) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, err := f.model.Stop(f.advance(), a.Worker.Machine, a.Worker.ID, a.Task, a.Run, a.Fence)
+	return err == nil
 }
 
 // poll waits until a run has ended or a.Wait has passed, as workers do.
 func (f *Fleet) poll(ctx context.Context, a scheduler.Poll) (*worker.Listing, bool, error) {
-	tick := time.NewTicker(pollInterval)
+	tick := time.NewTicker(step)
 	defer tick.Stop()
-	for deadline := time.Now().Add(a.Wait); ; {
-		if l := f.list(a); len(l.Ended) > 0 || !time.Now().Before(deadline) {
-			return l, false, nil
-		}
+	f.mu.Lock()
+	l, err := f.model.Poll(f.advance(), a.Worker.Machine, a.Worker.ID, fleetmodel.Poll{Fence: a.Fence, Acknowledged: a.AckedEnd, LeaseEnd: a.Deadline})
+	f.mu.Unlock()
+	for deadline := time.Now().Add(a.Wait); err == nil && len(l.Ended) == 0 && time.Now().Before(deadline); {
 		select {
 		case <-tick.C:
+			f.mu.Lock()
+			l, err = f.model.List(f.advance(), a.Worker.Machine, l.Incarnation)
+			f.mu.Unlock()
 		case <-ctx.Done():
 			return nil, false, ctx.Err()
 		}
 	}
-}
-
-func (f *Fleet) list(a scheduler.Poll) *worker.Listing {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	w := f.workers[a.Worker.ID]
-	w.fencingToken = max(w.fencingToken, a.Fence)
-	w.ended = slices.DeleteFunc(w.ended, func(e worker.End) bool { return e.Number <= a.AckedEnd })
-	l := &worker.Listing{Incarnation: 1, Clock: time.Since(f.started)}
-	for name, r := range w.running {
-		if time.Now().Before(r.endsAt) {
-			l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: f.percent(r)})
-			continue
-		}
-		w.end(name, worker.Done)
+	if err != nil {
+		return nil, errors.Is(err, fleetmodel.ErrOtherWorker), err
 	}
-	l.Ended = slices.Clone(w.ended)
-	return l
+	return l, false, nil
 }
