--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -49,10 +49,12 @@
 	keys   *keyring
 	wait   sync.WaitGroup
 
-	mu    sync.Mutex
-	rate  float64
-	jobs  map[string]*submitted
-	calls map[string]int
+	rate float64
+	mu   sync.Mutex
+	// bursts is the number of bursts that last.
+	bursts int
+	jobs   map[string]*submitted
+	calls  map[string]int
 	// accepting and finishing hold times from the intended time of the submission.
 	accepting, finishing *hdrhistogram.Histogram
 	// limit is the limit of the account that has one, mostInUse what it had running, in
@@ -77,20 +79,37 @@
 	}
 }
 
-func (s *callers) setRate(factor float64) {
+// burst multiplies the rate for some time. Bursts that overlap do not add up: what is accepted
+// has to be done in time after them.
+func (s *callers) burst(d time.Duration) {
+	s.addBurst(1)
+	sleep(context.Background(), d)
+	s.addBurst(-1)
+}
+
+func (s *callers) addBurst(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bursts += n
+}
+
+// interval returns the time until the next submission.
+func (s *callers) interval(rng *rand.Rand) time.Duration {
+	const factor = 4
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rate *= factor
+	rate := s.rate
+	if s.bursts > 0 {
+		rate *= factor
+	}
+	return time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 }
 
 // run submits jobs until ctx ends. The jobs are followed until follow ends.
 func (s *callers) run(ctx, follow context.Context, rng *rand.Rand) {
 	due := time.Now()
 	for {
-		s.mu.Lock()
-		interval := time.Duration(rng.ExpFloat64() / s.rate * float64(time.Second))
-		s.mu.Unlock()
-		due = due.Add(interval)
+		due = due.Add(s.interval(rng))
 		if !sleep(ctx, time.Until(due)) {
 			return
 		}
--- a/soak/check_broken_test.go
+++ b/soak/check_broken_test.go
@@ -40,7 +40,7 @@
 		"unknown task": {&submitted{others: 1}, []*interval{run("00000000000000bb.0.0.0", 1, 1, 2, "done")}, "unknown-job"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &callers{c: &cluster{t: t, started: start}, jobs: make(map[string]*submitted), limit: 1000}
+			s := &callers{c: &cluster{t: t, started: start, failures: make(map[string]int)}, jobs: make(map[string]*submitted), limit: 1000}
 			c.job.plan = &plan{
 				id: id, queue: "rounds", account: limitedAccount, want: c.job.final,
 				steps: []step{{Count: 1, CPU: 600}, {Count: 1, CPU: 600, After: []int{0}}},
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -32,6 +32,8 @@
 	grace = 4 * time.Second
 	// evacuateWithin is when nothing may start in an evacuated zone any more.
 	evacuateWithin = 4 * time.Second
+	// maxReported is how many failures of one promise are reported.
+	maxReported = 10
 	// portsPerHost is the number of ports that the emulator sets aside for each host.
 	portsPerHost = 8
 	// observer is the name of a host that is never started. Its store listener serves the test.
@@ -53,6 +55,8 @@
 	mu       sync.Mutex
 	timeline []string
 	broken   []string
+	// failures counts the failures by their promises.
+	failures map[string]int
 	// disturbed are the spans in which something that all hosts need was disturbed.
 	disturbed []span
 	faults    map[string]int
@@ -123,7 +127,7 @@
 func newCluster(t testing.TB, description string, seed uint64, hosts int) *cluster {
 	dir, err := os.MkdirTemp(logDirectory(), fmt.Sprintf("egretdrum-soak-%d-", seed))
 	qt.Assert(t, err, qt.IsNil)
-	c := &cluster{t: t, dir: dir, started: time.Now(), faults: make(map[string]int), tokens: make(map[usedToken]string)}
+	c := &cluster{t: t, dir: dir, started: time.Now(), faults: make(map[string]int), failures: make(map[string]int), tokens: make(map[usedToken]string)}
 	t.Cleanup(c.close)
 	file := filepath.Join(dir, "emulation.ini")
 	first := freePorts(portsPerHost * (hosts + observerOffset))
@@ -312,6 +316,13 @@
 
 // fail notes a broken promise.
 func (c *cluster) fail(promise, format string, args ...any) {
+	c.mu.Lock()
+	c.failures[promise]++
+	n := c.failures[promise]
+	c.mu.Unlock()
+	if n > maxReported {
+		return
+	}
 	text := promise + ": " + fmt.Sprintf(format, args...)
 	c.note("BROKEN %s", text)
 	c.mu.Lock()
--- a/soak/inflict_test.go
+++ b/soak/inflict_test.go
@@ -33,8 +33,10 @@
 	waves []int64
 	// queues is the number of queues that were added by changes of the configuration.
 	queues int
-	// evacuations are the spans in which nothing may start in a zone.
+	// evacuations are the spans in which nothing may start in a zone; evacuating counts the faults
+	// that evacuate a zone now.
 	evacuations []evacuated
+	evacuating  map[string]int
 }
 
 type evacuated struct {
@@ -79,10 +81,7 @@
 	case "worker-restart", "worker-replace", "worker-drain", "worker-capacity":
 		err = i.worker(f)
 	case "burst":
-		const factor = 4
-		i.callers.setRate(factor)
-		sleep(context.Background(), f.length)
-		i.callers.setRate(1.0 / factor)
+		i.callers.burst(f.length)
 	default:
 		err = i.operate(f)
 	}
--- a/soak/operate_test.go
+++ b/soak/operate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -160,18 +161,32 @@
 	return err
 }
 
+// evacuate evacuates a zone. Of faults that overlap, the first begins and the last ends it.
 func (i *inflictor) evacuate(f *fault) error {
 	zone := []string{"zone-a", "zone-b"}[f.pick%2]
-	if err := i.c.control.call(http.MethodPost, "/evacuations", struct {
-		Zone string `json:"zone"`
-	}{zone}, nil); err != nil {
-		return err
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.evacuating == nil {
+		i.evacuating = make(map[string]int)
+	}
+	i.evacuating[zone]++
+	var err error
+	if i.evacuating[zone] == 1 {
+		err = i.c.control.call(http.MethodPost, "/evacuations", struct {
+			Zone string `json:"zone"`
+		}{zone}, nil)
+		i.evacuations = append(i.evacuations, evacuated{zone, span{from: time.Now()}})
 	}
-	s := span{from: time.Now()}
+	i.mu.Unlock()
 	sleep(context.Background(), 2*f.length)
-	s.to = time.Now()
 	i.mu.Lock()
-	i.evacuations = append(i.evacuations, evacuated{zone, s})
-	i.mu.Unlock()
-	return i.c.control.call(http.MethodDelete, "/evacuations/"+zone, nil, nil)
+	if i.evacuating[zone]--; i.evacuating[zone] > 0 {
+		return err
+	}
+	for n := range i.evacuations {
+		if e := &i.evacuations[n]; e.zone == zone && e.span.to.IsZero() {
+			e.span.to = time.Now()
+		}
+	}
+	return errors.Join(err, i.c.control.call(http.MethodDelete, "/evacuations/"+zone, nil, nil))
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -298,6 +298,7 @@
 	for _, text := range broken {
 		c.t.Error(text)
 	}
+	c.t.Errorf("failures by promise: %v", c.failures)
 	c.t.Errorf("to repeat: %s", repeat)
 }
 
