--- a/emulation/keys.go
+++ b/emulation/keys.go
@@ -170,6 +170,7 @@
 	port("ingress-port", "18347", func(s *Settings) *uint16 { return &s.IngressPort }),
 	port("first-host-port", "18400", func(s *Settings) *uint16 { return &s.FirstHostPort }),
 	duration("revoke-within", "5s", func(s *Settings) *time.Duration { return &s.RevokeWithin }),
+	duration("evacuate-within", "5s", func(s *Settings) *time.Duration { return &s.EvacuateWithin }),
 }
 
 var storeKeys = []key[Settings]{
@@ -184,6 +185,8 @@
 	duration("heartbeat", "1500ms", func(s *Settings) *time.Duration { return &s.Workers.Heartbeat }),
 	duration("longest-lease", "10s", func(s *Settings) *time.Duration { return &s.Workers.LongestLease }),
 	duration("stop-time", "900ms", func(s *Settings) *time.Duration { return &s.Workers.StopTime }),
+	duration("restart-time", "1s", func(s *Settings) *time.Duration { return &s.Workers.RestartTime }),
+	boolean("keep-ids", "true", func(s *Settings) *bool { return &s.Workers.KeepIDs }),
 	number("slowest-clock", "0.98", "a number from 0.98 to 1", parseClockRate, func(s *Settings) *float64 { return &s.Workers.SlowestClock }),
 	duration("checkpoint-interval", "1s", func(s *Settings) *time.Duration { return &s.Workers.CheckpointInterval }),
 	duration("restore-time", "600ms", func(s *Settings) *time.Duration { return &s.Workers.RestoreTime }),
--- a/emulation/settings.go
+++ b/emulation/settings.go
@@ -17,11 +17,12 @@
 	// Address is the IP address of all listeners. A port of zero is chosen by the system.
 	Address                                 netip.Addr
 	ControlPort, IngressPort, FirstHostPort uint16
-	// RevokeWithin is the time after which hosts must no longer accept a withdrawn key.
-	RevokeWithin time.Duration
-	Store        Store
-	Workers      Workers
-	Machines     Machines
+	// RevokeWithin is the time after which hosts must no longer accept a withdrawn key,
+	// EvacuateWithin the time after which no task may start in an evacuated zone.
+	RevokeWithin, EvacuateWithin time.Duration
+	Store                        Store
+	Workers                      Workers
+	Machines                     Machines
 	// Pools, Queues and Accounts are sorted by name.
 	Pools    []Pool
 	Queues   []*catalog.Queue
@@ -40,6 +41,10 @@
 // Workers holds the properties that all workers share.
 type Workers struct {
 	Heartbeat, LongestLease, StopTime time.Duration
+	// RestartTime is how long a worker that a task has crashed is down. KeepIDs is set if it
+	// starts again under the same ID.
+	RestartTime time.Duration
+	KeepIDs     bool
 	// SlowestClock is the lowest rate of a worker's clock; 1 is the rate of real time.
 	SlowestClock                                              float64
 	CheckpointInterval, RestoreTime, StartupTime, GangTimeout time.Duration
