--- a/soak/monitor_test.go
+++ b/soak/monitor_test.go
@@ -23,16 +23,23 @@
 	// calmFrom returns the end of the trouble, zero while it lasts.
 	calmFrom func() time.Time
 	seen     int
-	memory   int
-	owners   int
-	owner    string
-	ownerAt  time.Time
-	done     chan struct{}
+	// heldUp is the longest time by which this process itself was late.
+	heldUp  time.Duration
+	memory  int
+	owners  int
+	owner   string
+	ownerAt time.Time
+	done    chan struct{}
 }
 
 func (m *monitor) run(ctx context.Context) {
 	defer close(m.done)
-	for sleep(ctx, monitorInterval) {
+	for {
+		before := time.Now()
+		if !sleep(ctx, monitorInterval) {
+			return
+		}
+		m.heldUp = max(m.heldUp, time.Since(before)-monitorInterval)
 		m.look()
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -284,8 +284,8 @@
 	for _, j := range s.jobs {
 		outcomes[j.outcome()]++
 	}
-	c.t.Logf("seed %d: %d hosts, %d processes, %d faults %v, %d changes of the owner, hosts up to %d MB together",
-		r.seed, len(c.hosts), c.processes, total, c.faults, r.monitor.owners, r.monitor.memory)
+	c.t.Logf("seed %d: %d hosts, %d processes, %d faults %v, %d changes of the owner, hosts up to %d MB together; the test itself was late by up to %v",
+		r.seed, len(c.hosts), c.processes, total, c.faults, r.monitor.owners, r.monitor.memory, r.monitor.heldUp.Round(time.Millisecond))
 	c.t.Logf("jobs %d %v; calls %v; %s at most %d thousandths of a core", len(s.jobs), outcomes, s.calls, limitedAccount, s.mostInUse)
 	c.t.Logf("from the intended time: accepted %s; final state seen %s", quantiles(s.accepting), quantiles(s.finishing))
 	c.t.Logf("slowest: %s", s.slowest())
