--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -113,3 +113,34 @@
 		})
 	}
 }
+
+// Shows what an owner does to the keys of a later build in a record, which docs/upgrade.md builds on: it
+// keeps the record as it is until the job changes, and then writes what it knows itself.
+func TestRecordsLoseKeysOfLaterBuildsWhenTheJobChanges(t *testing.T) {
+	stored, err := storedProgress.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	later := property.AddUnknownKeys(t, stored)
+	record, err := progress.Decode(later)
+	qt.Assert(t, err, qt.IsNil)
+	sim := newSimulation(2)
+	sim.jobs["j"] = &job.Job{ID: "j", Queue: "rounds", Account: "arbiters", Repeat: 3, Interval: 10 * time.Second, Start: sim.now.Add(-10 * time.Second), Steps: []job.Step{{Count: 3, Need: small}}}
+	sim.stored["j"] = record
+	var saves [][]byte
+	sim.onActions = func(a Actions) {
+		for _, s := range a.Saves {
+			saves = append(saves, s.Record)
+		}
+	}
+	sim.replaceOwner()
+	sim.workers["w0"].unreachable, sim.workers["w1"].unreachable = true, true
+	sim.run(time.Second)
+	qt.Assert(t, saves, qt.HasLen, 0)
+	sim.workers["w0"].unreachable, sim.workers["w1"].unreachable = false, false
+	sim.run(3 * time.Second)
+	qt.Assert(t, len(saves) > 0, qt.IsTrue)
+	for _, saved := range saves {
+		lost := property.MissingParts(t, later, saved)
+		qt.Check(t, slices.Contains(lost, "/1000"), qt.IsTrue)
+		qt.Check(t, slices.Contains(lost, "/5"), qt.IsFalse)
+	}
+}
