--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -82,6 +82,8 @@
 	starts     int
 	// onOrder carries out an order for a machine; nil without machines.
 	onOrder func(MachineOrder)
+	// onStart is called for each run that a worker has begun; nil for none.
+	onStart func(*fakeWorker, Start)
 	// onActions sees the actions of each step before they are carried out; nil for none.
 	onActions func(Actions)
 	// onWaveFinished is called for each wave that the owner reports as finished.
@@ -588,6 +590,9 @@
 	}
 	sim.checkStart(w, a)
 	w.runs[a.Task] = &fakeRun{number: a.Run, startedAt: sim.now, doneAt: sim.now.Add(sim.taskDuration * time.Duration(max(1, w.slowness))), longRunning: sim.taskStep(a.Task).LongRunning, need: sim.taskStep(a.Task).Reserved(), step: sim.taskStep(a.Task), pace: 100}
+	if sim.onStart != nil {
+		sim.onStart(w, a)
+	}
 	return StartAccepted
 }
 
