Give up tasks that crash their workers, and isolate suspects

Cause: a task that crashes each worker which starts it was started again without end, and took the runs beside it along. Nothing counted crashes.

Change: package crashes counts a crash against each run that may have been present and had not outlived its start (2 s). Crashes show by a machine listed as down, another incarnation or another worker on the machine; planned ends do not count, and runs of an ended lease only if one of these signs follows. A suspected task starts apart from other suspects on the worker on which least is lost, and that worker gets no other task until the run is known to have been present for 150 ms. Its job is given up after two crashes if it was the only suspect in the second one and had just begun, and after three in any case. The crashes are part of the job's record (new key 5 of a step's progress); the third start waits until they are durable.

Ruled out: counting starts without an answer like others. Such a start may have been sent to a worker that was down already, and the job would be given up although no worker crashed under it. Also ruled out: blaming tasks when half of a rack is lost at once.

--- a/progress/record.go
+++ b/progress/record.go
@@ -46,6 +46,18 @@
 	Done []byte `cbor:"3,keyasint,omitempty"`
 	// Failures has an entry for each task with failed attempts.
 	Failures []Failure `cbor:"4,keyasint,omitempty"`
+	// Crashes has an entry for each task under which workers have crashed.
+	Crashes []Crashes `cbor:"5,keyasint,omitempty"`
+}
+
+// Crashes lists the runs of a task that may have crashed their workers.
+type Crashes struct {
+	Index int     `cbor:"1,keyasint"`
+	Runs  []int64 `cbor:"2,keyasint"`
+	// Unconfirmed counts the runs that are not known to have begun, Shared those whose worker
+	// crashed together with many others.
+	Unconfirmed int `cbor:"3,keyasint,omitempty"`
+	Shared      int `cbor:"4,keyasint,omitempty"`
 }
 
 // Failure lists the failed runs of a task. Workers list an end until it is acknowledged, and a new
@@ -96,5 +108,10 @@
 			return fmt.Errorf("failures of task %d of step %d", f.Index, p.Step)
 		}
 	}
+	for _, c := range p.Crashes {
+		if c.Index < 0 || c.Unconfirmed < 0 || c.Shared < 0 {
+			return fmt.Errorf("crashes of task %d of step %d", c.Index, p.Step)
+		}
+	}
 	return nil
 }
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -110,6 +110,8 @@
 	// Incarnation is that of the worker, zero if it was never seen.
 	Incarnation int64            `cbor:"2,keyasint,omitempty"`
 	Runs        []UnconfirmedRun `cbor:"3,keyasint,omitempty"`
+	// Survived has the tasks of Runs that have outlived their start.
+	Survived []job.Task `cbor:"4,keyasint,omitempty"`
 }
 
 // UnconfirmedRun is a run that may be present on an unresponsive worker.
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -36,6 +36,7 @@
 		s.logEvent(LogEvent{Event: "worker-answered", Worker: w.registration.ID, AffectedCount: len(w.runs)})
 		w.unansweredPolls, w.copiesQueued = 0, false
 	}
+	s.reportUnlisted(w, answer)
 	if w.incarnation != 0 && answer.Incarnation != w.incarnation {
 		s.newIncarnation(w, answer.Incarnation)
 		w.uncertain = true
@@ -43,7 +44,9 @@
 	w.incarnation = answer.Incarnation
 	w.clock, w.clockRead = answer.Clock, now
 	w.acknowledgedEnd = max(w.acknowledgedEnd, min(poll.AckedEnd, w.durableEnd))
+	w.recordAlive(w.pollSent)
 	s.applyListing(w, answer)
+	s.checkWatched(w)
 	if !w.answered || w.uncertain {
 		s.changedPools[w.registration.Pool] = true
 	}
@@ -224,6 +227,9 @@
 		t.checkpoint = e.Checkpoint
 		st.checkpoint = e.Checkpoint
 	}
+	if e.Reason == worker.Done || e.Reason == worker.Failed {
+		s.clearEvidence(st, e.Task.Index)
+	}
 	switch {
 	case st.job.state.Final():
 		return
@@ -292,6 +298,7 @@
 	}
 	switch result {
 	case StartAccepted:
+		w.recordAlive(r.sent)
 		if r.state == starting {
 			r.state = present
 		}
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -20,6 +20,9 @@
 // withdraw prevents an unsent start from being sent, and reports whether it did.
 func (c *claim) withdraw() bool { return c.state.CompareAndSwap(unsent, withdrawn) }
 
+// sent reports whether the start was sent.
+func (c *claim) sent() bool { return c.state.Load() > unsent }
+
 // setFence sets the fencing token of a run that this owner has not started.
 func (c *claim) setFence(fence int64) { c.state.Store(fence) }
 
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -10,7 +10,7 @@
 func (s *Scheduler) queueCopy(r *run, reason string) {
 	st, index := r.step, r.index
 	t := &st.tasks[index]
-	if t.run != r || st.detached {
+	if t.run != r || st.detached || !s.mayCopy(r) {
 		return
 	}
 	s.logEvent(LogEvent{Event: "run-copied", Job: st.job.spec.ID, Task: st.name(index), Worker: r.worker.registration.ID, Run: r.number, Reason: reason})
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -39,6 +39,7 @@
 		return
 	}
 	s.logEvent(LogEvent{Event: "worker-crashed", Worker: w.registration.ID, AffectedCount: len(w.runs), Reason: w.registration.Machine + " is down"})
+	s.reportCrash(w, w.sortedRuns(), w.registration.Machine+" is down")
 	w.leaseExpired = true
 	w.setFence(w.fence + 1)
 	w.uncertain, w.answered = false, false
--- a/scheduler/crashing_test.go
+++ b/scheduler/crashing_test.go
@@ -32,6 +32,8 @@
 	runsLost int
 	// newIDs has workers come back under another ID. unlisted keeps crashed machines listed as up.
 	newIDs, unlisted bool
+	// due holds the crashes and restarts to come.
+	due []delayedCall
 }
 
 func newCrashSimulation(machines int) *crashSimulation {
@@ -68,7 +70,15 @@
 
 // after calls apply once d has passed.
 func (sim *crashSimulation) after(d time.Duration, apply func()) {
-	sim.late = append(sim.late, delayedCall{sim.now.Add(d), apply})
+	sim.due = append(sim.due, delayedCall{sim.now.Add(d), apply})
+}
+
+// advance moves the time forward by d.
+func (sim *crashSimulation) advance(d time.Duration) {
+	for end := sim.now.Add(d); sim.now.Before(end); {
+		applyDue(&sim.due, sim.now)
+		sim.machineSimulation.advance(simulationStep)
+	}
 }
 
 // crash ends a worker with all that it knows, and starts it again after restartDelay.
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -40,6 +40,7 @@
 // endIncarnation handles a worker whose address is now used by another one: all of its runs are
 // lost.
 func (s *Scheduler) endIncarnation(w *workerState) {
+	s.reportCrash(w, w.sortedRuns(), "another worker has its address")
 	s.newIncarnation(w, 0)
 	w.answered, w.uncertain = false, false
 	w.clockRead = time.Time{}
@@ -54,6 +55,7 @@
 // replace handles a worker whose machine now runs another one.
 func (s *Scheduler) replace(w *workerState) {
 	s.logEvent(LogEvent{Event: "worker-replaced", Worker: w.registration.ID, AffectedCount: len(w.runs)})
+	s.reportCrash(w, w.sortedRuns(), w.registration.Machine+" carries another worker")
 	w.replaced, w.answered = true, false
 	w.sequence++
 	w.ignoredUpTo = w.sequence
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"egretdrum.example/crashes"
 	"egretdrum.example/job"
 	"egretdrum.example/progress"
 	"egretdrum.example/resource"
@@ -86,6 +87,11 @@
 	// it was measured.
 	rate       float64
 	rateWorker *workerState
+	// evidence holds the crashes that count against the task, evidenceVersion is the version of the
+	// job's record that has them. crashedWorkers has the IDs of the workers, for the log.
+	evidence        crashes.Evidence
+	evidenceVersion int
+	crashedWorkers  []string
 	// triedWorkers has the IDs of the workers on which the task failed or was slow.
 	triedWorkers []string
 }
--- a/scheduler/mutation.go
+++ b/scheduler/mutation.go
@@ -8,4 +8,6 @@
 	ignoreUnknown, acknowledgeEarly, keepFence, extendUnresponsive, restartRuns bool
 
 	recordUnknown, useRecorded, ignorePoolUse, ignoreMayMiss, ignoreEvacuation, ignoreReservations bool
+
+	ignoreCrashes, ignoreIsolation, ignoreDurability bool
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -234,9 +234,14 @@
 // placeStep starts as many tasks of the step as fit. All tasks of a step have the same needs,
 // so the first one that does not fit ends the attempt.
 func (s *Scheduler) placeStep(st *stepState, workers []*workerState) {
+	st.suspectsLast()
 	for len(st.waitingTasks) > 0 && !s.startsHeld() {
 		index := st.waitingTasks[0]
-		if s.failExhausted(st, &st.tasks[index]) {
+		if s.failExhausted(st, &st.tasks[index]) || s.giveUpExhausted(st, index) {
+			return
+		}
+		if st.awaitsEvidence(index) {
+			st.reason = evidenceWait
 			return
 		}
 		if !s.accountAllows(st, 1) {
@@ -246,6 +251,9 @@
 		w := s.choose(st, index, workers)
 		if w == nil {
 			st.reason = noFreeCapacity
+			if st.suspected(index) {
+				st.reason = isolationWait
+			}
 			return
 		}
 		st.waitingTasks = st.waitingTasks[1:]
@@ -262,7 +270,15 @@
 	}
 	plan := make([]*workerState, 0, len(st.waitingTasks))
 	extra := make(map[*workerState]int)
-	for _, index := range st.waitingTasks {
+	queue := st.suspectsFirst()
+	for _, index := range queue {
+		if s.giveUpExhausted(st, index) {
+			return
+		}
+		if st.awaitsEvidence(index) {
+			st.reason = evidenceWait
+			return
+		}
 		w := s.chooseWith(st, index, workers, extra)
 		if w == nil {
 			st.reason = "no room for the whole gang"
@@ -270,9 +286,11 @@
 		}
 		extra[w]++
 		plan = append(plan, w)
+		if st.suspected(index) && s.isolatesGang(st) {
+			workers = slices.DeleteFunc(slices.Clone(workers), func(other *workerState) bool { return other == w })
+		}
 	}
 	s.lastRun++
-	queue := st.waitingTasks
 	st.waitingTasks = nil
 	for i, index := range queue {
 		s.start(st, index, plan[i], s.lastRun)
--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -23,6 +23,7 @@
 // planPoll polls a worker if a poll is due.
 func (s *Scheduler) planPoll(w *workerState) {
 	w.advanceDurableEnd()
+	s.pollForProof(w)
 	if w.replaced || w.polling || s.now.Before(w.nextPoll) {
 		return
 	}
@@ -58,6 +59,9 @@
 			poll.Wait = min(poll.Wait, paceInterval)
 		}
 	}
+	if left, waits := s.proofDue(w); waits {
+		poll.Wait = min(poll.Wait, left)
+	}
 	s.poll(w, poll)
 }
 
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"egretdrum.example/crashes"
 	"egretdrum.example/progress"
 )
 
@@ -22,6 +23,11 @@
 				st.tasks[f.Index].failed = slices.Clone(f.Runs)
 			}
 		}
+		for _, c := range r.Crashes {
+			if c.Index < len(st.tasks) {
+				st.tasks[c.Index].evidence = crashes.Evidence{Runs: slices.Clone(c.Runs), Unconfirmed: c.Unconfirmed, Shared: c.Shared}
+			}
+		}
 		for n := range st.tasks {
 			if r.IsDone(n) {
 				st.tasks[n].done = true
@@ -49,7 +55,8 @@
 					sp.Failures = append(sp.Failures, progress.Failure{Index: i, Runs: failed})
 				}
 			}
-			if sp.Done != nil || sp.Failures != nil {
+			sp.Crashes = st.crashRecords()
+			if sp.Done != nil || sp.Failures != nil || sp.Crashes != nil {
 				r.Steps = append(r.Steps, sp)
 			}
 		}
@@ -57,6 +64,17 @@
 	return r
 }
 
+// crashRecords returns the evidence against the tasks of a step that are not done.
+func (st *stepState) crashRecords() []progress.Crashes {
+	var records []progress.Crashes
+	for i := range st.tasks {
+		if e := &st.tasks[i].evidence; len(e.Runs) > 0 && !st.tasks[i].done {
+			records = append(records, progress.Crashes{Index: i, Runs: slices.Clone(e.Runs), Unconfirmed: e.Unconfirmed, Shared: e.Shared})
+		}
+	}
+	return records
+}
+
 // collectSaves adds a save for each job whose record has changed and is not being saved.
 func (s *Scheduler) collectSaves(a *Actions) {
 	for id, j := range s.dirty {
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -25,7 +25,7 @@
 // had room in this pass. Such steps are placed first, so that later steps of the pass leave the
 // reserved capacity alone.
 func (s *Scheduler) reserveWorkers(st *stepState, workers []*workerState) {
-	if !st.spec.LongRunning || st.spec.Gang || st.reason != noFreeCapacity || mutation.ignoreReservations {
+	if !st.spec.LongRunning || st.spec.Gang || (st.reason != noFreeCapacity && st.reason != isolationWait) || mutation.ignoreReservations {
 		return
 	}
 	limit := max(1, int(maxReservedShare*float64(len(workers))))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -93,6 +93,13 @@
 	// adviceInFlight counts the advice requests in flight.
 	adviceInFlight int
 
+	// crashReports holds the crashes since the last Tick, rackCrashes the last ones, and lost the runs
+	// of workers of which it is not known whether they have crashed, by worker.
+	crashReports []crashReport
+	rackCrashes  []rackCrash
+	givenUp      int
+	lost         map[string]*lostWorker
+
 	actions Actions
 }
 
@@ -155,6 +162,7 @@
 		changedPools:    make(map[string]bool),
 		changedWorkers:  make(map[*workerState]bool),
 		nextPass:        make(map[string]time.Time),
+		lost:            make(map[string]*lostWorker),
 	}
 	if mutation.restartRuns {
 		s.lastRun = 0
@@ -189,6 +197,7 @@
 		}
 		s.recordUnresponsive()
 	}
+	s.judgeCrashes()
 	s.planMachines()
 	s.place()
 	if sweep {
@@ -303,11 +312,14 @@
 // Summary has the counts of jobs, tasks, runs and workers for metrics.
 type Summary struct {
 	Jobs, Waiting, Running, Workers, Unanswered int
+	// Isolated counts the runs of suspected tasks that have not outlived their start, GivenUp the
+	// jobs that were given up because a task crashed its workers.
+	Isolated, GivenUp int
 }
 
 // Summary returns the current counts.
 func (s *Scheduler) Summary() Summary {
-	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers)}
+	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp}
 	for _, steps := range s.waiting {
 		for _, st := range steps {
 			sum.Waiting += len(st.waitingTasks)
@@ -315,6 +327,11 @@
 	}
 	for _, w := range s.workers {
 		sum.Running += len(w.runs)
+		for _, r := range w.watched {
+			if r.isolated {
+				sum.Isolated++
+			}
+		}
 		if w.unansweredPolls > 0 {
 			sum.Unanswered++
 		}
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -23,7 +23,11 @@
 		if w.runs[name] != nil || !s.fits(st, w, need, extra[w]) {
 			continue
 		}
-		if score := s.score(st, index, w, extra[w]); best == nil || score > bestScore {
+		score := s.score(st, index, w, extra[w])
+		if st.suspected(index) {
+			score = s.isolationScore(w)
+		}
+		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -38,7 +42,7 @@
 	if !used.Add(need.Times(extra+1)).Within(w.registration.Capacity) && !mutation.ignoreCapacity {
 		return false
 	}
-	if w.onTrial() && len(w.runs)+extra > 0 {
+	if w.hasSuspect() || w.onTrial() && len(w.runs)+extra > 0 {
 		return false
 	}
 	if !w.registration.Labels.Has(st.spec.Label) || st.refusedBy(w) {
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"egretdrum.example/crashes"
 	"egretdrum.example/job"
 	"egretdrum.example/worker"
 )
@@ -36,8 +37,12 @@
 	v := UnresponsiveWorker{Worker: w.registration.ID, Incarnation: w.currentIncarnation()}
 	for name, r := range w.runs {
 		v.Runs = append(v.Runs, UnconfirmedRun{name, r.number})
+		if w.knownPresence(r) >= crashes.Survival {
+			v.Survived = append(v.Survived, name)
+		}
 	}
 	slices.SortFunc(v.Runs, func(a, b UnconfirmedRun) int { return job.Compare(a.Task, b.Task) })
+	slices.SortFunc(v.Survived, job.Compare)
 	return v
 }
 
@@ -62,11 +67,13 @@
 	w.recordStored = true
 	if w.registration.Incarnation != v.Incarnation {
 		// The record is of another incarnation. What runs in this one is not known.
+		s.reportRecorded(w, v)
 		return
 	}
-	w.runsAccounted = true
+	w.runsAccounted, w.recordedIncarnation = true, v.Incarnation
 	for _, r := range v.Runs {
 		s.reserveUnconfirmed(w, r)
+		w.recordSurvived(r, v.Survived)
 	}
 	s.logEvent(LogEvent{Event: "silence-known", Worker: v.Worker, AffectedCount: len(v.Runs)})
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -83,6 +83,12 @@
 	speed     float64
 	slowUntil time.Time
 	faults    faults
+	// aliveAt is the latest time at which the worker is known to have been alive. watched holds the
+	// runs of tasks under which workers have crashed. recordedIncarnation is that of the record of
+	// the previous owner.
+	aliveAt             time.Time
+	watched             []*run
+	recordedIncarnation int64
 	// hasUnknownRuns is set while the worker lists a run of which nothing is known, so that its
 	// free capacity is not known either.
 	hasUnknownRuns bool
@@ -112,7 +118,11 @@
 	percentAllowed int
 	paceKnown      bool
 	// recorded is set for runs that are known only from the record of an unresponsive worker.
-	recorded   bool
+	recorded bool
+	// survived is set for recorded runs that have outlived their start, isolated while a run of a
+	// suspected task has not.
+	survived, isolated bool
+
 	checkpoint string
 	speed      speed
 	need       resource.Amount
@@ -199,6 +209,7 @@
 func (s *Scheduler) release(r *run) {
 	w := r.worker
 	r.claim.withdraw()
+	w.unwatch(r)
 	delete(w.runs, r.step.name(r.index))
 	w.used = w.used.Sub(r.need)
 	s.changedPools[w.registration.Pool] = true
@@ -223,6 +234,7 @@
 	s.addUse(r.step.job.spec.Account, r.step.spec.Need)
 	t := &r.step.tasks[r.index]
 	t.run = r
+	s.watch(r)
 }
 
 func (w *workerState) countRun(r *run, n int) {
@@ -247,6 +259,7 @@
 		w.leaseExpired = true
 	}
 	if len(w.runs) > 0 && s.now.After(w.leaseEnd) {
+		s.rememberLost(w)
 		for _, r := range w.sortedRuns() {
 			s.drop(r, "lease ended")
 		}
