Tell weak signs of a crashing task from strong ones

Most suspects of a crash were known to have been present for 0.2 to 0.8 s; only the cause had just begun.

Change: a crash is a weak sign against a run if its worker crashed together with many others of its rack, or if the run had been present for 150 ms and another one had not. One weak sign makes no suspect, and weak signs do not count towards the limit of three; five crashes of any kind end the task. A second crash lengthens the isolation to 600 ms, a third to 2 s, so that a task that takes longer to end its worker shows as well.

--- a/crashes/evidence.go
+++ b/crashes/evidence.go
@@ -16,18 +16,19 @@
 	// count against it. It is far above the tenth of a second within which a crashing task ends
 	// its worker, so that a slow one counts as well.
 	Survival = 2 * time.Second
-	// Probation is how long a suspected task is kept apart from other suspects and from new
-	// tasks. With many suspects, the last ones wait for a multiple of it.
-	Probation = 150 * time.Millisecond
+	// Probation is how long a task is kept apart from other suspects and from new tasks after the
+	// first crash. With many suspects, the last ones wait for a multiple of it. After the second
+	// crash it is longProbation, and Survival later, for tasks that take longer to end a worker.
+	Probation     = 150 * time.Millisecond
+	longProbation = 600 * time.Millisecond
 
-	// maxCrashes is the number of crashes after which a task is not started again, if at least
-	// minConfirmed of its runs are known to have begun.
+	// maxCrashes is the number of crashes, other than weak ones, after which a task is not started
+	// again, if at least minConfirmed of its runs are known to have begun.
 	maxCrashes   = 3
 	minConfirmed = 2
-	// maxUnconfirmed is the number of crashes after which a task is not started again although it
-	// is unknown whether its runs had begun: their starts may have been sent to workers that were
-	// down already.
-	maxUnconfirmed = 5
+	// maxUncertain is the number of crashes after which a task is not started again although some
+	// of them say little: starts may have been sent to workers that were down already.
+	maxUncertain = 5
 
 	// minShared is the number of workers, and sharedShare the share of the workers of a rack, from
 	// which on crashes at the same time have a shared cause, such as a loss of power.
@@ -40,9 +41,9 @@
 	// Runs has the numbers of the runs that may have crashed their worker. Several owners may see
 	// the same crash, so the numbers tell which crashes are counted already.
 	Runs []int64
-	// Unconfirmed counts those whose start was not answered, Shared those whose worker crashed
-	// together with many others.
-	Unconfirmed, Shared int
+	// Unconfirmed counts those whose start was not answered. Weak counts those that are unlikely to be
+	// the cause: their worker crashed together with many others, or another run had begun later.
+	Unconfirmed, Weak int
 }
 
 // Loss is a run that may have been present on a worker when it crashed.
@@ -61,6 +62,7 @@
 // many others.
 func Count(losses []Loss, shared bool) (suspects []int, cause int) {
 	cause = likelyCause(losses, shared)
+	fresh := slices.ContainsFunc(losses, func(l Loss) bool { return l.Present < Probation })
 	for i, l := range losses {
 		if l.Present >= Survival || slices.Contains(l.Evidence.Runs, l.Run) {
 			continue
@@ -69,8 +71,8 @@
 		if !l.Started {
 			l.Evidence.Unconfirmed++
 		}
-		if shared {
-			l.Evidence.Shared++
+		if shared || (fresh && l.Present >= Probation) {
+			l.Evidence.Weak++
 		}
 		suspects = append(suspects, i)
 	}
@@ -95,7 +97,7 @@
 			return -1
 		}
 	}
-	if cause < 0 || shared || !losses[cause].Started || losses[cause].Present >= Probation || slices.Contains(losses[cause].Evidence.Runs, losses[cause].Run) {
+	if cause < 0 || shared || !losses[cause].Started || losses[cause].Present >= losses[cause].Evidence.Probation() || slices.Contains(losses[cause].Evidence.Runs, losses[cause].Run) {
 		return -1
 	}
 	return cause
@@ -104,9 +106,9 @@
 // confirmed returns the number of crashes under runs that are known to have begun.
 func (e *Evidence) confirmed() int { return len(e.Runs) - e.Unconfirmed }
 
-// Suspected reports whether the task has to be kept apart. One crash with a shared cause does not
-// suffice: otherwise all tasks of a lost rack would be suspects.
-func (e *Evidence) Suspected() bool { return len(e.Runs)-e.Shared >= 1 || len(e.Runs) >= 2 }
+// Suspected reports whether the task has to be kept apart. One weak sign does not suffice: otherwise
+// all tasks of a lost rack, and all beside a task that crashes its worker, would be suspects.
+func (e *Evidence) Suspected() bool { return len(e.Runs)-e.Weak >= 1 || len(e.Runs) >= 2 }
 
 // AwaitsStore reports whether the evidence has to be durable before the task is started again, as
 // a further crash may be the last one that is allowed.
@@ -114,7 +116,18 @@
 
 // Exhausted reports whether the task must not be started again.
 func (e *Evidence) Exhausted() bool {
-	return (len(e.Runs) >= maxCrashes && e.confirmed() >= minConfirmed) || len(e.Runs) >= maxUnconfirmed
+	return (len(e.Runs)-e.Weak >= maxCrashes && e.confirmed() >= minConfirmed) || len(e.Runs) >= maxUncertain
+}
+
+// Probation returns how long the next run of the task is kept apart.
+func (e *Evidence) Probation() time.Duration {
+	switch len(e.Runs) {
+	case 0, 1:
+		return Probation
+	case 2:
+		return longProbation
+	}
+	return Survival
 }
 
 // Clear removes the evidence after a run that has outlived its start: a task that crashes its
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -80,6 +80,7 @@
 	if r.isolated = r.step.suspected(r.index); !r.isolated {
 		return
 	}
+	r.probation = r.step.tasks[r.index].evidence.Probation()
 	s.logEvent(LogEvent{
 		Event: "task-isolated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: w.registration.ID, Run: r.number,
 		AffectedCount: len(r.step.tasks[r.index].evidence.Runs),
@@ -96,7 +97,7 @@
 func (s *Scheduler) checkWatched(w *workerState) {
 	for _, r := range slices.Clone(w.watched) {
 		known := w.knownPresence(r)
-		if r.isolated && known >= crashes.Probation {
+		if r.isolated && known >= r.probation {
 			r.isolated = false
 			s.changedPools[w.registration.Pool] = true
 		}
@@ -116,7 +117,7 @@
 		if !r.isolated || r.confirmed.IsZero() {
 			continue
 		}
-		due := r.confirmed.Add(crashes.Probation)
+		due := r.confirmed.Add(r.probation)
 		if w.pollSent.Before(due) || !w.polling {
 			d := max(0, due.Sub(s.now))
 			if !waits || d < left {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -122,7 +122,8 @@
 	// survived is set for recorded runs that have outlived their start, isolated while a run of a
 	// suspected task has not.
 	survived, isolated bool
-
+	// probation is how long it is isolated.
+	probation  time.Duration
 	checkpoint string
 	speed      speed
 	need       resource.Amount
