Test crashing tasks under faults, and hold a start while the fate of a worker is unknown

Cause: the property test with several owners, lost and late calls, cuts and outages of the store found starts after three crashes where the list of machines shows no crash. The lease of a crashed worker ends before the worker is back, and the task was started again before the crash was known; a new owner did not know the lost runs; copies of speculative tasks were started while two runs were unproven.

Change: a task with two crashes waits up to 4 s for the fate of the worker of its last run. Runs whose lease has ended are part of the record of an unresponsive worker (new key 5). Crashes with a shared cause count towards the limit of three again: in a rack of six, three crashing tasks at a time passed for the loss of a rack. A suspected task gets no copy until its run has survived.

An owner that ends during an outage of the store takes up to two counted crashes along; the test allows for them. An innocent job may fail once two workers have crashed under one of its tasks, as in a small pool without the list of machines.

--- a/crashes/evidence.go
+++ b/crashes/evidence.go
@@ -41,9 +41,10 @@
 	// Runs has the numbers of the runs that may have crashed their worker. Several owners may see
 	// the same crash, so the numbers tell which crashes are counted already.
 	Runs []int64
-	// Unconfirmed counts those whose start was not answered. Weak counts those that are unlikely to be
-	// the cause: their worker crashed together with many others, or another run had begun later.
-	Unconfirmed, Weak int
+	// Unconfirmed counts those whose start was not answered. Weak counts those beside which another run
+	// had begun later, which is the likelier cause, and Shared the others whose worker crashed
+	// together with many.
+	Unconfirmed, Weak, Shared int
 }
 
 // Loss is a run that may have been present on a worker when it crashed.
@@ -71,8 +72,11 @@
 		if !l.Started {
 			l.Evidence.Unconfirmed++
 		}
-		if shared || (fresh && l.Present >= Probation) {
+		switch {
+		case fresh && l.Present >= Probation:
 			l.Evidence.Weak++
+		case shared:
+			l.Evidence.Shared++
 		}
 		suspects = append(suspects, i)
 	}
@@ -108,7 +112,7 @@
 
 // Suspected reports whether the task has to be kept apart. One weak sign does not suffice: otherwise
 // all tasks of a lost rack, and all beside a task that crashes its worker, would be suspects.
-func (e *Evidence) Suspected() bool { return len(e.Runs)-e.Weak >= 1 || len(e.Runs) >= 2 }
+func (e *Evidence) Suspected() bool { return len(e.Runs)-e.Weak-e.Shared >= 1 || len(e.Runs) >= 2 }
 
 // AwaitsStore reports whether the evidence has to be durable before the task is started again, as
 // a further crash may be the last one that is allowed.
--- a/crashes/evidence_test.go
+++ b/crashes/evidence_test.go
@@ -39,7 +39,7 @@
 }
 
 // counted returns the crashes that count against a task.
-func (o *oracle) counted(task int) (total, unconfirmed, weak int) {
+func (o *oracle) counted(task int) (total, unconfirmed, weak, shared int) {
 	seen := make(map[int]bool)
 	for _, c := range o.history[o.cleared[task]:] {
 		for _, p := range c.runs {
@@ -51,12 +51,15 @@
 			if !p.started {
 				unconfirmed++
 			}
-			if c.shared || p.present >= crashes.Probation && c.hasFresh() {
+			switch {
+			case p.present >= crashes.Probation && c.hasFresh():
 				weak++
+			case c.shared:
+				shared++
 			}
 		}
 	}
-	return total, unconfirmed, weak
+	return total, unconfirmed, weak, shared
 }
 
 // seen reports whether a crash under the run counts already.
@@ -69,8 +72,8 @@
 }
 
 func (o *oracle) suspected(task int) bool {
-	total, _, weak := o.counted(task)
-	return total > weak || total > 1
+	total, _, weak, shared := o.counted(task)
+	return total > weak+shared || total > 1
 }
 
 // cause returns the task that a crash proves to be the cause of two, -1 for none.
@@ -89,7 +92,7 @@
 	if c.shared || len(suspects) != 1 || len(fresh) > 0 || !suspects[0].started {
 		return -1
 	}
-	total, unconfirmed, _ := o.counted(suspects[0].task)
+	total, unconfirmed, _, _ := o.counted(suspects[0].task)
 	apart := []time.Duration{crashes.Probation, crashes.Probation, 600 * time.Millisecond, crashes.Survival}[min(total, 3)]
 	if suspects[0].present >= apart || total-unconfirmed+1 < 2 || o.seen(suspects[0]) {
 		return -1
@@ -156,11 +159,11 @@
 }
 
 func assertEvidence(t *rapid.T, o *oracle, task int, e *crashes.Evidence) {
-	total, unconfirmed, weak := o.counted(task)
+	total, unconfirmed, weak, shared := o.counted(task)
 	exhausted := total-weak >= 3 && total-unconfirmed >= 2 || total >= 5
-	counts := len(e.Runs) == total && e.Unconfirmed == unconfirmed && e.Weak == weak
+	counts := len(e.Runs) == total && e.Unconfirmed == unconfirmed && e.Weak == weak && e.Shared == shared
 	if !counts || e.Suspected() != o.suspected(task) || e.AwaitsStore() != (total >= 2) || e.Exhausted() != exhausted {
-		t.Fatalf("task %d: %+v, want %d runs, %d not confirmed, %d weak; suspected %t, exhausted %t", task, *e, total, unconfirmed, weak, o.suspected(task), exhausted)
+		t.Fatalf("task %d: %+v, want %d runs, %d not confirmed, %d weak, %d shared; suspected %t, exhausted %t", task, *e, total, unconfirmed, weak, shared, o.suspected(task), exhausted)
 	}
 }
 
--- a/progress/record.go
+++ b/progress/record.go
@@ -54,10 +54,11 @@
 type Crashes struct {
 	Index int     `cbor:"1,keyasint"`
 	Runs  []int64 `cbor:"2,keyasint"`
-	// Unconfirmed counts the runs that are not known to have begun, Weak those that are unlikely to be
-	// the cause of the crash.
+	// Unconfirmed counts the runs that are not known to have begun, Weak those beside which another
+	// run had begun later, and Shared the others whose worker crashed together with many.
 	Unconfirmed int `cbor:"3,keyasint,omitempty"`
 	Weak        int `cbor:"4,keyasint,omitempty"`
+	Shared      int `cbor:"5,keyasint,omitempty"`
 }
 
 // Failure lists the failed runs of a task. Workers list an end until it is acknowledged, and a new
@@ -109,7 +110,7 @@
 		}
 	}
 	for _, c := range p.Crashes {
-		if c.Index < 0 || c.Unconfirmed < 0 || c.Weak < 0 {
+		if c.Index < 0 || c.Unconfirmed < 0 || c.Weak < 0 || c.Shared < 0 {
 			return fmt.Errorf("crashes of task %d of step %d", c.Index, p.Step)
 		}
 	}
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -112,6 +112,8 @@
 	Runs        []UnconfirmedRun `cbor:"3,keyasint,omitempty"`
 	// Survived has the tasks of Runs that have outlived their start.
 	Survived []job.Task `cbor:"4,keyasint,omitempty"`
+	// Lost has the runs whose lease has ended. If the worker turns out to have crashed, they count.
+	Lost []UnconfirmedRun `cbor:"5,keyasint,omitempty"`
 }
 
 // UnconfirmedRun is a run that may be present on an unresponsive worker.
--- a/scheduler/crashing.go
+++ b/scheduler/crashing.go
@@ -22,6 +22,9 @@
 	// lostMemory is how long runs whose lease ended are remembered: if their worker turns out to
 	// have crashed, they count. A crashed worker is back within seconds.
 	lostMemory = time.Minute
+	// fatePatience is how long a task with two crashes waits after the end of a lease: a worker that
+	// has crashed is back within that time.
+	fatePatience = 4 * time.Second
 	// orderDoubt is how long a machine may still carry out an order that was not answered.
 	orderDoubt = 15 * time.Second
 )
@@ -46,15 +49,6 @@
 	at           time.Time
 }
 
-// lostWorker holds the runs of a worker whose lease ended without answers. The worker was silent or
-// has crashed; later signs tell.
-type lostWorker struct {
-	worker, rack, pool, machine string
-	incarnation                 int64
-	at                          time.Time
-	runs                        []lostRun
-}
-
 // reportCrash records that a worker has crashed with the given runs, unless its end was planned.
 func (s *Scheduler) reportCrash(w *workerState, runs []*run, reason string) {
 	if mutation.ignoreCrashes || s.endPlanned(w) {
@@ -137,63 +131,6 @@
 	return m.Pool != "" && m.Pool != pool
 }
 
-// rememberLost keeps the runs of a worker whose lease has ended until it is known whether the worker
-// has crashed.
-func (s *Scheduler) rememberLost(w *workerState) {
-	e := &lostWorker{
-		worker: w.registration.ID, rack: w.registration.Rack, pool: w.registration.Pool, machine: w.registration.Machine,
-		incarnation: w.incarnation, at: s.now, runs: w.lostRuns(w.sortedRuns()),
-	}
-	if e.incarnation == 0 {
-		e.incarnation = w.recordedIncarnation
-	}
-	if len(e.runs) == 0 || e.incarnation == 0 || w.registration.Leaving || w.orderedAway || mutation.ignoreCrashes {
-		return
-	}
-	if known := s.lost[e.worker]; known != nil && known.incarnation == e.incarnation {
-		e.runs = append(known.runs, e.runs...)
-	}
-	s.lost[e.worker] = e
-}
-
-// resolveLost reports the crashes of workers whose lease has ended before, and forgets those that
-// were only silent.
-func (s *Scheduler) resolveLost() {
-	for _, e := range sorted(s.lost) {
-		reason, known := s.fateOf(e)
-		if !known {
-			continue
-		}
-		delete(s.lost, e.worker)
-		if reason != "" {
-			s.crashReports = append(s.crashReports, crashReport{worker: e.worker, rack: e.rack, reason: reason, runs: e.runs})
-		}
-	}
-}
-
-// fateOf returns why a silent worker is known to have crashed, empty if it has not. known is false
-// while nothing is known.
-func (s *Scheduler) fateOf(e *lostWorker) (reason string, known bool) {
-	if w := s.workers[e.worker]; w != nil {
-		switch {
-		case w.currentIncarnation() > e.incarnation:
-			return "it has restarted", true
-		case w.answered && w.incarnation == e.incarnation && w.aliveAt.After(e.at), w.registration.Leaving, w.orderedAway:
-			return "", true
-		}
-	}
-	m := s.machines[e.machine]
-	switch {
-	case s.now.Sub(e.at) > lostMemory, s.machinePlanned(e.machine, e.pool):
-		return "", true
-	case m != nil && m.State == worker.Down:
-		return m.ID + " is down", true
-	case m != nil && m.State == worker.Up && m.Worker != "" && m.Worker != e.worker:
-		return m.ID + " carries another worker", true
-	}
-	return "", false
-}
-
 // judgeCrashes counts the crashes since the last Tick against the tasks that may have caused them.
 func (s *Scheduler) judgeCrashes() {
 	if len(s.lost) > 0 {
@@ -290,6 +227,9 @@
 	t.crashedWorkers = append(t.crashedWorkers, workerID)
 	s.markDirty(st.job)
 	t.evidenceVersion = st.job.version
+	if t.run != nil {
+		s.watch(t.run)
+	}
 	s.logEvent(LogEvent{
 		Event: "task-suspected", Job: r.task.Job, Task: r.task, Worker: workerID, Run: r.number, AffectedCount: len(t.evidence.Runs),
 		Reason: fmt.Sprintf("begun %t, present for %v, rack lost %t", r.started, r.present.Round(time.Millisecond), shared),
@@ -326,25 +266,3 @@
 		s.markDirty(st.job)
 	}
 }
-
-// reportRecorded reports a crash of a worker that has restarted since the previous owner recorded
-// what may run there.
-func (s *Scheduler) reportRecorded(w *workerState, v UnresponsiveWorker) {
-	if v.Incarnation == 0 || w.registration.Incarnation < v.Incarnation || mutation.ignoreCrashes || s.endPlanned(w) {
-		return
-	}
-	report := crashReport{worker: v.Worker, rack: w.registration.Rack, reason: "it has restarted"}
-	for _, r := range v.Runs {
-		if !slices.Contains(v.Survived, r.Task) {
-			report.runs = append(report.runs, lostRun{task: r.Task, number: r.Run})
-		}
-	}
-	s.crashReports = append(s.crashReports, report)
-}
-
-// recordSurvived marks a recorded run that has outlived its start.
-func (w *workerState) recordSurvived(v UnconfirmedRun, survived []job.Task) {
-	if r := w.runs[v.Task]; r != nil && r.number == v.Run {
-		r.survived = slices.Contains(survived, v.Task)
-	}
-}
--- a/scheduler/crashing_test.go
+++ b/scheduler/crashing_test.go
@@ -28,6 +28,8 @@
 	// crashes counts the workers that crashed under each crashing task; startsAfter counts its
 	// starts after maxCrashes of them.
 	crashes, startsAfter map[job.Task]int
+	// lost counts the workers that crashed while a task ran there, for all tasks.
+	lost map[job.Task]int
 	// runsLost counts the runs of other tasks that were lost in these crashes.
 	runsLost int
 	// newIDs has workers come back under another ID. unlisted keeps crashed machines listed as up.
@@ -39,7 +41,7 @@
 func newCrashSimulation(machines int) *crashSimulation {
 	sim := &crashSimulation{
 		machineSimulation: newMachineSimulation(map[string]int{"desk": machines}),
-		crashing:          make(map[job.Task]bool), crashes: make(map[job.Task]int), startsAfter: make(map[job.Task]int),
+		crashing:          make(map[job.Task]bool), crashes: make(map[job.Task]int), lost: make(map[job.Task]int), startsAfter: make(map[job.Task]int),
 	}
 	sim.onStart = sim.runStarted
 	return sim
@@ -85,6 +87,9 @@
 func (sim *crashSimulation) crash(w *fakeWorker) {
 	m := sim.machines[w.registration.Machine]
 	w.down = true
+	for name := range w.runs {
+		sim.lost[name]++
+	}
 	clear(w.runs)
 	if !sim.unlisted {
 		m.State, m.backAt, m.Worker = worker.Down, time.Unix(1<<40, 0), ""
@@ -101,6 +106,17 @@
 	})
 }
 
+// mostCrashes returns the highest number of workers that crashed under one task of a job.
+func (sim *crashSimulation) mostCrashes(id string) int {
+	n := 0
+	for task, lost := range sim.lost {
+		if task.Job == id {
+			n = max(n, lost)
+		}
+	}
+	return n
+}
+
 // submitCrashing submits a job of which the given tasks of step 0 crash their workers.
 func (sim *crashSimulation) submitCrashing(id string, step job.Step, indexes ...int) {
 	for _, index := range indexes {
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -15,7 +15,7 @@
 	// isolationWait is the wait reason of suspected tasks.
 	isolationWait = "a suspected task needs a worker without another one"
 	// evidenceWait is the wait reason of tasks whose evidence is not durable.
-	evidenceWait = "the crashes under a task are being stored"
+	evidenceWait = "the crashes under a task are being stored, or the fate of its last worker is unknown"
 	// gangPatience is how long a gang waits for isolated workers for its suspects: the pool may be
 	// too small for that.
 	gangPatience = 2 * time.Second
@@ -28,21 +28,25 @@
 	return st.tasks[index].evidence.Suspected() && !mutation.ignoreIsolation
 }
 
-// awaitsEvidence reports whether a task waits until the crashes under it are durable.
-func (st *stepState) awaitsEvidence(index int) bool {
+// awaitsEvidence reports whether a task waits until the crashes under it are durable, or until it is
+// known whether the worker of its last run has crashed.
+func (s *Scheduler) awaitsEvidence(st *stepState, index int) bool {
 	t := &st.tasks[index]
-	return t.evidence.AwaitsStore() && st.job.saved < t.evidenceVersion && !mutation.ignoreDurability
+	if !t.evidence.AwaitsStore() || mutation.ignoreDurability {
+		return false
+	}
+	return st.job.saved < t.evidenceVersion || s.now.Before(t.fateKnownBy)
 }
 
 // suspectsLast sorts the waiting tasks of a step: suspects come after the others, which they must
 // not hold up, and those that have to wait for the store come last.
-func (st *stepState) suspectsLast() {
+func (s *Scheduler) suspectsLast(st *stepState) {
 	if !slices.ContainsFunc(st.waitingTasks, func(index int) bool { return len(st.tasks[index].evidence.Runs) > 0 }) {
 		return
 	}
 	order := func(index int) int {
 		switch {
-		case st.awaitsEvidence(index):
+		case s.awaitsEvidence(st, index):
 			return 2
 		case st.suspected(index):
 			return 1
@@ -76,6 +80,9 @@
 		return
 	}
 	w := r.worker
+	if slices.Contains(w.watched, r) {
+		return
+	}
 	w.watched = append(w.watched, r)
 	if r.isolated = r.step.suspected(r.index); !r.isolated {
 		return
@@ -171,7 +178,7 @@
 // mayCopy reports whether another copy of a task may be started while a run of it is not known to
 // have ended. Of a task that crashes its workers, only the first crash is not known by then.
 func (s *Scheduler) mayCopy(r *run) bool {
-	if r.isolated {
+	if r.step.suspected(r.index) && r.worker.knownPresence(r) < crashes.Survival {
 		return false
 	}
 	return !slices.ContainsFunc(r.step.tasks[r.index].earlierRuns, func(other *run) bool {
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -92,6 +92,9 @@
 	evidence        crashes.Evidence
 	evidenceVersion int
 	crashedWorkers  []string
+	// fateKnownBy is when the task may start again although it is unknown whether the worker of its
+	// last run has crashed.
+	fateKnownBy time.Time
 	// triedWorkers has the IDs of the workers on which the task failed or was slow.
 	triedWorkers []string
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -234,13 +234,13 @@
 // placeStep starts as many tasks of the step as fit. All tasks of a step have the same needs,
 // so the first one that does not fit ends the attempt.
 func (s *Scheduler) placeStep(st *stepState, workers []*workerState) {
-	st.suspectsLast()
+	s.suspectsLast(st)
 	for len(st.waitingTasks) > 0 && !s.startsHeld() {
 		index := st.waitingTasks[0]
 		if s.failExhausted(st, &st.tasks[index]) || s.giveUpExhausted(st, index) {
 			return
 		}
-		if st.awaitsEvidence(index) {
+		if s.awaitsEvidence(st, index) {
 			st.reason = evidenceWait
 			return
 		}
@@ -275,7 +275,7 @@
 		if s.giveUpExhausted(st, index) {
 			return
 		}
-		if st.awaitsEvidence(index) {
+		if s.awaitsEvidence(st, index) {
 			st.reason = evidenceWait
 			return
 		}
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -25,7 +25,7 @@
 		}
 		for _, c := range r.Crashes {
 			if c.Index < len(st.tasks) {
-				st.tasks[c.Index].evidence = crashes.Evidence{Runs: slices.Clone(c.Runs), Unconfirmed: c.Unconfirmed, Weak: c.Weak}
+				st.tasks[c.Index].evidence = crashes.Evidence{Runs: slices.Clone(c.Runs), Unconfirmed: c.Unconfirmed, Weak: c.Weak, Shared: c.Shared}
 			}
 		}
 		for n := range st.tasks {
@@ -69,7 +69,7 @@
 	var records []progress.Crashes
 	for i := range st.tasks {
 		if e := &st.tasks[i].evidence; len(e.Runs) > 0 && !st.tasks[i].done {
-			records = append(records, progress.Crashes{Index: i, Runs: slices.Clone(e.Runs), Unconfirmed: e.Unconfirmed, Weak: e.Weak})
+			records = append(records, progress.Crashes{Index: i, Runs: slices.Clone(e.Runs), Unconfirmed: e.Unconfirmed, Weak: e.Weak, Shared: e.Shared})
 		}
 	}
 	return records
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -25,7 +25,7 @@
 			// Without an update of the record, a later owner would consider the runs present
 			// again, although their tasks have been started elsewhere.
 			w.recordStored, w.recordEmpty = true, len(w.runs) == 0
-			s.actions.Unresponsive = append(s.actions.Unresponsive, w.unresponsiveRecord())
+			s.actions.Unresponsive = append(s.actions.Unresponsive, s.withLost(w.unresponsiveRecord()))
 		case w.unansweredPolls == 0 && w.answered && w.recordStored && !w.recordEnding:
 			w.recordEnding = true
 			s.actions.UnresponsiveEnds = append(s.actions.UnresponsiveEnds, w.registration.ID)
@@ -65,6 +65,7 @@
 		return
 	}
 	w.recordStored = true
+	s.restoreLost(w, v)
 	if w.registration.Incarnation != v.Incarnation {
 		// The record is of another incarnation. What runs in this one is not known.
 		s.reportRecorded(w, v)
