--- a/scheduler/mutation.go
+++ b/scheduler/mutation.go
@@ -10,4 +10,6 @@
 	recordUnknown, useRecorded, ignorePoolUse, ignoreMayMiss, ignoreEvacuation, ignoreReservations bool
 
 	keepUnsent, countShrunk bool
+
+	ignoreCrashes, ignoreIsolation, ignoreDurability bool
 }
