--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -114,6 +114,8 @@
 	Survived []job.Task `cbor:"4,keyasint,omitempty"`
 	// Lost has the runs whose lease has ended. If the worker turns out to have crashed, they count.
 	Lost []UnconfirmedRun `cbor:"5,keyasint,omitempty"`
+	// Begun has the tasks of Runs and Lost whose run is known to have begun.
+	Begun []job.Task `cbor:"6,keyasint,omitempty"`
 }
 
 // UnconfirmedRun is a run that may be present on an unresponsive worker.
--- a/scheduler/crashing.go
+++ b/scheduler/crashing.go
@@ -71,7 +71,7 @@
 // started reports whether a run is known to have begun. That of a recorded run is not, until the
 // worker has answered this owner.
 func (w *workerState) started(r *run) bool {
-	return !r.confirmed.IsZero() && (!r.recorded || w.aliveAt.After(r.confirmed))
+	return !r.confirmed.IsZero() && (!r.recorded || r.begun || w.aliveAt.After(r.confirmed))
 }
 
 // knownPresence returns how long a run was present at least before the last sign of its worker.
--- a/scheduler/isolation_test.go
+++ b/scheduler/isolation_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -242,7 +244,18 @@
 
 // Guards against tasks that are started again and again after three crashes, whatever happens to
 // their owners, answers, orders and the store, and against innocent jobs that are given up.
-func TestCrashingTasksUnderFaults(t *testing.T) { rapid.Check(t, simulateCrashingTasks) }
+func TestCrashingTasksUnderFaults(t *testing.T) {
+	// Each run takes a tenth of a second.
+	limitChecks(t, 200)
+	rapid.Check(t, simulateCrashingTasks)
+}
+
+// limitChecks sets the number of random runs of a test.
+func limitChecks(t testing.TB, n int) {
+	before := flag.Lookup("rapid.checks").Value.String()
+	qt.Assert(t, flag.Set("rapid.checks", strconv.Itoa(n)), qt.IsNil)
+	t.Cleanup(func() { qt.Assert(t, flag.Set("rapid.checks", before), qt.IsNil) })
+}
 
 // Guards against a property test that does not notice that crashes are not counted.
 func TestCrashMutantIsDetected(t *testing.T) {
--- a/scheduler/lost.go
+++ b/scheduler/lost.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"egretdrum.example/crashes"
-	"egretdrum.example/job"
 	"egretdrum.example/worker"
 )
 
@@ -97,6 +96,9 @@
 	for _, r := range e.runs {
 		if r.present < crashes.Survival {
 			v.Lost = append(v.Lost, UnconfirmedRun{r.task, r.number})
+			if r.started {
+				v.Begun = append(v.Begun, r.task)
+			}
 		}
 	}
 	return v
@@ -112,7 +114,7 @@
 		incarnation: v.Incarnation, at: s.now,
 	}
 	for _, r := range v.Lost {
-		e.runs = append(e.runs, lostRun{task: r.Task, number: r.Run})
+		e.runs = append(e.runs, lostRun{task: r.Task, number: r.Run, started: slices.Contains(v.Begun, r.Task)})
 	}
 	s.lost[v.Worker] = e
 }
@@ -126,15 +128,16 @@
 	report := crashReport{worker: v.Worker, rack: w.registration.Rack, reason: "it has restarted"}
 	for _, r := range v.Runs {
 		if !slices.Contains(v.Survived, r.Task) {
-			report.runs = append(report.runs, lostRun{task: r.Task, number: r.Run})
+			report.runs = append(report.runs, lostRun{task: r.Task, number: r.Run, started: slices.Contains(v.Begun, r.Task)})
 		}
 	}
 	s.crashReports = append(s.crashReports, report)
 }
 
-// recordSurvived marks a recorded run that has outlived its start.
-func (w *workerState) recordSurvived(v UnconfirmedRun, survived []job.Task) {
-	if r := w.runs[v.Task]; r != nil && r.number == v.Run {
-		r.survived = slices.Contains(survived, v.Task)
+// recordPresence records what the previous owner knew of a run: whether it had begun, and whether it
+// had outlived its start.
+func (w *workerState) recordPresence(u UnconfirmedRun, v UnresponsiveWorker) {
+	if r := w.runs[u.Task]; r != nil && r.number == u.Run {
+		r.survived, r.begun = slices.Contains(v.Survived, u.Task), slices.Contains(v.Begun, u.Task)
 	}
 }
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -40,9 +40,13 @@
 		if w.knownPresence(r) >= crashes.Survival {
 			v.Survived = append(v.Survived, name)
 		}
+		if w.started(r) {
+			v.Begun = append(v.Begun, name)
+		}
 	}
 	slices.SortFunc(v.Runs, func(a, b UnconfirmedRun) int { return job.Compare(a.Task, b.Task) })
 	slices.SortFunc(v.Survived, job.Compare)
+	slices.SortFunc(v.Begun, job.Compare)
 	return v
 }
 
@@ -74,7 +78,7 @@
 	w.runsAccounted, w.recordedIncarnation = true, v.Incarnation
 	for _, r := range v.Runs {
 		s.reserveUnconfirmed(w, r)
-		w.recordSurvived(r, v.Survived)
+		w.recordPresence(r, v)
 	}
 	s.logEvent(LogEvent{Event: "silence-known", Worker: v.Worker, AffectedCount: len(v.Runs)})
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -119,9 +119,9 @@
 	paceKnown      bool
 	// recorded is set for runs that are known only from the record of an unresponsive worker.
 	recorded bool
-	// survived is set for recorded runs that have outlived their start, isolated while a run of a
-	// suspected task has not.
-	survived, isolated bool
+	// begun and survived are set for recorded runs that are known to have begun and to have outlived
+	// their start, isolated while a run of a suspected task has not.
+	begun, survived, isolated bool
 	// probation is how long it is isolated.
 	probation  time.Duration
 	checkpoint string
