Refuse connections to workers that are down

The listener of a worker stayed open, so that a host took each start for one that may have arrived. It now closes with the worker, and opens again at the same port.

--- a/emulator/control.go
+++ b/emulator/control.go
@@ -175,9 +175,9 @@
 	return answer, nil
 }
 
-// worker applies a command to the machine that the path names by its own ID or by that of its
+// commandWorker applies a command to the machine that the path names by its own ID or by that of its
 // worker. The command reports whether a worker runs there.
-func (e *Emulator) worker(r *http.Request, command func(machine string) bool) (any, error) {
+func (e *Emulator) commandWorker(r *http.Request, command func(machine string) bool) (any, error) {
 	id := r.PathValue("id")
 	machine, ok := e.fleet.Machine(id)
 	if !ok || !command(machine) {
@@ -185,6 +185,7 @@
 	}
 	e.recorder.Disturb(time.Now())
 	e.wake(machine)
+	e.updateListeners()
 	return struct{}{}, nil
 }
 
@@ -196,7 +197,7 @@
 	if err := readCommand(r, &body); err != nil {
 		return nil, err
 	}
-	return e.worker(r, func(machine string) bool {
+	return e.commandWorker(r, func(machine string) bool {
 		return e.fleet.Restart(time.Now(), machine, time.Duration(body.DownFor), body.NewID)
 	})
 }
@@ -208,7 +209,7 @@
 	if err := readCommand(r, &body); err != nil {
 		return nil, err
 	}
-	return e.worker(r, func(machine string) bool {
+	return e.commandWorker(r, func(machine string) bool {
 		return e.fleet.Drain(time.Now(), machine, time.Duration(body.LeaveAfter))
 	})
 }
@@ -218,7 +219,7 @@
 	if err := readCommand(r, &body); err != nil {
 		return nil, err
 	}
-	return e.worker(r, func(machine string) bool { return e.fleet.Resize(time.Now(), machine, body.resource()) })
+	return e.commandWorker(r, func(machine string) bool { return e.fleet.Resize(time.Now(), machine, body.resource()) })
 }
 
 // versionAnswer is the answer to a change of the configuration.
--- a/emulator/control_test.go
+++ b/emulator/control_test.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,6 +107,19 @@
 	return workers
 }
 
+// addresses returns the addresses of the registered workers by their machines.
+func (p *platformSetup) addresses() map[string]netip.AddrPort {
+	items, _, err := p.Range(p.t.Context(), platform.WorkerPrefix)
+	qt.Assert(p.t, err, qt.IsNil)
+	addresses := make(map[string]netip.AddrPort)
+	for _, item := range items {
+		e, err := platform.DecodeWorker(item)
+		qt.Assert(p.t, err, qt.IsNil)
+		addresses[e.Machine] = e.Address
+	}
+	return addresses
+}
+
 func (p *platformSetup) await(what string, condition func() bool) {
 	p.t.Helper()
 	for deadline := time.Now().Add(waitTimeout); !condition(); time.Sleep(pollPause) {
@@ -158,6 +175,25 @@
 	})
 }
 
+// Guards against workers that still accept connections while they are down, and against
+// workers that start again at another address.
+func TestDownWorkerRefusesConnections(t *testing.T) {
+	p := newPlatform(t)
+	address := p.addresses()["m-0001"]
+	dial := func() error {
+		conn, err := net.Dial("tcp", address.String())
+		if err == nil {
+			err = conn.Close()
+		}
+		return err
+	}
+	qt.Assert(t, dial(), qt.IsNil)
+	p.command(http.MethodPost, "/workers/m-0001/restart", `{"down-for":"500ms"}`, "{}")
+	qt.Assert(t, errors.Is(dial(), syscall.ECONNREFUSED), qt.IsTrue)
+	p.await("worker that is up again", func() bool { return dial() == nil })
+	qt.Assert(t, p.addresses()["m-0001"], qt.Equals, address)
+}
+
 // Guards against faults that stay after their time.
 func TestFaultExpires(t *testing.T) {
 	p := newPlatform(t)
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -75,6 +75,9 @@
 	// machineCounts is the number of machines ever added to each pool.
 	machineCounts map[string]int
 
+	// workers has the listener of each machine.
+	workers map[string]*workerListener
+
 	control, ingress string
 	servers          []*http.Server
 	failed           chan error
@@ -93,7 +96,7 @@
 	e := &Emulator{
 		cfg: *cfg, log: cfg.Log, store: kvfake.New(), settings: s, accounts: make(map[string]string),
 		recorder: promises.New(), jobs: newJobList(), waves: make(map[int64]bool), evacuated: make(map[string]bool),
-		news: make(map[string]chan struct{}), machineCounts: make(map[string]int), failed: make(chan error, 1),
+		news: make(map[string]chan struct{}), machineCounts: make(map[string]int), workers: make(map[string]*workerListener), failed: make(chan error, 1),
 		writes: &emulated.Bucket{PerSecond: s.Store.WritesPerSecond}, reads: &emulated.Bucket{PerSecond: s.Store.ReadsPerSecond},
 		lists: &emulated.Bucket{PerSecond: s.Machines.ListsPerSecond}, orders: &emulated.Bucket{PerSecond: s.Machines.OrdersPerSecond},
 	}
@@ -142,6 +145,7 @@
 	for _, id := range e.fleet.Advance(now) {
 		e.wake(id)
 	}
+	e.updateListeners()
 	e.checkWaves(now)
 	return e.writeRegistrations()
 }
--- a/emulator/listen.go
+++ b/emulator/listen.go
@@ -75,15 +75,22 @@
 	return err
 }
 
-// serve serves a handler at a port, zero for one that the system chooses.
+// serve serves a handler at a port until the end, zero for one that the system chooses.
 func (e *Emulator) serve(port uint16, handler http.Handler) (netip.AddrPort, error) {
+	server, address, err := e.startServer(port, handler)
+	if err == nil {
+		e.servers = append(e.servers, server)
+	}
+	return address, err
+}
+
+func (e *Emulator) startServer(port uint16, handler http.Handler) (*http.Server, netip.AddrPort, error) {
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.AddrPortFrom(e.settings.Address, port)))
 	if err != nil {
-		return netip.AddrPort{}, err
+		return nil, netip.AddrPort{}, err
 	}
 	// Aborted calls are faults on purpose; net/http would log each of them.
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
-	e.servers = append(e.servers, server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			select {
@@ -92,13 +99,18 @@
 			}
 		}
 	}()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return server, l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
 // close closes all listeners and connections, and waits for late calls.
 func (e *Emulator) close() {
 	e.mu.Lock()
 	servers := e.servers
+	for _, w := range e.workers {
+		if w.server != nil {
+			servers = append(servers, w.server)
+		}
+	}
 	e.mu.Unlock()
 	for _, s := range servers {
 		if err := s.Close(); err != nil {
@@ -192,22 +204,6 @@
 	return zones
 }
 
-// addMachine adds a machine to a pool, in the given zone or the next one.
-func (e *Emulator) addMachine(pool, zone string) (string, error) {
-	handler := &emulated.WorkerHandler{Gate: e.gate}
-	address, err := e.serve(0, handler)
-	if err != nil {
-		return "", err
-	}
-	id, ok := e.fleet.AddMachine(time.Now(), pool, zone, e.machineCounts[pool], address)
-	if !ok {
-		return "", fmt.Errorf("no pool %q, or no zone %q in it", pool, zone)
-	}
-	e.machineCounts[pool]++
-	e.connect(handler, id)
-	return id, nil
-}
-
 func (e *Emulator) machines() []worker.Machine {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/emulator/workers.go
+++ b/emulator/workers.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
 	"egretdrum.example/fleetmodel"
 	"egretdrum.example/job"
 	"egretdrum.example/platform/emulated"
@@ -11,6 +17,53 @@
 	"egretdrum.example/workermodel"
 )
 
+// workerListener is the listener of the worker of a machine.
+type workerListener struct {
+	address netip.AddrPort
+	handler *emulated.WorkerHandler
+	// server is nil while no worker runs: connections are refused then.
+	server *http.Server
+}
+
+// addMachine adds a machine to a pool, in the given zone or the next one.
+func (e *Emulator) addMachine(pool, zone string) (string, error) {
+	handler := &emulated.WorkerHandler{Gate: e.gate}
+	server, address, err := e.startServer(0, handler)
+	if err != nil {
+		return "", err
+	}
+	id, ok := e.fleet.AddMachine(time.Now(), pool, zone, e.machineCounts[pool], address)
+	if !ok {
+		return "", errors.Join(fmt.Errorf("no pool %q, or no zone %q in it", pool, zone), server.Close())
+	}
+	e.machineCounts[pool]++
+	e.connect(handler, id)
+	e.workers[id] = &workerListener{address, handler, server}
+	return id, nil
+}
+
+// updateListeners closes the listeners of workers that are gone, with their connections, and
+// opens those of workers that have started.
+func (e *Emulator) updateListeners() {
+	for id, w := range e.workers {
+		switch present := e.fleet.HasWorker(id); {
+		case !present && w.server != nil:
+			if err := w.server.Close(); err != nil {
+				e.log.Warn("listener-not-closed", zap.Error(err))
+			}
+			w.server = nil
+		case present && w.server == nil:
+			server, _, err := e.startServer(w.address.Port(), w.handler)
+			if err != nil {
+				// A connection may have taken the port for a while; the next tick tries again.
+				e.log.Warn("listener-not-opened", zap.Error(err))
+				continue
+			}
+			w.server = server
+		}
+	}
+}
+
 // connect lets the calls to a machine reach its worker.
 func (e *Emulator) connect(h *emulated.WorkerHandler, machine string) {
 	h.Machine = machine
--- a/fleetmodel/orders.go
+++ b/fleetmodel/orders.go
@@ -96,6 +96,12 @@
 	return l, nil
 }
 
+// HasWorker reports whether a worker runs on a machine.
+func (f *Fleet) HasWorker(machineID string) bool {
+	m := f.byID[machineID]
+	return m != nil && m.model != nil
+}
+
 // List returns what runs and has ended on a worker, for the answer to a poll that has waited. The
 // incarnation is the one that the poll has reached.
 func (f *Fleet) List(now time.Time, machineID string, incarnation int64) (*worker.Listing, error) {
