--- a/emulator/state.go
+++ b/emulator/state.go
@@ -211,6 +211,12 @@
 	return answer, nil
 }
 
+// endReasons are the names of the ways in which runs end.
+var endReasons = map[worker.EndReason]string{
+	worker.Done: "done", worker.Failed: "failed", worker.Stopped: "stopped", worker.LeaseExpired: "lease-expired",
+	worker.GangBroken: "gang-broken", worker.GangTimeout: "gang-timeout", fleetmodel.Crashed: "crashed",
+}
+
 func (e *Emulator) getEnds(r *http.Request) (any, error) {
 	type row struct {
 		Number      int       `json:"number"`
@@ -232,7 +238,7 @@
 		Last int   `json:"last"`
 	}{[]row{}, len(ends)}
 	for i, s := range ends[first:] {
-		answer.Ends = append(answer.Ends, row{first + i + 1, s.At, s.Worker, s.Incarnation, s.Task.String(), s.Run, s.Reason, s.Checkpoint})
+		answer.Ends = append(answer.Ends, row{first + i + 1, s.At, s.Worker, s.Incarnation, s.Task.String(), s.Run, endReasons[s.Reason], s.Checkpoint})
 	}
 	return answer, nil
 }
--- a/fleetmodel/fleet.go
+++ b/fleetmodel/fleet.go
@@ -84,12 +84,12 @@
 	Incarnation int64
 	Task        job.Task
 	Run         int64
-	Reason      string
+	Reason      worker.EndReason
 	Checkpoint  string
 }
 
 // Crashed is the reason of the End of a run whose worker has crashed or left.
-const Crashed = "crashed"
+const Crashed worker.EndReason = "crashed"
 
 // New returns a fleet without machines.
 func New(s *emulation.Settings, r *promises.Recorder) *Fleet {
@@ -313,6 +313,6 @@
 
 func (f *Fleet) ended(now time.Time, m *machine, e worker.End) {
 	f.recorder.End(now, m.workerID, e)
-	f.ends = append(f.ends, End{now, m.workerID, m.model.Incarnation(), e.Task, e.Run, string(e.Reason), e.Checkpoint})
+	f.ends = append(f.ends, End{now, m.workerID, m.model.Incarnation(), e.Task, e.Run, e.Reason, e.Checkpoint})
 	f.leaveGang(now, gangRun{e.Task.StepName(), e.Run}, e.Task, e.Reason != worker.Done)
 }
--- a/fleetmodel/fleet_test.go
+++ b/fleetmodel/fleet_test.go
@@ -110,8 +110,8 @@
 	return result
 }
 
-func (f *fleet) reasons() []string {
-	var r []string
+func (f *fleet) reasons() []worker.EndReason {
+	var r []worker.EndReason
 	for _, e := range f.Ends() {
 		r = append(r, e.Reason)
 	}
@@ -160,7 +160,7 @@
 	l, err := f.Poll(f.now, "m-0001", before, fleetmodel.Poll{Fence: 0})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, l.Running, qt.HasLen, 0)
-	qt.Assert(t, f.reasons(), qt.DeepEquals, []string{fleetmodel.Crashed})
+	qt.Assert(t, f.reasons(), qt.DeepEquals, []worker.EndReason{fleetmodel.Crashed})
 	qt.Assert(t, f.start("m-0002", 0, 2), qt.Equals, workermodel.Started)
 	f.checkNoViolations()
 }
@@ -187,7 +187,7 @@
 	f.start("m-0002", 0, 2)
 	f.after(1200 * time.Millisecond)
 	qt.Assert(t, f.machine("m-0001").State, qt.Equals, worker.Up)
-	qt.Assert(t, f.reasons(), qt.DeepEquals, []string{fleetmodel.Crashed, "done"})
+	qt.Assert(t, f.reasons(), qt.DeepEquals, []worker.EndReason{fleetmodel.Crashed, worker.Done})
 	f.checkNoViolations()
 }
 
@@ -199,7 +199,7 @@
 		f.start("m-0001", 0, run)
 		f.after(1100 * time.Millisecond)
 	}
-	qt.Assert(t, f.reasons(), qt.DeepEquals, []string{"failed", "done"})
+	qt.Assert(t, f.reasons(), qt.DeepEquals, []worker.EndReason{worker.Failed, worker.Done})
 	f.checkNoViolations()
 }
 
@@ -214,11 +214,11 @@
 	f.start("m-0002", 1, 1)
 	f.after(500 * time.Millisecond)
 	f.Restart(f.now, "m-0001", 0, false)
-	qt.Assert(t, f.reasons(), qt.DeepEquals, []string{fleetmodel.Crashed, string(worker.GangBroken)})
+	qt.Assert(t, f.reasons(), qt.DeepEquals, []worker.EndReason{fleetmodel.Crashed, worker.GangBroken})
 	f.start("m-0003", 0, 2)
 	f.start("m-0004", 1, 2)
 	f.after(1100 * time.Millisecond)
-	qt.Assert(t, f.reasons()[2:], qt.DeepEquals, []string{"done", "done"})
+	qt.Assert(t, f.reasons()[2:], qt.DeepEquals, []worker.EndReason{worker.Done, worker.Done})
 	f.checkNoViolations()
 }
 
--- a/fleetmodel/gangs.go
+++ b/fleetmodel/gangs.go
@@ -50,7 +50,7 @@
 		}
 		if e, ok := on.model.Break(now, member, g.run); ok {
 			f.recorder.End(now, on.workerID, e)
-			f.ends = append(f.ends, End{now, on.workerID, on.model.Incarnation(), e.Task, e.Run, string(e.Reason), e.Checkpoint})
+			f.ends = append(f.ends, End{now, on.workerID, on.model.Incarnation(), e.Task, e.Run, e.Reason, e.Checkpoint})
 		}
 	}
 	delete(f.gangs, g)
