--- a/emulator/control.go
+++ b/emulator/control.go
@@ -46,7 +46,7 @@
 	}
 	e.mu.Unlock()
 	if r.Method != http.MethodGet {
-		e.log.Info("command", zap.String("method", r.Method), zap.String("path", r.URL.Path), zap.Error(err))
+		e.log.Info("emulator-command", zap.String("method", r.Method), zap.String("path", r.URL.Path), zap.Error(err))
 	}
 	status := http.StatusOK
 	var notFound *notFoundError
