--- a/workermodel/advance.go
+++ b/workermodel/advance.go
@@ -20,6 +20,7 @@
 // Advance ends the runs whose time has come.
 func (w *Worker) Advance(now time.Time) Outcome {
 	var o Outcome
+	o.LeaseExpired = w.expired(now)
 	if len(w.runs) == 0 || now.Before(w.due) {
 		return o
 	}
@@ -53,6 +54,16 @@
 	return o
 }
 
+// expired reports once for each lease that it has expired, also if nothing runs: ends that nobody
+// has taken note of by then do not count, as the owner may have started their tasks elsewhere.
+func (w *Worker) expired(now time.Time) bool {
+	if w.lease == w.expiredLease || w.Clock(now) <= w.lease {
+		return false
+	}
+	w.expiredLease = w.lease
+	return true
+}
+
 // nextDue returns when the next run ends or the lease expires at the earliest.
 func (w *Worker) nextDue() time.Time {
 	due := w.started.Add(time.Duration(float64(w.lease) / w.cfg.ClockRate))
--- a/workermodel/worker.go
+++ b/workermodel/worker.go
@@ -51,10 +51,12 @@
 	started  time.Time
 	fence    int64
 	// lease is the end of the lease on the worker's clock.
-	lease   time.Duration
-	runs    map[key]*run
-	ended   []worker.End
-	lastEnd int64
+	lease time.Duration
+	// expiredLease is the last lease whose expiry was reported.
+	expiredLease time.Duration
+	runs         map[key]*run
+	ended        []worker.End
+	lastEnd      int64
 	// due is when the next run ends or the lease expires at the earliest, zero if that is not
 	// known. Without it, each pass over a fleet would look at each run.
 	due time.Time
