--- a/promises/jobs.go
+++ b/promises/jobs.go
@@ -1,6 +1,7 @@
 package promises
 
 import (
+	"fmt"
 	"time"
 
 	"egretdrum.example/job"
@@ -97,7 +98,13 @@
 	if record == nil {
 		return
 	}
-	record.shown = state
+	// Answers of two hosts may overtake each other, so a state that is not final may come later.
+	if record.ended() && state.Final() && state != record.shown {
+		r.violate(at, ChangedState, Violation{Job: id, Detail: fmt.Sprintf("shown as %s after it was shown as %s", state, record.shown)})
+	}
+	if !record.ended() {
+		record.shown = state
+	}
 	switch {
 	case state == progress.Succeeded && !record.complete():
 		r.violate(at, EarlySuccess, Violation{Job: id, Detail: "a task has not ended as done"})
@@ -122,7 +129,7 @@
 
 // ended reports whether the job was shown as ended; hosts forget such a job after some time.
 func (j *jobRecord) ended() bool {
-	return j.shown == progress.Succeeded || j.shown == progress.Failed || j.shown == progress.Cancelled
+	return j.shown.Final()
 }
 
 // complete reports whether all tasks have ended as done.
--- a/promises/recorder.go
+++ b/promises/recorder.go
@@ -38,6 +38,7 @@
 	LostJob           Check = "lost-job"
 	EarlySuccess      Check = "early-success"
 	WrongFailure      Check = "wrong-failure"
+	ChangedState      Check = "changed-state"
 	WaveLimit         Check = "wave-limit"
 	EarlyWaveEnd      Check = "early-wave-end"
 	MachineFence      Check = "machine-fence"
@@ -73,7 +74,7 @@
 	return []Check{
 		TwoRuns, OverCapacity, StartAfterDone, StepOrder, EarlyStart, StartAfterCancel, RunAfterCancel, AccountLimit, WithdrawnKey,
 		TooManyAttempts, StartAfterCrashes, UnknownJob, RefusedJob, WrongOrder, WrongPool, MissingLabel, EvacuatedZone, DrainingWorker, TooManyOnWorker, LostJob,
-		EarlySuccess, WrongFailure, WaveLimit, EarlyWaveEnd, MachineFence,
+		EarlySuccess, WrongFailure, ChangedState, WaveLimit, EarlyWaveEnd, MachineFence,
 	}
 }
 
--- a/promises/recorder_test.go
+++ b/promises/recorder_test.go
@@ -283,6 +283,22 @@
 		broken: func(s *scene) { s.fail(1, 1); s.Show(s.now, jobID, progress.Failed) },
 		kept:   func(s *scene) { s.fail(1, 1); s.fail(2, 2); s.Show(s.now, jobID, progress.Failed) },
 	},
+	promises.ChangedState: {
+		broken: func(s *scene) {
+			s.Cancel(s.now, jobID)
+			s.Show(s.now, jobID, progress.Cancelled)
+			s.finish()
+			s.Show(s.now, jobID, progress.Succeeded)
+		},
+		kept: func(s *scene) {
+			s.Cancel(s.now, jobID)
+			s.Show(s.now, jobID, progress.Running)
+			s.finish()
+			s.Show(s.now, jobID, progress.Succeeded)
+			s.Show(s.now, jobID, progress.Running)
+			s.Show(s.now, jobID, progress.Succeeded)
+		},
+	},
 	promises.WaveLimit: {
 		broken: func(s *scene) {
 			s.RequestWave(1, []string{"m1", "m2"}, 1)
--- a/workermodel/advance.go
+++ b/workermodel/advance.go
@@ -11,7 +11,7 @@
 // Outcome is what has happened on a worker since the last call of Advance.
 type Outcome struct {
 	Ended []worker.End
-	// LeaseExpired is set if the lease expired while tasks were running.
+	// LeaseExpired is set once after a lease has expired, whether or not anything was running.
 	LeaseExpired bool
 	// Crashed is the task that has crashed the worker, which is then gone; nil without one.
 	Crashed *job.Task
--- a/workermodel/worker_test.go
+++ b/workermodel/worker_test.go
@@ -176,6 +176,18 @@
 	}
 }
 
+// Guards against a lease whose expiry is not reported because nothing runs: ends that were
+// listed before it do not count any more.
+func TestLeaseExpiresWithoutRuns(t *testing.T) {
+	w := newWorker(nil)
+	w.Start(at(0), order(1, 1), behavior())
+	qt.Assert(t, w.Advance(at(runTime)).LeaseExpired, qt.IsFalse)
+	qt.Assert(t, w.Advance(at(leaseEnd+time.Millisecond)).LeaseExpired, qt.IsTrue)
+	qt.Assert(t, w.Advance(at(leaseEnd+time.Second)).LeaseExpired, qt.IsFalse)
+	w.Poll(at(leaseEnd+2*time.Second), 1, 0, leaseEnd+3*time.Second)
+	qt.Assert(t, w.Advance(at(leaseEnd+4*time.Second)).LeaseExpired, qt.IsTrue)
+}
+
 // Guards against a stop that frees the capacity before the run has ended, and against a stop
 // that loses the work since the last checkpoint.
 func TestStop(t *testing.T) {
