Repeat the removal of expired jobs until it is durable

A job whose results had expired could run again. The scheduler forgets such a job, and a failed delete of its keys was only logged: the next full read of the submissions found the job without a record and added it as a new one. A full read from before the delete that is applied after it did the same, also with the job on an earlier page than its cancellation.

The removal is now repeated until it is durable, by one goroutine for the term. Each removal is conditional on the revision of the job's key, so that a repeat after a lost response spares a job that was submitted under the same ID since. The owner ignores removed jobs, and cancellations that are older than the present job of their ID, until a read that was requested after the removal has been applied.

Ruled out: keyWriter, which splits a batch by keys, so that a job could be left without its result, and in which many removals would hold up the records of unresponsive workers; keeping the jobs in the scheduler until the removal is durable, as their state could be queried for longer and the late full read would remain.

TestExpiredJobIsRemovedAfterStoreFault (request lost) and TestReadFromBeforeRemovalAddsNoJob failed before the change: two starts in place of one. TestRepeatedRemovalLeavesNewJob guards the repeat and passed before, when nothing was repeated.

--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -62,10 +62,15 @@
 	saver          *saver
 	// keyWriter writes the scheduler's state other than the progress of jobs.
 	keyWriter *keyWriter
-	ctx       context.Context
-	stop      context.CancelFunc
-	waves     map[int64]waveRecord
-	queries   chan func()
+	// jobRevisions holds the revisions of the keys of the scheduler's jobs by their IDs.
+	// removedJobs has the jobs that it has forgotten and that a read of the store may still show.
+	jobRevisions map[string]int64
+	removedJobs  map[string]removedJob
+	jobRemover   *jobRemover
+	ctx          context.Context
+	stop         context.CancelFunc
+	waves        map[int64]waveRecord
+	queries      chan func()
 	// linkTerm is the term that links of other hosts access, nil while there is none.
 	linkTerm atomic.Pointer[linkTerm]
 	// changedWaves holds the numbers of waves whose progress has to be stored; wavesChanged
@@ -143,6 +148,8 @@
 	o.core = scheduler.New(o.Limits(), term.Number, time.Now())
 	o.saver = newSaver(o.Store, term.Number, o.Log, o.Supervisor)
 	o.keyWriter = newKeyWriter(o.Store, term.Number, o.Log)
+	o.jobRevisions, o.removedJobs = make(map[string]int64), make(map[string]removedJob)
+	o.jobRemover = newJobRemover(o.Store, term.Number, o.Log)
 	// Items that arrive during the load wait for the loop. There is no channel for queries
 	// yet, so hosts read the store instead.
 	o.linkTerm.Store(&linkTerm{term: term, events: o.events, done: o.ctx.Done()})
@@ -167,9 +174,10 @@
 			o.follow(o.Calls.WorkerPrefix, from.workers, o.workerEvent, o.reloadWorkers, o.noteRegistrationsRead())
 		}),
 		o.inBackground("submissions", func() {
-			o.follow(storekeys.Submissions, from.submissions, o.submissionEvent, o.reloadSubmissions, func(time.Time) {})
+			o.follow(storekeys.Submissions, from.submissions, o.submissionEvent, o.reloadSubmissions, o.noteSubmissionsRead())
 		}),
 		o.inBackground("keys", func() { o.keyWriter.run(o.ctx, o.stop, o.keyWritten) }),
+		o.inBackground("clean", func() { o.jobRemover.run(o.ctx, o.stop, o.jobsRemoved) }),
 		o.inBackground("machines", o.pollMachines),
 		o.inBackground("counts", o.writeCounts),
 		o.inBackground("waves", o.writeWaves),
@@ -349,10 +357,14 @@
 func (o *Owner) applySubmission(item kv.Item, records map[string]*progress.Record, now time.Time) {
 	id, cancel := storekeys.ParseSubmission(item.Key)
 	if cancel {
+		if item.Revision < o.jobRevisions[id] {
+			// It is for a removed job with the same ID.
+			return
+		}
 		o.core.Cancel(id, now)
 		return
 	}
-	if o.setAside[id] {
+	if o.setAside[id] || item.Revision <= o.removedJobs[id].revision {
 		return
 	}
 	// It stays set if the scheduler panics on the job.
@@ -366,6 +378,7 @@
 	// Jobs that are newer than the term were unknown to previous owners.
 	inherited := item.Revision < o.term.Number
 	if o.core.AddJob(j, records[storekeys.Result(id)], inherited, now) {
+		o.jobRevisions[id] = item.Revision
 		o.Log.Info("job-scheduled", zap.String("request", id), zap.String("queue", j.Queue), zap.String("account", j.Account), zap.Int("steps", len(j.Steps)), zap.Bool("inherited", inherited), zap.Int64("revision", item.Revision))
 	}
 	o.applyingJob = ""
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"egretdrum.example/kv"
-	"egretdrum.example/storekeys"
 	"egretdrum.example/wait"
 )
 
@@ -116,28 +115,3 @@
 		}
 	})
 }
-
-// removeExpiredJobs deletes the keys of jobs whose results are kept no longer.
-func (o *Owner) removeExpiredJobs(now time.Time) {
-	const perJob = 3 // keys
-	ids := o.core.RemoveExpired(o.KeepResults()+retentionMargin, now)
-	for len(ids) > 0 {
-		n := min(len(ids), (kv.MaxEntries-1)/perJob)
-		change := kv.Change{Conditions: []kv.Condition{{Key: storekeys.Owner, Revision: o.term.Number}}}
-		for _, id := range ids[:n] {
-			change.Deletes = append(change.Deletes, storekeys.Job(id), storekeys.Cancel(id), storekeys.Result(id))
-		}
-		ids = ids[n:]
-		o.inBackground("clean", func() {
-			ctx, cancel := context.WithTimeout(o.ctx, saveTimeout)
-			defer cancel()
-			if _, err := o.Store.Commit(ctx, change); err != nil {
-				o.Log.Warn("results-not-removed", zap.Error(err))
-			}
-		})
-	}
-}
-
-// retentionMargin is how much longer an ended job is kept, so that a repeated submission
-// that arrives late does not run again.
-const retentionMargin = 60 * time.Second
