Allow for leases on the clock of an earlier incarnation

A task could run twice. The clock of a worker begins anew with each incarnation. A start that was sent while the owner did not know of a restart gave its deadline on the old clock; the new incarnation took it for a far later time and cut it to the longest lease that workers grant, 10 s with the settings of the platform, where the owner assumed 2.8 s. If the worker was then cut off, the owner started the task elsewhere while the first run went on.

Once the owner learns of a restart, from a listing or from the registration, it now assumes the longest lease if a lease was granted on the old clock within the last three seconds, and does so again with each answer until the worker has answered a poll with the new fencing token, which shuts out older calls. A poll of a worker that is known to have restarted grants no lease until its clock is read. scheduler.Limits.MaxLease comes from the setting bounds.maxHoldMs.

Ruled out: always assuming the longest lease after a restart, as tasks of workers that restart and are lost again would wait for 10 s although no call can be under way. Open: an owner that takes over in between does not know of the grant and assumes the usual lease.

Fake workers of the simulation have a clock of their own for each incarnation and cap leases; the override of a deadline in TestLateStartIsFencedAfterItsWorkerWasForgotten, which emulated this, is gone.

--- a/command/platform.go
+++ b/command/platform.go
@@ -144,7 +144,7 @@
 
 func schedulerLimits(s *platform.Settings) scheduler.Limits {
 	limits := scheduler.DefaultLimits()
-	limits.Lease = min(limits.Lease, s.MaxLease)
+	limits.Lease, limits.MaxLease = min(limits.Lease, s.MaxLease), s.MaxLease
 	limits.Maintenance, limits.Stop = s.MaintenanceTime, s.StopTime
 	return limits
 }
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -41,6 +41,7 @@
 		w.uncertain = true
 	}
 	w.incarnation = answer.Incarnation
+	s.coverEarlierClock(w)
 	w.clock, w.clockRead = answer.Clock, now
 	w.acknowledgedEnd = max(w.acknowledgedEnd, min(poll.AckedEnd, w.durableEnd))
 	s.applyListing(w, answer)
--- a/scheduler/forgotten_test.go
+++ b/scheduler/forgotten_test.go
@@ -72,7 +72,5 @@
 	qt.Assert(t, sim.core.workers["w0"], qt.IsNil)
 	sim.restart("w0")
 	sim.run(500 * time.Millisecond)
-	late := starts[1]
-	late.LeaseEnd = sim.now.Add(DefaultLimits().Lease).Sub(time.UnixMilli(0)) // the new clock is behind the old one
-	qt.Assert(t, sim.handleStart(sim.workers["w0"], late), qt.Equals, StartRejected)
+	qt.Assert(t, sim.handleStart(sim.workers["w0"], starts[1]), qt.Equals, StartRejected)
 }
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -10,6 +10,9 @@
 	w.answered = false
 	s.dropUnsent(w, restartedReason)
 	s.markUncertain(w)
+	if w.grantedLately(s.now) {
+		s.extendLease(w, s.limits.MaxLease)
+	}
 	w.polling, w.nextPoll = false, s.now
 }
 
@@ -17,6 +20,26 @@
 // are on the clock of that incarnation.
 const restartedReason = "worker has restarted"
 
+// longestCall is how long after a grant its call may be carried out. It is far above the timeouts
+// of calls to workers.
+const longestCall = 3 * time.Second
+
+// grantedLately reports whether a call with a lease may have reached the worker only now.
+func (w *workerState) grantedLately(now time.Time) bool { return now.Sub(w.granted) < longestCall }
+
+// coverEarlierClock extends the lease of a worker by the longest one that workers grant while it may
+// have accepted a lease on the clock of an earlier incarnation: its clock has begun anew, so that it
+// takes the lease for a far longer one.
+func (s *Scheduler) coverEarlierClock(w *workerState) {
+	if w.clockFence == 0 {
+		return
+	}
+	s.extendLease(w, s.limits.MaxLease)
+	if w.pollFence >= w.clockFence {
+		w.clockFence = 0
+	}
+}
+
 // dropUnsent withdraws the starts for a worker that wait to be sent.
 func (s *Scheduler) dropUnsent(w *workerState, reason string) {
 	for _, r := range w.sortedRuns() {
@@ -34,6 +57,10 @@
 	w.incarnation = incarnation
 	s.dropUnsent(w, restartedReason)
 	w.setFence(w.fence + 1)
+	if w.grantedLately(s.now) {
+		w.clockFence = w.fence
+	}
+	w.granted = time.Time{}
 	w.processedEnd, w.durableEnd, w.acknowledgedEnd, w.unsavedEnds = 0, 0, 0, nil
 	for _, r := range w.runs {
 		// Stops were for the earlier incarnation. A run that this one lists is stopped again.
@@ -46,7 +73,7 @@
 func (s *Scheduler) endIncarnation(w *workerState) {
 	s.newIncarnation(w, 0)
 	w.answered, w.uncertain = false, false
-	w.clockRead = time.Time{}
+	w.clockRead, w.clockFence = time.Time{}, 0
 	w.polling, w.nextPoll = false, s.now.Add(pollRetry)
 	w.sequence++
 	w.ignoredUpTo = w.sequence
--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -45,8 +45,9 @@
 	}
 	poll.Fence = w.fence
 	// The lease of a worker that does not answer is not extended, or its tasks could never be
-	// started elsewhere.
-	if !w.clockRead.IsZero() && len(w.runs) > 0 && (w.unansweredPolls == 0 || mutation.extendUnresponsive) {
+	// started elsewhere. That of one which has restarted would be on the clock of the earlier
+	// incarnation.
+	if w.answered && !w.clockRead.IsZero() && len(w.runs) > 0 && (w.unansweredPolls == 0 || mutation.extendUnresponsive) {
 		poll.Deadline = s.grant(w)
 	}
 	if !unknown && len(w.runs) > 0 && len(w.unsavedEnds) == 0 && w.unansweredPolls == 0 {
@@ -83,11 +84,17 @@
 
 // grant extends the lease of a worker and returns its end on the worker's clock.
 func (s *Scheduler) grant(w *workerState) time.Duration {
+	w.granted = s.now
 	since := s.now.Sub(w.clockRead)
-	if end := s.now.Add(s.leaseBound(s.limits.Lease + time.Duration(float64(since)*s.limits.MaxDrift))); end.After(w.leaseEnd) {
+	s.extendLease(w, s.limits.Lease+time.Duration(float64(since)*s.limits.MaxDrift))
+	return w.clock + since + s.limits.Lease
+}
+
+// extendLease notes that the runs of a worker may go on for d on its clock.
+func (s *Scheduler) extendLease(w *workerState, d time.Duration) {
+	if end := s.now.Add(s.leaseBound(d)); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
-	return w.clock + since + s.limits.Lease
 }
 
 // advanceDurableEnd moves durableEnd past the ends whose effects have become durable.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -105,6 +105,8 @@
 	// Lease is how long a worker keeps its tasks running without a poll. A longer one saves
 	// polls and lost work, a shorter one frees the tasks of unreachable workers sooner.
 	Lease time.Duration
+	// MaxLease is the longest lease that workers grant.
+	MaxLease time.Duration
 	// PollWait is how long a poll waits for the end of a task.
 	PollWait time.Duration
 	// MaxDrift is the fraction by which the clock of a worker may be slow.
@@ -120,7 +122,7 @@
 // DefaultLimits returns the limits that apply if none are configured.
 func DefaultLimits() Limits {
 	return Limits{
-		Lease: 2800 * time.Millisecond, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
+		Lease: 2800 * time.Millisecond, MaxLease: 10 * time.Second, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
 		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond,
 	}
 }
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -29,6 +29,8 @@
 	ended      []worker.End
 	lastEnd    int64
 	lease      time.Time
+	// bornAt is the zero of the worker's clock, which begins anew with each incarnation.
+	bornAt time.Time
 	// ignoredEnds holds the numbers of the ends up to the expiry of the lease; their acknowledgement
 	// is not recorded.
 	ignoredEnds map[int64]bool
@@ -204,7 +206,8 @@
 			ID: id, Pool: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: 1,
 			Capacity: resource.Amount{CPU: 4000, Memory: 8000}, Labels: worker.Labels{"a", "r1-1"}, Rack: "r1-1",
 		},
-		runs: make(map[job.Task]*fakeRun), highestRun: make(map[job.Task]int64), ignoredEnds: make(map[int64]bool),
+		bornAt: sim.now.Add(-100 * time.Second),
+		runs:   make(map[job.Task]*fakeRun), highestRun: make(map[job.Task]int64), ignoredEnds: make(map[int64]bool),
 	}
 	sim.workers[id] = w
 	return w
@@ -303,18 +306,28 @@
 	if sim.callsPerStep == 0 || w.down || w.unreachable || p.Fence < w.fence {
 		return false
 	}
-	w.acceptPoll(p.Poll)
+	w.acceptPoll(p.Poll, sim.now)
 	return sim.now.Sub(p.at) < p.Wait && !slices.ContainsFunc(w.ended, func(e worker.End) bool { return e.Number > p.AckedEnd })
 }
 
 // acceptPoll takes over the fencing token and the lease of a poll.
-func (w *fakeWorker) acceptPoll(p Poll) {
+func (w *fakeWorker) acceptPoll(p Poll, now time.Time) {
 	w.fence = p.Fence
-	if deadline := time.UnixMilli(0).Add(p.Deadline); deadline.After(w.lease) {
+	if deadline := w.deadline(p.Deadline, now); deadline.After(w.lease) {
 		w.lease = deadline
 	}
 }
 
+// deadline returns the end of a lease that is given on the worker's clock, at most the longest lease
+// that workers grant.
+func (w *fakeWorker) deadline(d time.Duration, now time.Time) time.Time {
+	at := w.bornAt.Add(d)
+	if latest := now.Add(DefaultLimits().MaxLease); at.After(latest) {
+		return latest
+	}
+	return at
+}
+
 // applyDue carries out the calls of a list that are due, and keeps the others.
 func applyDue(list *[]delayedCall, now time.Time) {
 	pending := *list
@@ -383,6 +396,7 @@
 	registration.Incarnation++
 	n := sim.addWorker(id)
 	n.registration, n.earlierCapacities = registration, w.earlierCapacities
+	n.bornAt = sim.now
 	sim.registerLater(n, delay)
 }
 
@@ -578,7 +592,7 @@
 		return StartRejected
 	}
 	w.fence = a.Fence
-	deadline := time.UnixMilli(0).Add(a.LeaseEnd)
+	deadline := w.deadline(a.LeaseEnd, sim.now)
 	if !sim.now.Before(deadline) {
 		return StartRejected
 	}
@@ -681,7 +695,7 @@
 		if a.Fence < w.fence {
 			return
 		}
-		w.acceptPoll(a)
+		w.acceptPoll(a, sim.now)
 		for _, e := range w.ended {
 			if e.Number <= a.AckedEnd && !w.ignoredEnds[e.Number] {
 				sim.acknowledge(e)
@@ -743,7 +757,7 @@
 }
 
 func (w *fakeWorker) listing(now time.Time) *worker.Listing {
-	l := &worker.Listing{Incarnation: w.registration.Incarnation, Clock: now.Sub(time.UnixMilli(0)), Ended: slices.Clone(w.ended)}
+	l := &worker.Listing{Incarnation: w.registration.Incarnation, Clock: now.Sub(w.bornAt), Ended: slices.Clone(w.ended)}
 	for _, name := range slices.SortedFunc(maps.Keys(w.runs), job.Compare) {
 		r := w.runs[name]
 		l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: r.percent(now), Load: w.load(r)})
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -48,6 +48,11 @@
 	clockRead time.Time
 	// leaseEnd is the time at which all runs there must have ended if the lease is not renewed.
 	leaseEnd time.Time
+	// granted is when a lease was last granted on the clock of the present incarnation.
+	granted time.Time
+	// clockFence is the fencing token above those of the calls with leases on the clock of an earlier
+	// incarnation, zero once the worker has answered a poll with it.
+	clockFence int64
 
 	runs map[job.Task]*run
 	used resource.Amount
