Use the worker of a moved machine after a lost answer

A worker was never used again after the answer to the move of its machine was lost. By the time at which the order was repeated, the machine was up in its new pool with its next worker, so that the repetition, which was accepted as already carried out, marked that worker as ordered away. The next list of machines ended the absence of the machine at once, as it was in the pool that was ordered, but left the mark on the worker.

The end of the absence now clears the mark of the worker that the machine carries, on each path. Ruled out: passing over the answer if the machine is in the ordered pool already, as the list may be older than the order.

--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -79,13 +79,11 @@
 }
 
 // endAbsence ends the absence of a machine that is up with a worker. w is the state of that
-// worker, nil if it is not registered.
+// worker, nil if it is not registered. The order may have been for this very worker, if the answer to
+// an earlier one was lost and its repetition was accepted as already carried out.
 func (m *machine) endAbsence(w *workerState, asked time.Time) {
-	if m.Worker != m.orderedWorker || (m.orderedTo != "" && m.Pool == m.orderedTo) {
-		m.away = false
-		return
-	}
-	if asked.Sub(m.awaySince) < staleListWindow {
+	moved := m.Worker != m.orderedWorker || (m.orderedTo != "" && m.Pool == m.orderedTo)
+	if !moved && asked.Sub(m.awaySince) < staleListWindow {
 		return
 	}
 	m.away = false
