Correct a pace that a late call has replaced

A pace call without an answer may be carried out after a newer one. The owner took the newer one for the pace in force: it sends a pace only if it differs from the last one, and repeated an unanswered call only if its pace was still the wanted one.

Ruled out: raising the fencing token, so that the worker refuses the late call. It would take effect only with the next call that carries the new token, and starts under way with the old one would be rejected.

--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -82,9 +82,17 @@
 	return worst
 }
 
-// setPace sets the percentage of a run unless the worker has it already.
+// setPace sets the percentage of a run unless the worker has it already. While an unanswered call may
+// replace it, and once afterwards, it is sent again.
 func (s *Scheduler) setPace(r *run, percent int) {
 	if percent == r.percentAllowed && r.paceKnown {
+		if r.repeatPaceUntil.IsZero() {
+			return
+		}
+		if s.now.After(r.repeatPaceUntil) {
+			r.repeatPaceUntil = time.Time{}
+		}
+		s.sendPace(r)
 		return
 	}
 	s.logEvent(LogEvent{Event: "task-paced", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Reason: fmt.Sprintf("%d percent", percent)})
@@ -96,14 +104,20 @@
 	s.actions.Paces = append(s.actions.Paces, Pace{Worker: r.worker.registration, Task: r.step.name(r.index), Run: r.number, Percent: r.percentAllowed, Fence: r.worker.fence})
 }
 
-// PaceAnswered reports whether a pace call was answered; an unanswered one is sent again.
+// PaceAnswered reports whether a pace call was answered; an unanswered one is sent again, and newer
+// ones are repeated as long as it may be carried out after them.
 func (s *Scheduler) PaceAnswered(a Pace, ok bool, now time.Time) {
 	s.now = now
 	w := s.workers[a.Worker.ID]
 	if ok || w == nil {
 		return
 	}
-	if r := w.runs[a.Task]; r != nil && r.number == a.Run && r.state == present && r.percentAllowed == a.Percent {
+	r := w.runs[a.Task]
+	if r == nil || r.number != a.Run || r.state != present {
+		return
+	}
+	r.repeatPaceUntil = now.Add(longestCall)
+	if r.percentAllowed == a.Percent {
 		s.sendPace(r)
 	}
 }
--- a/scheduler/pace_test.go
+++ b/scheduler/pace_test.go
@@ -119,3 +119,56 @@
 	sim.run(4 * time.Second)
 	qt.Assert(t, sim.background().pace, qt.Equals, 100)
 }
+
+// Guards against a pace call that the worker carries out after a newer one: the owner took the newer
+// one for the pace in force and never repeated it.
+func TestOvertakenPaceOrderIsCorrected(t *testing.T) {
+	for delayed := 1; delayed < 12; delayed++ {
+		sim := newPaceSimulation(20)
+		calls := 0
+		sim.callFault = func(kind string) callOutcome {
+			if kind == "pace" {
+				if calls++; calls == delayed {
+					return requestDelayed
+				}
+			}
+			return answered
+		}
+		over := sim.longestOverTarget(20 * time.Second)
+		qt.Check(t, over < 2*time.Second, qt.IsTrue, qt.Commentf("%v with order %d carried out late", over, delayed))
+	}
+}
+
+// Guards against a background task that stays halted for good, because the call that halted it was
+// carried out after the one that let it run on.
+func TestBackgroundTaskIsNotHaltedByLatePace(t *testing.T) {
+	tried := 0
+	for delayed := 1; delayed < 12; delayed++ {
+		sim := newPaceSimulation(20)
+		calls, halts := 0, false
+		sim.onActions = func(a Actions) {
+			for _, p := range a.Paces {
+				halts = p.Percent == 0
+			}
+		}
+		sim.callFault = func(kind string) callOutcome {
+			if kind != "pace" {
+				return answered
+			}
+			if calls++; calls != delayed {
+				return answered
+			}
+			if halts {
+				sim.cancel("serving")
+			}
+			return requestDelayed
+		}
+		sim.run(10 * time.Second)
+		if sim.cancels["serving"].IsZero() {
+			continue
+		}
+		tried++
+		qt.Check(t, sim.background().pace, qt.Equals, 100, qt.Commentf("order %d carried out late", delayed))
+	}
+	qt.Assert(t, tried > 0, qt.IsTrue)
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -117,6 +117,9 @@
 	// another owner has started, until this owner sets its pace.
 	percentAllowed int
 	paceKnown      bool
+	// repeatPaceUntil is set while a pace call without an answer may still be carried out, after a
+	// newer one.
+	repeatPaceUntil time.Time
 	// recorded is set for runs that are known only from the record of an unresponsive worker.
 	recorded   bool
 	checkpoint string
