--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -48,6 +48,11 @@
 	clockRead time.Time
 	// leaseEnd is the time at which all runs there must have ended if the lease is not renewed.
 	leaseEnd time.Time
+	// granted is when a lease was last granted on the clock of the present incarnation.
+	granted time.Time
+	// clockFence is the fencing token above those of the calls with leases on the clock of an earlier
+	// incarnation, zero once the worker has answered a poll with it.
+	clockFence int64
 
 	runs map[job.Task]*run
 	used resource.Amount
@@ -118,6 +123,9 @@
 	// another owner has started, until this owner sets its pace.
 	percentAllowed int
 	paceKnown      bool
+	// repeatPaceUntil is set while a pace call without an answer may still be carried out, after a
+	// newer one.
+	repeatPaceUntil time.Time
 	// recorded is set for runs that are known only from the record of an unresponsive worker.
 	recorded bool
 	// begun and survived are set for recorded runs that are known to have begun and to have outlived
