--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretdrum.example/job"
+	"egretdrum.example/resource"
 	"egretdrum.example/worker"
 )
 
@@ -110,6 +111,10 @@
 	// Incarnation is that of the worker, zero if it was never seen.
 	Incarnation int64            `cbor:"2,keyasint,omitempty"`
 	Runs        []UnconfirmedRun `cbor:"3,keyasint,omitempty"`
+	// Survived has the tasks of Runs that have outlived their start.
+	Survived []job.Task `cbor:"4,keyasint,omitempty"`
+	// Lost has the runs whose lease has ended. If the worker turns out to have crashed, they count.
+	Lost []UnconfirmedRun `cbor:"5,keyasint,omitempty"`
 }
 
 // UnconfirmedRun is a run that may be present on an unresponsive worker.
@@ -143,8 +148,13 @@
 	// Took is the time that the last occurrence of a job needed, Objective the time in which it
 	// was to be done.
 	Took, Objective time.Duration
+	// Capacity is set for a worker whose capacity has changed.
+	Capacity *CapacityChange
 }
 
+// CapacityChange is a change of the capacity of a worker while its runs use some of it.
+type CapacityChange struct{ From, To, Used resource.Amount }
+
 // TakeActions returns the actions since the last call.
 func (s *Scheduler) TakeActions() Actions {
 	a := s.actions
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -36,6 +36,7 @@
 		s.logEvent(LogEvent{Event: "worker-answered", Worker: w.registration.ID, AffectedCount: len(w.runs)})
 		w.unansweredPolls, w.copiesQueued = 0, false
 	}
+	s.reportUnlisted(w, answer)
 	if w.incarnation != 0 && answer.Incarnation != w.incarnation {
 		s.newIncarnation(w, answer.Incarnation)
 		w.uncertain = true
@@ -43,7 +44,9 @@
 	w.incarnation = answer.Incarnation
 	w.clock, w.clockRead = answer.Clock, now
 	w.acknowledgedEnd = max(w.acknowledgedEnd, min(poll.AckedEnd, w.durableEnd))
+	w.recordAlive(w.pollSent)
 	s.applyListing(w, answer)
+	s.checkWatched(w)
 	if !w.answered || w.uncertain {
 		s.changedPools[w.registration.Pool] = true
 	}
@@ -129,9 +132,10 @@
 		if listed.Checkpoint != "" {
 			r.checkpoint = listed.Checkpoint
 		}
+		s.enforceStop(r)
 		return
 	}
-	st := s.step(listed.Task)
+	st := s.listedStep(listed.Task)
 	if st != nil {
 		st.detachOlderRecord(listed.Task.Index, listed.Run)
 	}
@@ -145,13 +149,57 @@
 	s.markRunning(st.job)
 }
 
+// enforceStop stops a listed run that no job needs, and repeats a stop that has had no effect: the
+// run may have begun after its stop, in an incarnation of the worker that knows of none.
+func (s *Scheduler) enforceStop(r *run) {
+	if r.state != stopping {
+		if !s.wanted(r) {
+			s.stop(r, notWanted)
+		}
+		return
+	}
+	if r.worker.pollSent.Sub(r.stopSent) <= s.limits.Stop+stopRepeatMargin {
+		return
+	}
+	e := LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Reason: "its worker has restarted since"}
+	if !r.stopSent.IsZero() {
+		e.Reason = "its worker still lists it"
+		e.Waited, e.WaitReason = s.now.Sub(r.stopSent), "its end"
+	}
+	s.logEvent(e)
+	s.sendStop(r, "run still listed")
+}
+
+// stopRepeatMargin covers the time from the decision to stop a run until the worker has carried
+// out the stop, besides the time that it needs for that.
+const stopRepeatMargin = 300 * time.Millisecond
+
+// notWanted is why runs are stopped that no job needs, or no longer.
+const notWanted = "not wanted"
+
+// wanted reports whether a run is the current run of a task that is not done, or an earlier one
+// beside it.
+func (s *Scheduler) wanted(r *run) bool {
+	if r.step.job.state.Final() {
+		return false
+	}
+	if !r.step.detached {
+		// All members of a gang are done with the first one and end by themselves.
+		return !r.step.tasks[r.index].done || r.step.spec.Gang
+	}
+	st := s.step(r.step.name(r.index))
+	return st != nil && !st.tasks[r.index].done && slices.Contains(st.tasks[r.index].earlierRuns, r)
+}
+
 // rejectRun stops a run that is not wanted. The run still counts against the capacity of the
 // worker and the limit of the account until it has ended.
 func (s *Scheduler) rejectRun(w *workerState, listed *worker.Run) {
 	j := s.jobs[listed.Task.Job]
 	if j == nil || listed.Task.Step >= len(j.spec.Steps) || w.runs[listed.Task] != nil || listed.Task.Index >= j.spec.Steps[listed.Task.Step].Count {
 		w.hasUnknownRuns = true
-		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: "not wanted"})
+		// No run in the books stands for it: each listing leads to another stop until it is gone.
+		w.nextPoll = s.now.Add(pollRetry)
+		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted, Timeout: s.timeout(s.answerTimeout())})
 		return
 	}
 	step := &j.spec.Steps[listed.Task.Step]
@@ -159,7 +207,7 @@
 		job: j, occurrence: &occurrence{number: listed.Task.Occurrence}, number: listed.Task.Step, spec: step,
 		tasks: make([]task, step.Count), detached: true,
 	}
-	s.stop(s.adopt(w, detached, listed), "not wanted")
+	s.stop(s.adopt(w, detached, listed), notWanted)
 }
 
 // adopt takes over a run that this owner did not start.
@@ -189,7 +237,7 @@
 
 // processEnd applies an end that a worker lists.
 func (s *Scheduler) processEnd(w *workerState, e worker.End) {
-	st := s.step(e.Task)
+	st := s.listedStep(e.Task)
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run && r.step.detached {
 		s.release(r)
 	}
@@ -224,6 +272,9 @@
 		t.checkpoint = e.Checkpoint
 		st.checkpoint = e.Checkpoint
 	}
+	if e.Reason == worker.Done || e.Reason == worker.Failed {
+		s.clearEvidence(st, e.Task.Index)
+	}
 	switch {
 	case st.job.state.Final():
 		return
@@ -292,6 +343,7 @@
 	}
 	switch result {
 	case StartAccepted:
+		w.recordAlive(r.sent)
 		if r.state == starting {
 			r.state = present
 		}
@@ -351,6 +403,7 @@
 }
 
 func (s *Scheduler) sendStop(r *run, reason string) {
+	r.stopSent = s.now
 	s.actions.Stops = append(s.actions.Stops, Stop{Worker: r.worker.registration, Task: r.step.name(r.index), Run: r.number, Fence: r.worker.fence, Reason: reason, Timeout: s.timeout(s.answerTimeout())})
 }
 
--- a/scheduler/mutation.go
+++ b/scheduler/mutation.go
@@ -8,4 +8,8 @@
 	ignoreUnknown, acknowledgeEarly, keepFence, extendUnresponsive, restartRuns bool
 
 	recordUnknown, useRecorded, ignorePoolUse, ignoreMayMiss, ignoreEvacuation, ignoreReservations bool
+
+	keepUnsent, countShrunk bool
+
+	ignoreCrashes, ignoreIsolation, ignoreDurability bool
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -49,6 +49,8 @@
 				st.reason = "its queue has changed to another pool"
 			case !s.ensurePoolUseStored(st):
 				st.reason = "the use of the pool is being stored"
+			case s.capacitiesUnknown && !s.catalog.EnforcesCapacity(pool):
+				st.reason = "the capacities of the workers are not known at present"
 			case !st.spec.Reserved().Within(maxFree), unplaceable.covers(st):
 				st.reason = noFreeCapacity
 			case st.spec.Gang:
@@ -137,8 +139,7 @@
 func maxFreeCapacity(workers []*workerState) resource.Amount {
 	var bound resource.Amount
 	for _, w := range workers {
-		free := w.registration.Capacity.Sub(w.used)
-		bound = resource.Amount{CPU: max(bound.CPU, free.CPU), Memory: max(bound.Memory, free.Memory), Accelerators: max(bound.Accelerators, free.Accelerators)}
+		bound = bound.Max(w.registration.Capacity.Sub(w.used))
 	}
 	return bound
 }
@@ -163,13 +164,13 @@
 	}
 }
 
-// mustWait reports whether a step must not start yet: earlier steps are not done, runs of it that
+// mustWait reports whether a step must not start yet: its occurrence is not due, earlier steps are not done, runs of it that
 // the previous owner has started may be unknown, its queue is not configured any more, or it
 // waits for the list of machines.
 func (s *Scheduler) mustWait(st *stepState) bool {
 	// Tasks that may have several runs need not wait for those of the previous owner.
 	unknown := st.job.inherited && !st.spec.Speculative && s.mayHaveUnknownRuns(st.job.spec.Queue) && !mutation.ignoreUnknown
-	return (st.blocked > 0 && !mutation.ignoreDependencies) || unknown || s.catalog.Queues[st.job.spec.Queue] == nil || s.awaitsMachineList(st)
+	return (st.blocked > 0 && !mutation.ignoreDependencies) || st.occurrence.due.After(s.now) || unknown || s.catalog.Queues[st.job.spec.Queue] == nil || s.awaitsMachineList(st)
 }
 
 // awaitsMachineList reports whether a long-running task waits for the list of machines.
@@ -179,6 +180,8 @@
 
 func (s *Scheduler) waitReason(st *stepState) string {
 	switch {
+	case st.occurrence.due.After(s.now):
+		return "not due yet"
 	case st.blocked > 0:
 		return "earlier steps are not done"
 	case s.catalog.Queues[st.job.spec.Queue] == nil:
@@ -234,9 +237,14 @@
 // placeStep starts as many tasks of the step as fit. All tasks of a step have the same needs,
 // so the first one that does not fit ends the attempt.
 func (s *Scheduler) placeStep(st *stepState, workers []*workerState) {
+	s.suspectsLast(st)
 	for len(st.waitingTasks) > 0 && !s.startsHeld() {
 		index := st.waitingTasks[0]
-		if s.failExhausted(st, &st.tasks[index]) {
+		if s.failExhausted(st, &st.tasks[index]) || s.giveUpExhausted(st, index) {
+			return
+		}
+		if s.awaitsEvidence(st, index) {
+			st.reason = evidenceWait
 			return
 		}
 		if !s.accountAllows(st, 1) {
@@ -246,6 +254,9 @@
 		w := s.choose(st, index, workers)
 		if w == nil {
 			st.reason = noFreeCapacity
+			if st.suspected(index) {
+				st.reason = isolationWait
+			}
 			return
 		}
 		st.waitingTasks = st.waitingTasks[1:]
@@ -262,7 +273,15 @@
 	}
 	plan := make([]*workerState, 0, len(st.waitingTasks))
 	extra := make(map[*workerState]int)
-	for _, index := range st.waitingTasks {
+	queue := st.suspectsFirst()
+	for _, index := range queue {
+		if s.giveUpExhausted(st, index) {
+			return
+		}
+		if s.awaitsEvidence(st, index) {
+			st.reason = evidenceWait
+			return
+		}
 		w := s.chooseWith(st, index, workers, extra)
 		if w == nil {
 			st.reason = "no room for the whole gang"
@@ -270,9 +289,11 @@
 		}
 		extra[w]++
 		plan = append(plan, w)
+		if st.suspected(index) && s.isolatesGang(st) {
+			workers = slices.DeleteFunc(slices.Clone(workers), func(other *workerState) bool { return other == w })
+		}
 	}
 	s.lastRun++
-	queue := st.waitingTasks
 	st.waitingTasks = nil
 	for i, index := range queue {
 		s.start(st, index, plan[i], s.lastRun)
@@ -303,7 +324,7 @@
 	}
 	for id := range s.recoveryWorkers {
 		if w := s.workers[id]; w != nil && !w.answered && !w.runsAccounted {
-			sum = sum.Add(w.registration.Capacity)
+			sum = sum.Add(s.largestCapacity(w))
 		}
 	}
 	for _, m := range s.machines {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -48,7 +48,9 @@
 	// evacuations. zonesUnknown is set while the owner does not know which ones are.
 	evacuatedZones map[string]int64
 	zonesUnknown   bool
-	nextPlan       time.Time
+	// capacitiesUnknown is set while the capacities of the workers may have shrunk without notice.
+	capacitiesUnknown bool
+	nextPlan          time.Time
 	// relocationNeeds has the machines that pools lack to relocate long-running tasks that
 	// have to leave their worker.
 	relocationNeeds map[relocationNeed]bool
@@ -77,6 +79,8 @@
 	// lastRun is the last run number in use. The numbers of an owner are above those of all
 	// previous owners.
 	lastRun int64
+	// forgottenFence is above the fencing tokens of all workers that were removed and may come back.
+	forgottenFence int64
 	// recovered is set once every run of previous owners is known or has ended. Until then,
 	// tasks of jobs that a previous owner may have seen are not started.
 	recovered        bool
@@ -93,6 +97,13 @@
 	// adviceInFlight counts the advice requests in flight.
 	adviceInFlight int
 
+	// crashReports holds the crashes since the last Tick, rackCrashes the last ones, and lost the runs
+	// of workers of which it is not known whether they have crashed, by worker.
+	crashReports []crashReport
+	rackCrashes  []rackCrash
+	givenUp      int
+	lost         map[string]*lostWorker
+
 	actions Actions
 }
 
@@ -136,9 +147,10 @@
 	s := &Scheduler{
 		limits:  limits,
 		started: now, now: now,
-		startWindow: maxWindow,
-		fence:       ownership * fencesPerOwner,
-		lastRun:     ownership * runsPerOwner,
+		startWindow:    maxWindow,
+		fence:          ownership * fencesPerOwner,
+		forgottenFence: ownership * fencesPerOwner,
+		lastRun:        ownership * runsPerOwner,
 
 		jobs:     make(map[string]*jobState),
 		waiting:  make(map[string][]*stepState),
@@ -155,6 +167,7 @@
 		changedPools:    make(map[string]bool),
 		changedWorkers:  make(map[*workerState]bool),
 		nextPass:        make(map[string]time.Time),
+		lost:            make(map[string]*lostWorker),
 	}
 	if mutation.restartRuns {
 		s.lastRun = 0
@@ -189,6 +202,7 @@
 		}
 		s.recordUnresponsive()
 	}
+	s.judgeCrashes()
 	s.planMachines()
 	s.place()
 	if sweep {
@@ -303,11 +317,14 @@
 // Summary has the counts of jobs, tasks, runs and workers for metrics.
 type Summary struct {
 	Jobs, Waiting, Running, Workers, Unanswered int
+	// Isolated counts the runs of suspected tasks that have not outlived their start, GivenUp the
+	// jobs that were given up because a task crashed its workers.
+	Isolated, GivenUp int
 }
 
 // Summary returns the current counts.
 func (s *Scheduler) Summary() Summary {
-	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers)}
+	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp}
 	for _, steps := range s.waiting {
 		for _, st := range steps {
 			sum.Waiting += len(st.waitingTasks)
@@ -315,6 +332,11 @@
 	}
 	for _, w := range s.workers {
 		sum.Running += len(w.runs)
+		for _, r := range w.watched {
+			if r.isolated {
+				sum.Isolated++
+			}
+		}
 		if w.unansweredPolls > 0 {
 			sum.Unanswered++
 		}
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"egretdrum.example/crashes"
 	"egretdrum.example/job"
 	"egretdrum.example/worker"
 )
@@ -24,7 +25,7 @@
 			// Without an update of the record, a later owner would consider the runs present
 			// again, although their tasks have been started elsewhere.
 			w.recordStored, w.recordEmpty = true, len(w.runs) == 0
-			s.actions.Unresponsive = append(s.actions.Unresponsive, w.unresponsiveRecord())
+			s.actions.Unresponsive = append(s.actions.Unresponsive, s.withLost(w.unresponsiveRecord()))
 		case w.unansweredPolls == 0 && w.answered && w.recordStored && !w.recordEnding:
 			w.recordEnding = true
 			s.actions.UnresponsiveEnds = append(s.actions.UnresponsiveEnds, w.registration.ID)
@@ -36,8 +37,12 @@
 	v := UnresponsiveWorker{Worker: w.registration.ID, Incarnation: w.currentIncarnation()}
 	for name, r := range w.runs {
 		v.Runs = append(v.Runs, UnconfirmedRun{name, r.number})
+		if w.knownPresence(r) >= crashes.Survival {
+			v.Survived = append(v.Survived, name)
+		}
 	}
 	slices.SortFunc(v.Runs, func(a, b UnconfirmedRun) int { return job.Compare(a.Task, b.Task) })
+	slices.SortFunc(v.Survived, job.Compare)
 	return v
 }
 
@@ -60,13 +65,16 @@
 		return
 	}
 	w.recordStored = true
+	s.restoreLost(w, v)
 	if w.registration.Incarnation != v.Incarnation {
 		// The record is of another incarnation. What runs in this one is not known.
+		s.reportRecorded(w, v)
 		return
 	}
-	w.runsAccounted = true
+	w.runsAccounted, w.recordedIncarnation = true, v.Incarnation
 	for _, r := range v.Runs {
 		s.reserveUnconfirmed(w, r)
+		w.recordSurvived(r, v.Survived)
 	}
 	s.logEvent(LogEvent{Event: "silence-known", Worker: v.Worker, AffectedCount: len(v.Runs)})
 }
@@ -79,7 +87,7 @@
 		return
 	}
 	listed := &worker.Run{Task: v.Task, Run: v.Run}
-	st := s.step(v.Task)
+	st := s.listedStep(v.Task)
 	if st != nil {
 		st.detachOlderRecord(v.Task.Index, v.Run)
 	}
@@ -95,7 +103,10 @@
 	// The first poll has a higher fencing token, so a run that it does not list is gone.
 	r.claim.setFence(w.fence - 1)
 	r.recorded = true
-	if current && st.spec.Speculative && !st.spec.Gang {
+	switch {
+	case !current:
+		s.stop(r, notWanted)
+	case st.spec.Speculative && !st.spec.Gang:
 		s.queueCopy(r, "worker does not answer")
 	}
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -83,6 +83,12 @@
 	speed     float64
 	slowUntil time.Time
 	faults    faults
+	// aliveAt is the latest time at which the worker is known to have been alive. watched holds the
+	// runs of tasks under which workers have crashed. recordedIncarnation is that of the record of
+	// the previous owner.
+	aliveAt             time.Time
+	watched             []*run
+	recordedIncarnation int64
 	// hasUnknownRuns is set while the worker lists a run of which nothing is known, so that its
 	// free capacity is not known either.
 	hasUnknownRuns bool
@@ -104,15 +110,21 @@
 	state     runState
 	sent      time.Time
 	confirmed time.Time
-	stopped   time.Time
-	percent   int
-	load      int
+	// stopped is when the first stop was answered, stopSent when the last one was planned.
+	stopped, stopSent time.Time
+	percent           int
+	load              int
 	// percentAllowed is the pace of a background task. paceKnown is false for a task that
 	// another owner has started, until this owner sets its pace.
 	percentAllowed int
 	paceKnown      bool
 	// recorded is set for runs that are known only from the record of an unresponsive worker.
-	recorded   bool
+	recorded bool
+	// survived is set for recorded runs that have outlived their start, isolated while a run of a
+	// suspected task has not.
+	survived, isolated bool
+	// probation is how long it is isolated.
+	probation  time.Duration
 	checkpoint string
 	speed      speed
 	need       resource.Amount
@@ -139,7 +151,7 @@
 	w := s.workers[e.ID]
 	if w == nil {
 		w = &workerState{firstSeen: now, speed: 1, newest: new(atomic.Int64), runs: make(map[job.Task]*run)}
-		w.setFence(s.fence)
+		w.setFence(s.forgottenFence)
 		w.registration = e
 		s.workers[e.ID] = w
 		at, _ := slices.BinarySearchFunc(s.sortedWorkers, e.ID, func(w *workerState, id string) int { return cmp.Compare(w.registration.ID, id) })
@@ -159,7 +171,11 @@
 	if w.registration.Pool != e.Pool {
 		s.byPool = nil
 	}
+	before := w.registration.Capacity
 	w.registration, w.registered = e, true
+	if before != e.Capacity {
+		s.capacityChanged(w, before)
+	}
 	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
 		w.slowUntil = warm
 	}
@@ -199,6 +215,7 @@
 func (s *Scheduler) release(r *run) {
 	w := r.worker
 	r.claim.withdraw()
+	w.unwatch(r)
 	delete(w.runs, r.step.name(r.index))
 	w.used = w.used.Sub(r.need)
 	s.changedPools[w.registration.Pool] = true
@@ -223,6 +240,7 @@
 	s.addUse(r.step.job.spec.Account, r.step.spec.Need)
 	t := &r.step.tasks[r.index]
 	t.run = r
+	s.watch(r)
 }
 
 func (w *workerState) countRun(r *run, n int) {
@@ -247,6 +265,7 @@
 		w.leaseExpired = true
 	}
 	if len(w.runs) > 0 && s.now.After(w.leaseEnd) {
+		s.rememberLost(w)
 		for _, r := range w.sortedRuns() {
 			s.drop(r, "lease ended")
 		}
@@ -258,6 +277,8 @@
 		if w.recordStored {
 			s.actions.UnresponsiveEnds = append(s.actions.UnresponsiveEnds, w.registration.ID)
 		}
+		// If the worker comes back, it may have seen this token, and older calls may be in flight.
+		s.forgottenFence = max(s.forgottenFence, w.fence+1)
 		delete(s.workers, w.registration.ID)
 		s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(other *workerState) bool { return other == w })
 		s.byPool = nil
