--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -129,6 +129,7 @@
 		if listed.Checkpoint != "" {
 			r.checkpoint = listed.Checkpoint
 		}
+		s.enforceStop(r)
 		return
 	}
 	st := s.step(listed.Task)
@@ -145,13 +146,50 @@
 	s.markRunning(st.job)
 }
 
+// enforceStop stops a listed run that no job needs, and repeats a stop that has had no effect: the
+// run may have begun after its stop, in an incarnation of the worker that knows of none.
+func (s *Scheduler) enforceStop(r *run) {
+	if r.state != stopping {
+		if !s.wanted(r) {
+			s.stop(r, notWanted)
+		}
+		return
+	}
+	if r.worker.pollSent.Sub(r.stopSent) <= s.limits.Stop+stopRepeatMargin {
+		return
+	}
+	s.logEvent(LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Waited: s.now.Sub(r.stopSent), WaitReason: "the worker still lists the run"})
+	s.sendStop(r, "run still listed")
+}
+
+// stopRepeatMargin covers the time from the decision to stop a run until the worker has carried
+// out the stop, besides the time that it needs for that.
+const stopRepeatMargin = 300 * time.Millisecond
+
+// notWanted is why runs are stopped that no job needs, or no longer.
+const notWanted = "not wanted"
+
+// wanted reports whether a run is the current run of a task that is not done, or an earlier one
+// beside it.
+func (s *Scheduler) wanted(r *run) bool {
+	if r.step.job.state.Final() {
+		return false
+	}
+	if !r.step.detached {
+		// All members of a gang are done with the first one and end by themselves.
+		return !r.step.tasks[r.index].done || r.step.spec.Gang
+	}
+	st := s.step(r.step.name(r.index))
+	return st != nil && !st.tasks[r.index].done && slices.Contains(st.tasks[r.index].earlierRuns, r)
+}
+
 // rejectRun stops a run that is not wanted. The run still counts against the capacity of the
 // worker and the limit of the account until it has ended.
 func (s *Scheduler) rejectRun(w *workerState, listed *worker.Run) {
 	j := s.jobs[listed.Task.Job]
 	if j == nil || listed.Task.Step >= len(j.spec.Steps) || w.runs[listed.Task] != nil || listed.Task.Index >= j.spec.Steps[listed.Task.Step].Count {
 		w.hasUnknownRuns = true
-		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: "not wanted"})
+		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted})
 		return
 	}
 	step := &j.spec.Steps[listed.Task.Step]
@@ -159,7 +197,7 @@
 		job: j, occurrence: &occurrence{number: listed.Task.Occurrence}, number: listed.Task.Step, spec: step,
 		tasks: make([]task, step.Count), detached: true,
 	}
-	s.stop(s.adopt(w, detached, listed), "not wanted")
+	s.stop(s.adopt(w, detached, listed), notWanted)
 }
 
 // adopt takes over a run that this owner did not start.
@@ -351,6 +389,7 @@
 }
 
 func (s *Scheduler) sendStop(r *run, reason string) {
+	r.stopSent = s.now
 	s.actions.Stops = append(s.actions.Stops, Stop{Worker: r.worker.registration, Task: r.step.name(r.index), Run: r.number, Fence: r.worker.fence, Reason: reason, Timeout: s.timeout(s.answerTimeout())})
 }
 
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -104,9 +104,10 @@
 	state     runState
 	sent      time.Time
 	confirmed time.Time
-	stopped   time.Time
-	percent   int
-	load      int
+	// stopped is when the first stop was answered, stopSent when the last one was planned.
+	stopped, stopSent time.Time
+	percent           int
+	load              int
 	// percentAllowed is the pace of a background task. paceKnown is false for a task that
 	// another owner has started, until this owner sets its pace.
 	percentAllowed int
@@ -159,7 +160,11 @@
 	if w.registration.Pool != e.Pool {
 		s.byPool = nil
 	}
+	before := w.registration.Capacity
 	w.registration, w.registered = e, true
+	if before != e.Capacity {
+		s.capacityChanged(w, before)
+	}
 	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
 		w.slowUntil = warm
 	}
