--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -132,7 +132,7 @@
 		s.enforceStop(r)
 		return
 	}
-	st := s.step(listed.Task)
+	st := s.listedStep(listed.Task)
 	if st != nil {
 		st.detachOlderRecord(listed.Task.Index, listed.Run)
 	}
@@ -158,7 +158,12 @@
 	if r.worker.pollSent.Sub(r.stopSent) <= s.limits.Stop+stopRepeatMargin {
 		return
 	}
-	s.logEvent(LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Waited: s.now.Sub(r.stopSent), WaitReason: "the worker still lists the run"})
+	e := LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Reason: "its worker has restarted since"}
+	if !r.stopSent.IsZero() {
+		e.Reason = "its worker still lists it"
+		e.Waited, e.WaitReason = s.now.Sub(r.stopSent), "its end"
+	}
+	s.logEvent(e)
 	s.sendStop(r, "run still listed")
 }
 
@@ -189,7 +194,9 @@
 	j := s.jobs[listed.Task.Job]
 	if j == nil || listed.Task.Step >= len(j.spec.Steps) || w.runs[listed.Task] != nil || listed.Task.Index >= j.spec.Steps[listed.Task.Step].Count {
 		w.hasUnknownRuns = true
-		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted})
+		// No run in the books stands for it: each listing leads to another stop until it is gone.
+		w.nextPoll = s.now.Add(pollRetry)
+		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted, Timeout: s.timeout(s.answerTimeout())})
 		return
 	}
 	step := &j.spec.Steps[listed.Task.Step]
@@ -227,7 +234,7 @@
 
 // processEnd applies an end that a worker lists.
 func (s *Scheduler) processEnd(w *workerState, e worker.End) {
-	st := s.step(e.Task)
+	st := s.listedStep(e.Task)
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run && r.step.detached {
 		s.release(r)
 	}
