--- a/scheduler/incarnations_test.go
+++ b/scheduler/incarnations_test.go
@@ -34,3 +34,20 @@
 		})
 	}
 }
+
+// Guards against a poll of a worker that is known to have restarted which grants a lease on the clock
+// of the earlier incarnation.
+func TestPollOfRestartedWorkerGrantsNoLease(t *testing.T) {
+	sim := newLasting(t)
+	sim.restart("w0")
+	polls := 0
+	sim.onActions = func(a Actions) {
+		for _, p := range a.Polls {
+			if polls++; polls == 1 {
+				qt.Check(t, p.Deadline, qt.Equals, time.Duration(0))
+			}
+		}
+	}
+	sim.run(200 * time.Millisecond)
+	qt.Assert(t, polls > 0, qt.IsTrue)
+}
