Let delayed calls share one check of the term

While a term is not valid, each call that was due logged a warning and woke up every 20 ms to check the term: with a poll for each of thousands of workers, that is thousands of lines and timers for one late renewal. Found by reading; its cost was not measured.

All calls now wait for one check, and the warning call-delayed names only the first call that waits. Ruled out: a notice from the election when it has renewed the term, which would tie the two packages together to save one timer.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -15,8 +15,6 @@
 	// paceTimeout is far above the usual response time of a few milliseconds.
 	paceTimeout    = 400 * time.Millisecond
 	stopRetryDelay = 200 * time.Millisecond
-	// termCheckInterval is the time between two checks of a term that is not valid.
-	termCheckInterval = 20 * time.Millisecond
 	// maxQuickPolls bounds the polls in flight that do not wait for an end. A new owner polls
 	// all workers at once; with thousands of them, a host with a fifth of a core would treat
 	// responses that arrived in time as missing.
@@ -110,22 +108,6 @@
 	o.post(func(now time.Time) { o.core.StartAnswered(a, result, reason, now) })
 }
 
-// awaitTerm waits until the term allows a call, and reports false once the term is over. Between
-// the expiry of a lease and the answer to a renewal that the store has carried out in time, a term
-// is not valid for a moment; a call that is dropped then would never be repeated.
-func (o *Owner) awaitTerm(kind, subject string) bool {
-	if o.term.Valid() {
-		return true
-	}
-	o.Log.Warn("call-delayed", zap.String("call", kind), zap.String("subject", subject), zap.Int64("term", o.term.Number))
-	for wait.For(o.ctx, termCheckInterval) {
-		if o.term.Valid() {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *Owner) stopRun(a scheduler.Stop) {
 	if !o.awaitTerm("stop", a.Task.String()) {
 		return
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -41,9 +41,10 @@
 	// Supervisor recovers panics; a panic ends the term.
 	Supervisor *supervision.Supervisor
 
-	term   *election.Term
-	core   *scheduler.Scheduler
-	events chan event
+	term     *election.Term
+	termWait *termWait
+	core     *scheduler.Scheduler
+	events   chan event
 	// eventDelay is how late events are applied; only the loop uses it.
 	eventDelay eventDelay
 	// zonesUnknown is set while it is not known which zones are under evacuation.
@@ -137,7 +138,7 @@
 	if o.setAside == nil {
 		o.setAside = make(map[string]bool)
 	}
-	o.term = term
+	o.term, o.termWait = term, &termWait{}
 	o.events, o.queries = make(chan event, eventBuffer), make(chan func(), eventBuffer)
 	o.eventDelay = eventDelay{}
 	o.zonesUnknown, o.capacitiesUnknown = false, false
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"egretdrum.example/catalog"
 	"egretdrum.example/election"
@@ -54,6 +55,8 @@
 	owner     *Owner
 	// evacuateWithin is the setting of that name; zones are evacuated only in some tests.
 	evacuateWithin time.Duration
+	// warnings are the warnings of the owner, in tests that need them.
+	warnings *observer.ObservedLogs
 
 	mu      sync.Mutex
 	workers map[string]*fakeWorker
--- a/dispatch/validity_test.go
+++ b/dispatch/validity_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"egretdrum.example/election"
 	"egretdrum.example/job"
@@ -27,6 +29,8 @@
 		return 0
 	}
 	o := c.newOwner()
+	core, logs := observer.New(zap.WarnLevel)
+	o.Log, c.warnings = zap.New(core), logs
 	o.Calls.Stop = func(_ context.Context, a scheduler.Stop) bool { stop(a); return true }
 	term := election.NewTerm(c.store.Put(storekeys.Owner, nil), now, time.Hour)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -78,3 +82,26 @@
 		assertStored(t, c, "b", progress.Succeeded)
 	})
 }
+
+// Guards against a log line and a timer of its own for each of the many calls that are due while the
+// renewal of the term is late.
+func TestCallsDuringLateRenewalShareOneWarning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks = 4
+		c := newCluster(t, 1)
+		defer c.close()
+		var stops atomic.Int64
+		late, kill := c.startLateRenewal(func(scheduler.Stop) { stops.Add(1) })
+		defer kill()
+		time.Sleep(time.Second)
+		c.submit(t, "a", job.Step{Count: tasks, Need: taskNeed, LongRunning: true})
+		time.Sleep(taskDuration / 4)
+		late.Store(true)
+		c.store.Put(storekeys.Cancel("a"), nil)
+		time.Sleep(renewalDelay)
+		late.Store(false)
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, stops.Load() >= tasks, qt.IsTrue, qt.Commentf("%d stops", stops.Load()))
+		qt.Assert(t, c.warnings.FilterMessage("call-delayed").Len(), qt.Equals, 1)
+	})
+}
