--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -97,6 +97,13 @@
 	// adviceInFlight counts the advice requests in flight.
 	adviceInFlight int
 
+	// crashReports holds the crashes since the last Tick, rackCrashes the last ones, and lost the runs
+	// of workers of which it is not known whether they have crashed, by worker.
+	crashReports []crashReport
+	rackCrashes  []rackCrash
+	givenUp      int
+	lost         map[string]*lostWorker
+
 	actions Actions
 }
 
@@ -105,6 +112,8 @@
 	// Lease is how long a worker keeps its tasks running without a poll. A longer one saves
 	// polls and lost work, a shorter one frees the tasks of unreachable workers sooner.
 	Lease time.Duration
+	// MaxLease is the longest lease that workers grant.
+	MaxLease time.Duration
 	// PollWait is how long a poll waits for the end of a task.
 	PollWait time.Duration
 	// MaxDrift is the fraction by which the clock of a worker may be slow.
@@ -120,7 +129,7 @@
 // DefaultLimits returns the limits that apply if none are configured.
 func DefaultLimits() Limits {
 	return Limits{
-		Lease: 2800 * time.Millisecond, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
+		Lease: 2800 * time.Millisecond, MaxLease: 10 * time.Second, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
 		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond,
 	}
 }
@@ -160,6 +169,7 @@
 		changedPools:    make(map[string]bool),
 		changedWorkers:  make(map[*workerState]bool),
 		nextPass:        make(map[string]time.Time),
+		lost:            make(map[string]*lostWorker),
 	}
 	if mutation.restartRuns {
 		s.lastRun = 0
@@ -194,6 +204,7 @@
 		}
 		s.recordUnresponsive()
 	}
+	s.judgeCrashes()
 	s.planMachines()
 	s.place()
 	if sweep {
@@ -308,11 +319,14 @@
 // Summary has the counts of jobs, tasks, runs and workers for metrics.
 type Summary struct {
 	Jobs, Waiting, Running, Workers, Unanswered int
+	// Isolated counts the runs of suspected tasks that have not outlived their start, GivenUp the
+	// jobs that were given up because a task crashed its workers.
+	Isolated, GivenUp int
 }
 
 // Summary returns the current counts.
 func (s *Scheduler) Summary() Summary {
-	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers)}
+	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp}
 	for _, steps := range s.waiting {
 		for _, st := range steps {
 			sum.Waiting += len(st.waitingTasks)
@@ -320,6 +334,11 @@
 	}
 	for _, w := range s.workers {
 		sum.Running += len(w.runs)
+		for _, r := range w.watched {
+			if r.isolated {
+				sum.Isolated++
+			}
+		}
 		if w.unansweredPolls > 0 {
 			sum.Unanswered++
 		}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -48,6 +48,11 @@
 	clockRead time.Time
 	// leaseEnd is the time at which all runs there must have ended if the lease is not renewed.
 	leaseEnd time.Time
+	// granted is when a lease was last granted on the clock of the present incarnation.
+	granted time.Time
+	// clockFence is the fencing token above those of the calls with leases on the clock of an earlier
+	// incarnation, zero once the worker has answered a poll with it.
+	clockFence int64
 
 	runs map[job.Task]*run
 	used resource.Amount
@@ -83,6 +88,12 @@
 	speed     float64
 	slowUntil time.Time
 	faults    faults
+	// aliveAt is the latest time at which the worker is known to have been alive. watched holds the
+	// runs of tasks under which workers have crashed. recordedIncarnation is that of the record of
+	// the previous owner.
+	aliveAt             time.Time
+	watched             []*run
+	recordedIncarnation int64
 	// hasUnknownRuns is set while the worker lists a run of which nothing is known, so that its
 	// free capacity is not known either.
 	hasUnknownRuns bool
@@ -112,8 +123,16 @@
 	// another owner has started, until this owner sets its pace.
 	percentAllowed int
 	paceKnown      bool
+	// repeatPaceUntil is set while a pace call without an answer may still be carried out, after a
+	// newer one.
+	repeatPaceUntil time.Time
 	// recorded is set for runs that are known only from the record of an unresponsive worker.
-	recorded   bool
+	recorded bool
+	// begun and survived are set for recorded runs that are known to have begun and to have outlived
+	// their start, isolated while a run of a suspected task has not.
+	begun, survived, isolated bool
+	// probation is how long it is isolated.
+	probation  time.Duration
 	checkpoint string
 	speed      speed
 	need       resource.Amount
@@ -204,6 +223,7 @@
 func (s *Scheduler) release(r *run) {
 	w := r.worker
 	r.claim.withdraw()
+	w.unwatch(r)
 	delete(w.runs, r.step.name(r.index))
 	w.used = w.used.Sub(r.need)
 	s.changedPools[w.registration.Pool] = true
@@ -228,6 +248,7 @@
 	s.addUse(r.step.job.spec.Account, r.step.spec.Need)
 	t := &r.step.tasks[r.index]
 	t.run = r
+	s.watch(r)
 }
 
 func (w *workerState) countRun(r *run, n int) {
@@ -252,6 +273,7 @@
 		w.leaseExpired = true
 	}
 	if len(w.runs) > 0 && s.now.After(w.leaseEnd) {
+		s.rememberLost(w)
 		for _, r := range w.sortedRuns() {
 			s.drop(r, "lease ended")
 		}
