--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -216,6 +216,9 @@
 // finish checks what is left to check at the end.
 func (r *run) finish(i *inflictor) {
 	i.checkWaves(r.calmFrom().Add(recoverWithin))
+	if !r.c.emulator.running() {
+		r.c.fail("emulator", "it has ended by itself: %v; see emulator.log", r.c.emulator.err)
+	}
 	history, err := readHistory(r.c.control)
 	if err != nil {
 		r.c.fail("history", "%v", err)
