Count crashes of machines whose orders were refused

Seen by a reviewer of the work on crashing tasks: each order for a machine that was not accepted put its crashes in doubt for 15.5 s, also one that the platform had definitely refused, and the acceptance of its repetition did not end the doubt.

The answer to an order is one of accepted, refused, impossible and unanswered now, and only the last one leaves a doubt.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -170,9 +170,9 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
 	defer cancel()
-	accepted, impossible, err := o.Calls.Order(ctx, a)
-	o.Log.Info("machine-ordered", zap.String("machine", a.Machine), zap.String("pool", a.Pool), zap.Int64("wave", a.Wave), zap.Int64("fence", a.Fence), zap.Bool("accepted", accepted), zap.Error(err))
-	o.post(func(now time.Time) { o.core.MachineOrderAnswered(a, accepted, impossible, now) })
+	result, err := o.Calls.Order(ctx, a)
+	o.Log.Info("machine-ordered", zap.String("machine", a.Machine), zap.String("pool", a.Pool), zap.Int64("wave", a.Wave), zap.Int64("fence", a.Fence), zap.Bool("accepted", result == scheduler.OrderAccepted), zap.Error(err))
+	o.post(func(now time.Time) { o.core.MachineOrderAnswered(a, result, now) })
 }
 
 func (o *Owner) logEvent(n scheduler.LogEvent) {
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -90,7 +90,8 @@
 	Pace         func(ctx context.Context, a scheduler.Pace) bool
 	Poll         func(ctx context.Context, a scheduler.Poll) (*worker.Listing, bool, error)
 	ListMachines func(ctx context.Context) ([]worker.Machine, error)
-	Order        func(ctx context.Context, o scheduler.MachineOrder) (accepted, impossible bool, err error)
+	// Order orders a move or the maintenance of a machine; the error is for the log.
+	Order func(ctx context.Context, o scheduler.MachineOrder) (scheduler.OrderResult, error)
 	// Advise requests placement advice and returns the tickets of the workers that may run
 	// a step.
 	Advise func(ctx context.Context, q scheduler.AdviceRequest) (map[string]string, error)
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -166,11 +166,11 @@
 	return list, nil
 }
 
-func (c *testCluster) orderMachine(_ context.Context, o scheduler.MachineOrder) (accepted, impossible bool, err error) {
+func (c *testCluster) orderMachine(_ context.Context, o scheduler.MachineOrder) (scheduler.OrderResult, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.orders = append(c.orders, o)
-	return true, false, nil
+	return scheduler.OrderAccepted, nil
 }
 
 func (c *testCluster) start(_ context.Context, a scheduler.Start) (scheduler.StartResult, string) {
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -103,6 +103,21 @@
 	Fence int64
 }
 
+// OrderResult is the platform's answer to an order for a machine.
+type OrderResult int
+
+// The answers to an order.
+const (
+	// OrderAccepted means that the order is carried out or was before.
+	OrderAccepted OrderResult = iota
+	// OrderRefused means that nothing was done; the order may be repeated.
+	OrderRefused
+	// OrderImpossible means that the order can never be carried out.
+	OrderImpossible
+	// OrderUnanswered means that the order may be carried out now or later.
+	OrderUnanswered
+)
+
 // UnresponsiveWorker is the record of a worker that does not answer, with the runs that may be on
 // it. With this record, a new owner need not wait until the lease of the worker has ended before
 // it starts other tasks.
--- a/scheduler/crashing.go
+++ b/scheduler/crashing.go
@@ -125,7 +125,7 @@
 	switch {
 	case m.away, m.orderInFlight, m.State == worker.Moving, m.State == worker.Maintenance:
 		return true
-	case !m.retryAt.IsZero() && s.now.Sub(m.retryAt) < orderDoubt:
+	case s.now.Before(m.doubtUntil):
 		return true
 	}
 	return m.Pool != "" && m.Pool != pool
@@ -133,9 +133,6 @@
 
 // judgeCrashes counts the crashes since the last Tick against the tasks that may have caused them.
 func (s *Scheduler) judgeCrashes() {
-	if len(s.lost) > 0 {
-		s.resolveLost()
-	}
 	if len(s.crashReports) == 0 {
 		return
 	}
--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -30,6 +30,8 @@
 	unlisted  bool // while the list is replaced
 	// due is set while a wave still has to take the machine.
 	due bool
+	// doubtUntil is until when an order without an answer may still be carried out.
+	doubtUntil time.Time
 	// offered is the capacity that the machine had for tasks in the last round of planning.
 	offered resource.Amount
 	// orderSequence is the number of the last order for the machine. It is added to the fencing
@@ -66,7 +68,7 @@
 		}
 	}
 	s.sortedMachines = sorted(s.machines)
-	s.machinesKnown = true
+	s.machinesKnown, s.machinesAsked = true, asked
 	s.markDue()
 	for _, w := range s.sortedWorkers {
 		m := s.machines[w.registration.Machine]
@@ -146,18 +148,24 @@
 	return m.State == worker.Up && !m.cordoned && !m.orderInFlight && !m.away && !now.Before(m.retryAt)
 }
 
-// MachineOrderAnswered reports the answer to an order. accepted means that the order is carried out or
-// already was; impossible means that it can't be carried out, so the plan for it is dropped.
-func (s *Scheduler) MachineOrderAnswered(o MachineOrder, accepted, impossible bool, now time.Time) {
+// MachineOrderAnswered reports the answer to an order. The plan for an impossible one is dropped.
+func (s *Scheduler) MachineOrderAnswered(o MachineOrder, result OrderResult, now time.Time) {
 	s.now = now
 	m := s.machines[o.Machine]
 	if m == nil {
 		return
 	}
 	m.orderInFlight = false
-	if !accepted {
+	switch result {
+	case OrderUnanswered:
+		m.doubtUntil = now.Add(orderDoubt)
+	case OrderAccepted:
+		// Earlier orders have a lower fencing token.
+		m.doubtUntil = time.Time{}
+	}
+	if result != OrderAccepted {
 		m.retryAt = now.Add(orderRetryDelay)
-		if impossible {
+		if result == OrderImpossible {
 			m.cordoned, m.moveTo = false, ""
 			if w := s.waves[o.Wave]; w != nil {
 				delete(w.begun, m.ID)
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -113,7 +113,7 @@
 // later.
 func (sim *machineSimulation) order(o MachineOrder) {
 	sim.carryOut(o)
-	sim.core.MachineOrderAnswered(o, true, false, sim.now)
+	sim.core.MachineOrderAnswered(o, OrderAccepted, sim.now)
 }
 
 func (sim *machineSimulation) carryOut(o MachineOrder) {
--- a/scheduler/moves_test.go
+++ b/scheduler/moves_test.go
@@ -18,11 +18,11 @@
 	sim.onOrder = func(o MachineOrder) {
 		orders++
 		if sim.machines[o.Machine].Pool == o.Pool {
-			sim.core.MachineOrderAnswered(o, true, false, sim.now)
+			sim.core.MachineOrderAnswered(o, OrderAccepted, sim.now)
 			return
 		}
 		sim.carryOut(o)
-		late = append(late, delayedCall{sim.now.Add(answerTimeout), func() { sim.core.MachineOrderAnswered(o, false, false, sim.now) }})
+		late = append(late, delayedCall{sim.now.Add(answerTimeout), func() { sim.core.MachineOrderAnswered(o, OrderUnanswered, sim.now) }})
 	}
 	m := sim.core.machines["league-7"]
 	m.cordoned, m.cordonedAt, m.moveTo = true, sim.now, "desk"
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -86,7 +86,9 @@
 	recovered        bool
 	recoveryDeadline time.Time
 	recoveryWorkers  map[string]bool
-	machinesKnown    bool
+	// machinesAsked is when the present list of machines was requested.
+	machinesAsked time.Time
+	machinesKnown bool
 	// poolUse is the stored use of pools, pendingPoolUse the one that is being stored.
 	poolUse, pendingPoolUse PoolUse
 	// poolUseKnown is set once the use stored by the previous owner was loaded.
@@ -203,6 +205,7 @@
 			s.expire(w)
 		}
 		s.recordUnresponsive()
+		s.resolveLost()
 	}
 	s.judgeCrashes()
 	s.planMachines()
--- a/workerfake/fleet.go
+++ b/workerfake/fleet.go
@@ -105,8 +105,8 @@
 		Pace:         func(context.Context, scheduler.Pace) bool { return true },
 		Advise:       func(context.Context, scheduler.AdviceRequest) (map[string]string, error) { return nil, nil },
 		ListMachines: func(context.Context) ([]worker.Machine, error) { return nil, nil },
-		Order: func(context.Context, scheduler.MachineOrder) (accepted, impossible bool, err error) {
-			return false, true, nil
+		Order: func(context.Context, scheduler.MachineOrder) (scheduler.OrderResult, error) {
+			return scheduler.OrderImpossible, nil
 		},
 		DecodeWorker: f.decode, WorkerPrefix: Prefix,
 		WaveStatus: func(bool) ([]byte, error) { return nil, nil }, WaveStatusPrefix: "status/",
