--- a/scheduler/lost.go
+++ b/scheduler/lost.go
@@ -77,6 +77,8 @@
 	}
 	m := s.machines[e.machine]
 	switch {
+	case m == nil && s.machinesAsked.After(e.at) && e.machine != "":
+		return e.machine + " is not listed any more", true
 	case s.now.Sub(e.at) > lostMemory, s.machinePlanned(e.machine, e.pool):
 		return "", true
 	case m != nil && m.State == worker.Down:
