Take no worker for crashed because of an older list of machines

If the new worker was cut off, that counted as a crash under its tasks at once. Test: TestOlderMachineListIsNoSignOfCrash.

--- a/scheduler/lost.go
+++ b/scheduler/lost.go
@@ -83,12 +83,19 @@
 		return "", true
 	case m != nil && m.State == worker.Down:
 		return m.ID + " is down", true
-	case m != nil && m.State == worker.Up && m.Worker != "" && m.Worker != e.worker:
+	case m != nil && m.State == worker.Up && m.Worker != "" && m.Worker != e.worker && s.listedAfter(e.worker):
 		return m.ID + " carries another worker", true
 	}
 	return "", false
 }
 
+// listedAfter reports whether the list of machines is newer than the registration of a worker, so
+// that it does not show the worker that its machine had before.
+func (s *Scheduler) listedAfter(id string) bool {
+	w := s.workers[id]
+	return w == nil || w.firstSeen.Before(s.machinesAsked)
+}
+
 // withLost adds the runs whose lease has ended to the record of an unresponsive worker.
 func (s *Scheduler) withLost(v UnresponsiveWorker) UnresponsiveWorker {
 	e := s.lost[v.Worker]
