--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,7 +24,6 @@
 
 // cases has the cases by name. A case returns what breaks the rule, empty if nothing does.
 var cases = map[string]func(context.Context, *session) (string, error){
-	"given-up": givenUp,
 	"on-trial": onTrial,
 	"reserved": reserved,
 	"late-job": lateJob,
--- a/review/stand/reserved.go
+++ b/review/stand/reserved.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 )
@@ -67,6 +68,14 @@
 	return s.judgeStarved(ctx, []lasting{{spreadID, spread}, {smallID, small}, {largeID, large}})
 }
 
+// crash crashes the worker of a machine. It is back under its ID after a time.
+func (s *session) crash(ctx context.Context, machine, downFor string) error {
+	return s.command(ctx, http.MethodPost, "/workers/"+machine+"/restart", struct {
+		DownFor string `json:"down-for"`
+		NewID   bool   `json:"new-id"`
+	}{downFor, false}, nil)
+}
+
 // machineOf returns the machine whose worker runs the first task of a job.
 func (f *fleet) machineOf(id string) string {
 	for _, w := range f.Workers {
