--- a/review/stand/reborn.go
+++ b/review/stand/reborn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -18,9 +19,10 @@
 	// restartTime is how long the worker is down, afterRestart the time from then until the job.
 	restartTime  = "100ms"
 	afterRestart = time.Second
-	// answersLost covers the first poll after the start.
-	answersLost = "400ms"
-	beforeCut   = 100 * time.Millisecond
+	// answersLost covers the first poll after the start. The cut begins beforeCut after the start.
+	answersLost = "1s"
+	beforeCut   = 50 * time.Millisecond
+	startWithin = time.Second
 	rebornID    = "00000000000000bb"
 	rebornTime  = "run-time=5s"
 	afterCut    = 16 * time.Second
@@ -61,6 +63,9 @@
 		return "", err
 	}
 	if s.trouble {
+		if err := s.awaitStart(ctx, rebornID); err != nil {
+			return "", err
+		}
 		if err := pause(ctx, beforeCut); err != nil {
 			return "", err
 		}
@@ -75,6 +80,23 @@
 	return s.judgeOverlap(ctx)
 }
 
+// awaitStart waits until a task of a job has begun.
+func (s *session) awaitStart(ctx context.Context, id string) error {
+	for end := time.Now().Add(startWithin); time.Now().Before(end); {
+		starts, err := s.starts(ctx)
+		if err != nil {
+			return err
+		}
+		if slices.ContainsFunc(starts, func(e runEvent) bool { return strings.HasPrefix(e.Task, id+".") }) {
+			return nil
+		}
+		if err := pause(ctx, 10*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: %s", errNotPlaced, id)
+}
+
 // disturbWorker disturbs the calls to the worker of a machine, all of them if none are named, or its
 // registrations.
 func (s *session) disturbWorker(ctx context.Context, target, machine, kind, during string, calls ...string) error {
--- a/review/stand/session.go
+++ b/review/stand/session.go
@@ -23,7 +23,9 @@
 	// startTime is how long the hosts and the first owner get before a case begins; traffic starts
 	// 10 s after the machines do.
 	startTime = 10 * time.Second
-	pollPause = 100 * time.Millisecond
+	// readyWithin is the time that hosts get beyond that on a slow machine.
+	readyWithin = 15 * time.Second
+	pollPause   = 100 * time.Millisecond
 )
 
 // session is a case that is played.
@@ -66,7 +68,6 @@
 	EstimateMs   int64 `json:"estRuntimeMs"`
 	AntiAffinity int   `json:"antiAffinity,omitempty"`
 	LongRunning  bool  `json:"longRunning,omitempty"`
-	MayMiss      int   `json:"mayMiss,omitempty"`
 }
 
 // key is the key of the only client account.
@@ -229,17 +230,31 @@
 	if err := pause(ctx, startTime); err != nil {
 		return err
 	}
-	f, err := s.fleet(ctx)
-	if err != nil {
-		return err
+	for end := time.Now().Add(readyWithin); ; {
+		f, err := s.fleet(ctx)
+		if err != nil {
+			return err
+		}
+		if f.hostsReady() {
+			s.note("the hosts are ready, %d workers are up", len(f.upWorkers()))
+			return nil
+		}
+		if time.Now().After(end) {
+			return errNotReady
+		}
+		if err := pause(ctx, pollPause); err != nil {
+			return err
+		}
 	}
+}
+
+func (f *fleet) hostsReady() bool {
 	for _, h := range f.Hosts {
 		if !h.Ready {
-			return errNotReady
+			return false
 		}
 	}
-	s.note("the hosts are ready, %d workers are up", len(f.upWorkers()))
-	return nil
+	return len(f.Hosts) > 0
 }
 
 // runEvent is a run that began or ended on a worker.
