Log a start that is answered by a newer incarnation of its worker

The answer to a start carries the worker's clock, which nothing read.

It is read now, and a reading that the known incarnation cannot give is logged as worker-clock-began-anew. No decision changes with this commit.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -105,7 +105,7 @@
 		defer c.close()
 		o := newCapacityOwner(c)
 		sent := make(chan job.Task, 100)
-		o.Calls.Start = func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string) {
+		o.Calls.Start = func(ctx context.Context, a scheduler.Start) scheduler.StartAnswer {
 			sent <- a.Task
 			time.Sleep(80 * time.Millisecond)
 			return c.start(ctx, a)
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -97,15 +97,17 @@
 		return
 	}
 	if !o.mayStart(a) || !o.mayHaveRoom(a.Worker.Pool) || !a.Claim() {
-		o.post(func(now time.Time) { o.core.StartAnswered(a, scheduler.StartNotSent, "", now) })
+		o.post(func(now time.Time) {
+			o.core.StartAnswered(a, scheduler.StartAnswer{Result: scheduler.StartNotSent}, now)
+		})
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, a.Timeout)
 	defer cancel()
 	sent := time.Now()
-	result, reason := o.Calls.Start(ctx, a)
+	answer := o.Calls.Start(ctx, a)
 	o.Meter.Scope.Timer("start_time").Record(time.Since(sent))
-	o.post(func(now time.Time) { o.core.StartAnswered(a, result, reason, now) })
+	o.post(func(now time.Time) { o.core.StartAnswered(a, answer, now) })
 }
 
 func (o *Owner) stopRun(a scheduler.Stop) {
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -84,7 +84,7 @@
 
 // Calls are the calls to workers and to the platform, and the platform's encodings.
 type Calls struct {
-	Start func(ctx context.Context, a scheduler.Start) (scheduler.StartResult, string)
+	Start func(ctx context.Context, a scheduler.Start) scheduler.StartAnswer
 	Stop  func(ctx context.Context, a scheduler.Stop) bool
 	// Pace limits the speed of a background task and reports whether the worker answered.
 	Pace         func(ctx context.Context, a scheduler.Pace) bool
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -173,16 +173,16 @@
 	return scheduler.OrderAccepted, nil
 }
 
-func (c *testCluster) start(_ context.Context, a scheduler.Start) (scheduler.StartResult, string) {
+func (c *testCluster) start(_ context.Context, a scheduler.Start) scheduler.StartAnswer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[a.Worker.ID]
 	if a.Fence < w.fence {
-		return scheduler.StartRejected, "fence"
+		return scheduler.StartAnswer{Result: scheduler.StartRejected, Reason: "fence"}
 	}
 	c.starts[a.Task]++
 	w.runs[a.Task] = &fakeRun{a.Run, time.Now().Add(taskDuration)}
-	return scheduler.StartAccepted, ""
+	return scheduler.StartAnswer{Result: scheduler.StartAccepted}
 }
 
 // poll returns once a run has ended or the wait is over, as workers do.
@@ -338,7 +338,7 @@
 			c.Poll = func(context.Context, scheduler.Poll) (*worker.Listing, bool, error) { panic("look") }
 		},
 		"start": func(c *Calls) {
-			c.Start = func(context.Context, scheduler.Start) (scheduler.StartResult, string) { panic("start") }
+			c.Start = func(context.Context, scheduler.Start) scheduler.StartAnswer { panic("start") }
 		},
 		"machines": func(c *Calls) {
 			c.ListMachines = func(context.Context) ([]worker.Machine, error) { panic("machines") }
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -180,7 +180,16 @@
 	return a
 }
 
-// StartResult is a worker's answer to a start.
+// StartAnswer is a worker's answer to a start.
+type StartAnswer struct {
+	Result StartResult
+	// Reason is for logs.
+	Reason string
+	// Clock is the worker's clock at the time of the answer, zero if the answer had none.
+	Clock time.Duration
+}
+
+// StartResult is what a worker did about a start.
 type StartResult int
 
 // The answers to a start.
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -43,7 +43,7 @@
 	}
 	w.incarnation = answer.Incarnation
 	s.coverEarlierClock(w)
-	w.clock, w.clockRead = answer.Clock, now
+	w.clock, w.clockRead, w.clockAsked = answer.Clock, now, w.pollSent
 	w.acknowledgedEnd = max(w.acknowledgedEnd, min(poll.AckedEnd, w.durableEnd))
 	w.recordAlive(w.pollSent)
 	s.applyListing(w, answer)
@@ -331,7 +331,7 @@
 }
 
 // StartAnswered reports the answer to a start.
-func (s *Scheduler) StartAnswered(a Start, result StartResult, reason string, now time.Time) {
+func (s *Scheduler) StartAnswered(a Start, answer StartAnswer, now time.Time) {
 	s.now = now
 	s.unansweredStarts--
 	w := s.workers[a.Worker.ID]
@@ -342,7 +342,8 @@
 	if r == nil || r.number != a.Run {
 		return
 	}
-	switch result {
+	s.checkStartClock(r, answer.Clock)
+	switch answer.Result {
 	case StartAccepted:
 		w.recordAlive(r.sent)
 		if r.state == starting {
@@ -367,7 +368,7 @@
 			w.pausedUntil = now.Add(pollRetry)
 			w.nextPoll = now
 		}
-		s.drop(r, "rejected: "+reason)
+		s.drop(r, "rejected: "+answer.Reason)
 	case StartOtherIncarnation:
 		s.drop(r, "other incarnation of the worker")
 		if w.incarnation != 0 && w.answered {
@@ -377,14 +378,14 @@
 		delete(r.step.tickets, w.registration.ID)
 		s.drop(r, "ticket has ended")
 	default:
-		if result == StartUnavailable {
+		if answer.Result == StartUnavailable {
 			w.pausedUntil = now.Add(unhealthyPause)
 		} else {
 			// The worker holds a run that this owner does not know of.
 			w.pausedUntil = now.Add(pollRetry)
 			w.nextPoll = now
 		}
-		s.drop(r, "rejected: "+reason)
+		s.drop(r, "rejected: "+answer.Reason)
 	}
 }
 
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -551,19 +551,21 @@
 func (sim *simulation) start(a Start) {
 	w := sim.workers[a.Worker.ID]
 	if !a.Claim() {
-		sim.report(true, 0, func() { sim.core.StartAnswered(a, StartNotSent, "", sim.now) })
+		sim.report(true, 0, func() { sim.core.StartAnswered(a, StartAnswer{Result: StartNotSent}, sim.now) })
 		return
 	}
 	if a.Run <= sim.lastRuns[a.Task] {
 		sim.violation("%s is started as run %d after run %d", a.Task, a.Run, sim.lastRuns[a.Task])
 	}
 	sim.lastRuns[a.Task] = a.Run
-	result := StartRejected
-	ok := sim.deliver("start", w, func(w *fakeWorker) { result = sim.handleStart(w, a) })
+	answer := StartAnswer{Result: StartRejected}
+	ok := sim.deliver("start", w, func(w *fakeWorker) {
+		answer = StartAnswer{Result: sim.handleStart(w, a), Clock: sim.now.Sub(w.bornAt)}
+	})
 	if !ok {
-		result = StartUnanswered
+		answer = StartAnswer{Result: StartUnanswered}
 	}
-	sim.report(ok, orderTimeout, func() { sim.core.StartAnswered(a, result, "", sim.now) })
+	sim.report(ok, orderTimeout, func() { sim.core.StartAnswered(a, answer, sim.now) })
 }
 
 // ticket returns the ticket that permits to run a step on an incarnation of a worker.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -43,9 +43,9 @@
 	// uncertain is set while a run may be present that the worker has not listed.
 	uncertain bool
 
-	// clock is the worker's clock as of clockRead.
-	clock     time.Duration
-	clockRead time.Time
+	// clock is the worker's clock as of clockRead, in the answer to a poll that was sent at clockAsked.
+	clock                 time.Duration
+	clockRead, clockAsked time.Time
 	// leaseEnd is the time at which all runs there must have ended if the lease is not renewed.
 	leaseEnd time.Time
 	// granted is when a lease was last granted on the clock of the present incarnation.
--- a/workerfake/fleet.go
+++ b/workerfake/fleet.go
@@ -157,25 +157,25 @@
 	f.recorder.Accept(now, id)
 }
 
-func (f *Fleet) start(_ context.Context, a scheduler.Start) (scheduler.StartResult, string) {
+func (f *Fleet) start(_ context.Context, a scheduler.Start) scheduler.StartAnswer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.advance()
 	f.learn(now, a.Task.Job)
-	result, _, err := f.model.Start(now, a.Worker.Machine, a.Worker.ID, &fleetmodel.StartOrder{
+	result, clock, err := f.model.Start(now, a.Worker.Machine, a.Worker.ID, &fleetmodel.StartOrder{
 		Order: workermodel.Order{Task: a.Task, Run: a.Run, Fence: a.Fence, LeaseEnd: a.LeaseEnd, Checkpoint: a.Checkpoint}, Payload: a.Spec,
 	})
 	switch {
 	case errors.Is(err, fleetmodel.ErrOtherWorker):
-		return scheduler.StartOtherIncarnation, err.Error()
+		return scheduler.StartAnswer{Result: scheduler.StartOtherIncarnation, Reason: err.Error()}
 	case err != nil:
-		return scheduler.StartUnanswered, err.Error()
+		return scheduler.StartAnswer{Result: scheduler.StartUnanswered, Reason: err.Error()}
 	case result == workermodel.Started, result == workermodel.Present:
-		return scheduler.StartAccepted, ""
+		return scheduler.StartAnswer{Result: scheduler.StartAccepted, Clock: clock}
 	case result == workermodel.Fenced:
-		return scheduler.StartFenced, string(result)
+		return scheduler.StartAnswer{Result: scheduler.StartFenced, Reason: string(result), Clock: clock}
 	}
-	return scheduler.StartRejected, string(result)
+	return scheduler.StartAnswer{Result: scheduler.StartRejected, Reason: string(result), Clock: clock}
 }
 
 func (f *Fleet) stop(_ context.Context, a scheduler.Stop) bool {
