Keep the record of a worker whose restart is not registered yet

A worker restarts without reaching the store, is listed, gets a task and stops answering. The owner records it with its incarnation and the run. The next owner sees the registration of the earlier incarnation, took the record for that of another incarnation, and wrote in its place that nothing runs there, although it had never reached the worker. The owner after it believed that and started the task again beside the run (TWICE).

Two mistakes: only a record of an earlier incarnation than the registered one says nothing about the present, and a record may be replaced only by an owner that knows what runs on the worker.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -153,8 +153,8 @@
 	return t != nil && t.refused
 }
 
-// currentIncarnation returns the newest incarnation of the worker that is known from its answers or
-// its registration.
+// currentIncarnation returns the newest incarnation of the worker that is known from its answers, its
+// registration or the record of the previous owner.
 func (w *workerState) currentIncarnation() int64 {
-	return max(w.incarnation, w.registration.Incarnation)
+	return max(w.incarnation, w.registration.Incarnation, w.recordedIncarnation)
 }
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -36,6 +36,7 @@
 
 // register has the owner learn of the present registration of a worker.
 func (sim *simulation) register(w *fakeWorker) {
+	w.listedAs = nil
 	sim.core.SetWorker(w.registration, sim.now)
 	for i := range w.earlierCapacities {
 		if c := &w.earlierCapacities[i]; c.until.IsZero() {
@@ -50,7 +51,7 @@
 		sim.register(w)
 		return
 	}
-	sim.answers = append(sim.answers, delayedCall{sim.now.Add(delay), func() {
+	sim.registrations = append(sim.registrations, delayedCall{sim.now.Add(delay), func() {
 		if sim.workers[w.registration.ID] == w {
 			sim.register(w)
 		}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -36,6 +36,9 @@
 	ignoredEnds map[int64]bool
 	// addressReused is set if a different worker answers at the address.
 	addressReused bool
+	// listedAs is the registration of an earlier incarnation, which the store has until this one is
+	// registered; nil from then on.
+	listedAs *worker.Entry
 	// earlierCapacities are those that an owner may still go by.
 	earlierCapacities []earlierCapacity
 	// interference is the share of its latency target by which a background task at full pace raises
@@ -132,6 +135,8 @@
 	// unsent holds calls that a busy owner has not sent yet; answers holds what it has not processed
 	// yet, missing answers included.
 	unsent, answers []delayedCall
+	// registrations holds those that workers have not written yet.
+	registrations []delayedCall
 	// callsPerStep limits the calls and answers that the owner processes in a step; zero means no
 	// limit. backlog holds those that wait; hideBacklog keeps their delay from the scheduler.
 	callsPerStep int
@@ -223,7 +228,11 @@
 	sim.core.SetCatalog(sim.catalog)
 	sim.core.SetEvacuated(sim.evacuated)
 	for _, id := range slices.Sorted(maps.Keys(sim.workers)) {
-		sim.register(sim.workers[id])
+		if w := sim.workers[id]; w.listedAs != nil {
+			sim.core.SetWorker(*w.listedAs, sim.now)
+		} else {
+			sim.register(w)
+		}
 	}
 	sim.core.SetMachines(sim.machineList, sim.now, sim.now)
 	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
@@ -279,6 +288,7 @@
 	})
 	applyDue(&sim.unsent, sim.now)
 	applyDue(&sim.answers, sim.now)
+	applyDue(&sim.registrations, sim.now)
 	sim.processBacklog()
 	polls := sim.polls
 	sim.polls = nil
@@ -399,6 +409,9 @@
 	n := sim.addWorker(id)
 	n.registration, n.earlierCapacities = registration, w.earlierCapacities
 	n.bornAt = sim.now
+	if n.listedAs = w.listedAs; n.listedAs == nil {
+		n.listedAs = &w.registration
+	}
 	sim.registerLater(n, delay)
 }
 
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -19,7 +19,8 @@
 		// Until a recovery is over, a worker that has not answered may hold unknown runs of a
 		// previous owner.
 		complete := s.recovered || w.answered || mutation.recordUnknown
-		outdated := w.recordStored && !w.recordEnding && !w.recordEmpty && w.unansweredPolls > 0 && len(w.runs) == 0
+		known := complete || w.runsAccounted
+		outdated := known && w.recordStored && !w.recordEnding && !w.recordEmpty && w.unansweredPolls > 0 && len(w.runs) == 0
 		switch {
 		case complete && w.unansweredPolls >= unresponsiveAfter && !w.recordStored, outdated:
 			// Without an update of the record, a later owner would consider the runs present
@@ -70,8 +71,8 @@
 	}
 	w.recordStored = true
 	s.restoreLost(w, v)
-	if w.registration.Incarnation != v.Incarnation {
-		// The record is of another incarnation. What runs in this one is not known.
+	if w.registration.Incarnation > v.Incarnation {
+		// The record is of an earlier incarnation. What runs in this one is not known.
 		s.reportRecorded(w, v)
 		return
 	}
--- a/scheduler/unresponsive_test.go
+++ b/scheduler/unresponsive_test.go
@@ -181,3 +181,37 @@
 		})
 	}
 }
+
+// Guards against a second run of a task on a worker whose restart is not registered yet: a new owner
+// took the record of the new incarnation for that of another one and replaced it by a record without
+// runs, which the owner after it believed.
+func TestRecordOfUnregisteredIncarnationIsKept(t *testing.T) {
+	for name, reached := range map[string]bool{"owner that does not reach the worker": false, "owner that reaches it": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(2)
+			sim.run(100 * time.Millisecond)
+			sim.restartUnnoticed("w0", time.Hour)
+			sim.restartUnnoticed("w1", time.Hour)
+			sim.replaceOwner()
+			sim.run(200 * time.Millisecond)
+			sim.submit("a", lasting)
+			sim.run(300 * time.Millisecond)
+			task := job.Task{Job: "a"}
+			holder, number := sim.core.Task(task)
+			sim.workers[holder].unreachable = true
+			sim.run(time.Second)
+			want := []UnconfirmedRun{{task, number}}
+			qt.Assert(t, sim.unresponsive[holder].Runs, qt.DeepEquals, want)
+			sim.replaceOwner()
+			sim.workers[holder].unreachable = !reached
+			sim.run(200 * time.Millisecond)
+			sim.workers[holder].unreachable = true
+			sim.run(time.Second)
+			qt.Assert(t, sim.unresponsive[holder].Runs, qt.DeepEquals, want)
+			sim.replaceOwner()
+			sim.run(400 * time.Millisecond)
+			assertNoViolations(t, sim)
+			qt.Assert(t, sim.starts, qt.Equals, 1)
+		})
+	}
+}
