Store a mark before a cancellation is answered with "no such job"

Cause: the cancellation of a job that is not stored left nothing in the store. The write of the submission depended on the absence of the job only, so that the store could carry it out afterwards.

Ruled out: a stored cancellation that the owner dropped (none was stored), a host that repeated the submission after its answer.

A mark is stored under the key of the cancellation before 410 is sent, and submissions depend on its absence: one that is late is not stored, and one that is in progress or arrives again is refused for good. Owners do not run a job that a host of an older build stores beside such a mark.

--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/cancellation"
 	"egretdrum.example/election"
 	"egretdrum.example/job"
 	"egretdrum.example/kv"
@@ -70,10 +71,12 @@
 	jobRevisions map[string]int64
 	removedJobs  map[string]removedJob
 	jobRemover   *jobRemover
-	ctx          context.Context
-	stop         context.CancelFunc
-	waves        map[int64]waveRecord
-	queries      chan func()
+	// cancelledUnknown holds the stored cancellations of jobs that are not stored, by the IDs of the jobs.
+	cancelledUnknown map[string][]byte
+	ctx              context.Context
+	stop             context.CancelFunc
+	waves            map[int64]waveRecord
+	queries          chan func()
 	// linkTerm is the term that links of other hosts access, nil while there is none.
 	linkTerm atomic.Pointer[linkTerm]
 	// changedWaves holds the numbers of waves whose progress has to be stored; wavesChanged
@@ -154,6 +157,7 @@
 	o.keys = newGuardedKeys(o.Store, term.Number)
 	o.keyWriter = newKeyWriter(o.keys, o.Log)
 	o.jobRevisions, o.removedJobs = make(map[string]int64), make(map[string]removedJob)
+	o.cancelledUnknown = make(map[string][]byte)
 	o.jobRemover = newJobRemover(o.Store, term.Number, o.Log)
 	// Items that arrive during the load wait for the loop. There is no channel for queries
 	// yet, so hosts read the store instead.
@@ -366,7 +370,12 @@
 			// It is for a removed job with the same ID.
 			return
 		}
-		o.core.Cancel(id, now)
+		switch j, _ := o.core.VisibleState(id); {
+		case j == nil:
+			o.cancelledUnknown[id] = item.Value
+		case cancellation.Covers(item.Value, j.Queue, j.Account):
+			o.core.Cancel(id, now)
+		}
 		return
 	}
 	if o.setAside[id] || item.Revision <= o.removedJobs[id].revision {
@@ -387,6 +396,11 @@
 		o.Log.Info("job-scheduled", zap.String("request", id), zap.String("queue", j.Queue), zap.String("account", j.Account), zap.Int("steps", len(j.Steps)), zap.Bool("inherited", inherited), zap.Int64("revision", item.Revision))
 	}
 	o.applyingJob = ""
+	if v, cancelled := o.cancelledUnknown[id]; cancelled && cancellation.Covers(v, j.Queue, j.Account) {
+		// A host of a build that does not know such cancellations has stored the job after it.
+		o.Log.Info("job-cancelled-before", zap.String("request", id))
+		o.core.Cancel(id, now)
+	}
 }
 
 func (o *Owner) setWorker(item kv.Item, now time.Time) {
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"egretdrum.example/kv"
+	"egretdrum.example/storekeys"
 	"egretdrum.example/wait"
 )
 
@@ -102,14 +103,18 @@
 }
 
 func (o *Owner) submissionEvent(e kv.Event) {
-	if e.Deleted {
-		return
-	}
-	o.post(func(now time.Time) { o.applySubmission(e.Item, nil, now) })
+	o.post(func(now time.Time) {
+		if !e.Deleted {
+			o.applySubmission(e.Item, nil, now)
+		} else if id, cancel := storekeys.ParseSubmission(e.Key); cancel {
+			delete(o.cancelledUnknown, id)
+		}
+	})
 }
 
 func (o *Owner) reloadSubmissions(items []kv.Item) {
 	o.post(func(now time.Time) {
+		clear(o.cancelledUnknown)
 		for _, item := range items {
 			o.applySubmission(item, nil, now)
 		}
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/cancellation"
 	"egretdrum.example/catalog"
 	"egretdrum.example/job"
 	"egretdrum.example/kv"
@@ -69,6 +71,9 @@
 	counts countCache
 	// commitLatency estimates how long the store needs for a commit.
 	commitLatency latency.Estimate
+
+	marksOnce sync.Once
+	marks     *cancellation.Marks
 }
 
 // Call is one call for jobs.
@@ -154,7 +159,7 @@
 
 // Submit stores a job. The change is conditional on the revision of the configuration that
 // allows the job, so the store rejects it if the key or the queue has been withdrawn, even if
-// this host has not learned of that yet.
+// this host has not learned of that yet. It is also conditional on the absence of a cancellation.
 func (s *Service) Submit(ctx context.Context, call *Call, j *job.Job) Answer {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout(call))
 	defer cancel()
@@ -178,6 +183,8 @@
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	mayBeStored := false
+	// othersMark is the revision of a mark that another account has stored for the same ID.
+	othersMark := int64(0)
 	for failures := 0; ; failures++ {
 		t, answer := s.Resolve(call)
 		if t == nil {
@@ -189,10 +196,16 @@
 			return Answer{Outcome: Invalid, Reason: err.Error()}
 		}
 		put := kv.Put{Key: storekeys.Job(j.ID), Value: value}
-		revision, err := s.commit(ctx, kv.Change{
-			Conditions: []kv.Condition{{Key: s.Subscription.ConfigKey, Revision: t.revision}, {Key: storekeys.Job(j.ID)}},
-			Puts:       []kv.Put{put},
-		}, failures)
+		change := kv.Change{
+			Conditions: []kv.Condition{
+				{Key: s.Subscription.ConfigKey, Revision: t.revision}, {Key: storekeys.Job(j.ID)}, {Key: storekeys.Cancel(j.ID), Revision: othersMark},
+			},
+			Puts: []kv.Put{put},
+		}
+		if othersMark > 0 {
+			change.Deletes = []string{storekeys.Cancel(j.ID)}
+		}
+		revision, err := s.commit(ctx, change, failures)
 		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
@@ -202,6 +215,12 @@
 			if existing := conflict.Find(storekeys.Job(j.ID)); existing.Revision > 0 {
 				return s.answerDuplicate(existing, t)
 			}
+			mark := conflict.Find(storekeys.Cancel(j.ID))
+			if mark.Revision > 0 && cancellation.Covers(mark.Value, j.Queue, j.Account) {
+				// No earlier attempt can take effect any more.
+				return Answer{Outcome: Refused, Reason: "the job was cancelled before it was stored"}
+			}
+			othersMark = mark.Revision
 			s.Subscription.Apply(conflict.Find(s.Subscription.ConfigKey))
 		case kv.NotApplied(err):
 			if !mayBeStored {
@@ -318,13 +337,13 @@
 	if !errors.Is(err, kv.ErrNotFound) {
 		return Answer{}, err
 	}
-	submitted, cancelled, err := s.readSubmission(ctx, t)
+	submitted, err := s.readSubmission(ctx, t)
 	switch {
 	case err != nil:
 		return Answer{}, err
-	case submitted.Revision == 0:
+	case submitted.item.Revision == 0:
 		return Answer{Outcome: NoJob}, nil
-	case cancelled:
+	case submitted.cancelled:
 		return Answer{Outcome: Shown, State: progress.Cancelled}, nil
 	}
 	return Answer{Outcome: Shown, State: progress.Pending}, nil
@@ -346,34 +365,51 @@
 	return Answer{Outcome: Shown, State: state}, nil
 }
 
-// readSubmission reads a job and whether it is cancelled. It returns the zero item if the
-// queue has no such job of this account.
-func (s *Service) readSubmission(ctx context.Context, t *Target) (item kv.Item, cancelled bool, err error) {
+// submission is a stored job, the zero item if the queue has no such job of the account.
+type submission struct {
+	item      kv.Item
+	cancelled bool
+	// others is set if another queue or account has a job of this ID.
+	others bool
+}
+
+// readSubmission reads a job and whether it is cancelled.
+func (s *Service) readSubmission(ctx context.Context, t *Target) (submission, error) {
 	items, _, err := s.Store.Range(ctx, storekeys.Job(t.ID))
 	if err != nil {
-		return kv.Item{}, false, err
+		return submission{}, err
 	}
+	var sub submission
 	for _, i := range items {
 		switch i.Key {
 		case storekeys.Cancel(t.ID):
-			cancelled = true
+			sub.cancelled = cancellation.Covers(i.Value, t.Queue.Name, t.Account)
 		case storekeys.Job(t.ID):
 			j, err := job.Decode(i.Value)
 			if err != nil {
-				return kv.Item{}, false, err
+				return submission{}, err
 			}
 			if j.Queue == t.Queue.Name && j.Account == t.Account {
-				item = i
+				sub.item = i
+			} else {
+				sub.others = true
 			}
 		}
 	}
-	return item, cancelled, nil
+	return sub, nil
 }
 
-// Cancel stores the cancellation of a job.
+// Cancel stores the cancellation of a job. If there is no such job, it stores a mark that keeps a
+// submission from taking effect later.
 func (s *Service) Cancel(ctx context.Context, call *Call, t *Target) Answer {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout(call))
 	defer cancel()
+	a := s.cancel(ctx, t)
+	s.Meter.Count("cancellations", "outcome", string(a.Outcome))
+	return a
+}
+
+func (s *Service) cancel(ctx context.Context, t *Target) Answer {
 	for failures := 0; ; failures++ {
 		a, err := s.tryCancel(ctx, t, failures)
 		if err == nil {
@@ -388,18 +424,20 @@
 func (s *Service) tryCancel(ctx context.Context, t *Target, failures int) (Answer, error) {
 	readCtx, cancelRead := context.WithTimeout(ctx, commitTimeout)
 	defer cancelRead()
-	item, cancelled, err := s.readSubmission(readCtx, t)
+	submitted, err := s.readSubmission(readCtx, t)
 	switch {
 	case err != nil:
 		return Answer{}, err
-	case item.Revision == 0:
+	case submitted.others:
 		return Answer{Outcome: NoJob}, nil
-	case cancelled:
+	case submitted.item.Revision == 0:
+		return s.markCancelled(ctx, t)
+	case submitted.cancelled:
 		return Answer{Outcome: Accepted, Reason: "known"}, nil
 	}
 	put := kv.Put{Key: storekeys.Cancel(t.ID), Value: []byte{}}
 	revision, err := s.commit(ctx, kv.Change{
-		Conditions: []kv.Condition{{Key: storekeys.Job(t.ID), Revision: item.Revision}},
+		Conditions: []kv.Condition{{Key: storekeys.Job(t.ID), Revision: submitted.item.Revision}},
 		Puts:       []kv.Put{put},
 	}, failures)
 	if err != nil {
@@ -408,3 +446,12 @@
 	s.notifyOwner(put, revision)
 	return Answer{Outcome: Accepted}, nil
 }
+
+// markCancelled stores the mark of a job that is not stored: its submission may be on its way.
+func (s *Service) markCancelled(ctx context.Context, t *Target) (Answer, error) {
+	s.marksOnce.Do(func() { s.marks = cancellation.New(s.Store, s.commit, s.Subscription.Now) })
+	if err := s.marks.Set(ctx, t.ID, t.Queue.Name, t.Account); err != nil {
+		return Answer{}, err
+	}
+	return Answer{Outcome: NoJob}, nil
+}
