Use no worker whose registration has values that no worker can have

Report: one odd entry among those of the workers (deeply nested, a number too large, a port out of range) ended the hosts of other systems again and again, or they stopped following the list.

But values of the right type that no worker can have (capacities of 63 bits or below zero, times beyond a duration, port 0, addresses nobody can be called at), and keys that name no worker, were taken for a worker and polled; an entry that replaced a valid one left the old registration in use for good; and a panic on a registration ended the term of each owner in turn.

Such entries name no worker now, a worker whose entry is replaced counts as not registered until it registers again, and a host passes over a registration on which its last term failed.

--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -58,7 +58,11 @@
 	// on which that failed.
 	applyingJob string
 	setAside    map[string]bool
-	startSlots  map[string]chan struct{}
+	// applyingWorker is the registration that is being applied; workersSetAside holds the revisions of
+	// those on which that failed. oddEntries holds the revisions of those that could not be decoded.
+	applyingWorker              kv.Item
+	workersSetAside, oddEntries map[string]int64
+	startSlots                  map[string]chan struct{}
 	// quickPollSlots is a semaphore for the polls in flight that do not wait for an end.
 	quickPollSlots chan struct{}
 	saver          *saver
@@ -135,6 +139,10 @@
 		o.setAside[o.applyingJob] = true
 		o.Log.Error("job-set-aside", zap.String("request", o.applyingJob))
 	}
+	if e := o.applyingWorker; e.Key != "" {
+		o.workersSetAside[e.Key] = e.Revision
+		o.Log.Error("registration-set-aside", zap.String("key", e.Key), zap.Int64("revision", e.Revision))
+	}
 }
 
 func (o *Owner) schedule(ctx context.Context, term *election.Term) {
@@ -142,8 +150,9 @@
 	defer o.stop()
 	o.applyingJob = ""
 	if o.setAside == nil {
-		o.setAside = make(map[string]bool)
+		o.setAside, o.workersSetAside = make(map[string]bool), make(map[string]int64)
 	}
+	o.applyingWorker, o.oddEntries = kv.Item{}, make(map[string]int64)
 	o.term, o.termWait = term, &termWait{}
 	o.events, o.queries = make(chan event, eventBuffer), make(chan func(), eventBuffer)
 	o.eventDelay = eventDelay{}
@@ -403,15 +412,6 @@
 	}
 }
 
-func (o *Owner) setWorker(item kv.Item, now time.Time) {
-	e, err := o.Calls.DecodeWorker(item)
-	if err != nil {
-		o.Log.Info("worker-not-decoded", zap.String("key", item.Key), zap.Error(err))
-		return
-	}
-	o.core.SetWorker(e, now)
-}
-
 func (o *Owner) recordSaved(id string, version int, ok bool) {
 	o.post(func(now time.Time) { o.core.Saved(id, version, ok, now) })
 }
--- a/dispatch/registrations.go
+++ b/dispatch/registrations.go
@@ -1,11 +1,46 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
+
+	"egretdrum.example/kv"
 )
 
+// setWorker applies a registration. One that can't be decoded names no worker: the worker of that key
+// counts as not registered until it writes a valid one.
+func (o *Owner) setWorker(item kv.Item, now time.Time) {
+	if o.workersSetAside[item.Key] == item.Revision {
+		o.removeWorker(item.Key, now)
+		return
+	}
+	// It stays set if the decoder or the scheduler panics on the registration.
+	o.applyingWorker = item
+	e, err := o.Calls.DecodeWorker(item)
+	if err == nil {
+		delete(o.oddEntries, item.Key)
+		o.core.SetWorker(e, now)
+	}
+	o.applyingWorker = kv.Item{}
+	if err == nil {
+		return
+	}
+	// Each read of all registrations has it again.
+	if o.oddEntries[item.Key] != item.Revision {
+		o.oddEntries[item.Key] = item.Revision
+		o.Log.Info("worker-not-decoded", zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+	}
+	o.core.RemoveWorker(strings.TrimPrefix(item.Key, o.Calls.WorkerPrefix), now)
+}
+
+// removeWorker applies the removal of a registration.
+func (o *Owner) removeWorker(key string, now time.Time) {
+	delete(o.oddEntries, key)
+	o.core.RemoveWorker(strings.TrimPrefix(key, o.Calls.WorkerPrefix), now)
+}
+
 const (
 	// maxRegistrationsAge is the age of the registrations from which on no task is started on
 	// workers that do not enforce their capacity, as it may have shrunk since. A worker reports a
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,7 +76,7 @@
 func (o *Owner) workerEvent(e kv.Event) {
 	o.post(func(now time.Time) {
 		if e.Deleted {
-			o.core.RemoveWorker(strings.TrimPrefix(e.Key, o.Calls.WorkerPrefix), now)
+			o.removeWorker(e.Key, now)
 			return
 		}
 		o.setWorker(e.Item, now)
@@ -91,12 +90,12 @@
 	o.post(func(now time.Time) {
 		listed := make(map[string]bool, len(items))
 		for _, item := range items {
-			listed[strings.TrimPrefix(item.Key, o.Calls.WorkerPrefix)] = true
+			listed[item.Key] = true
 			o.setWorker(item, now)
 		}
 		for _, id := range o.core.Workers() {
-			if !listed[id] {
-				o.core.RemoveWorker(id, now)
+			if key := o.Calls.WorkerPrefix + id; !listed[key] {
+				o.removeWorker(key, now)
 			}
 		}
 	})
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -26,6 +26,7 @@
 		"POST /workers/{id}/capacity": e.resizeWorker, "POST /configuration": e.changeConfiguration,
 		"POST /keys/withdraw": e.withdrawKey, "POST /keys/add": e.addKey, "POST /waves": e.startWave, "GET /waves/{number}": e.getWave,
 		"POST /evacuations": e.evacuate, "DELETE /evacuations/{zone}": e.restore, "POST /store/compact": e.compactStore,
+		"POST /registrations": e.writeForeignEntry, "DELETE /registrations/{name}": e.deleteForeignEntry,
 	} {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { e.serveControl(w, r, handler) })
 	}
@@ -312,6 +313,24 @@
 	return struct{}{}, nil
 }
 
+// writeForeignEntry writes an entry among the registrations of workers as another writer would.
+func (e *Emulator) writeForeignEntry(r *http.Request) (any, error) {
+	var body struct {
+		Name  string `json:"name"`
+		Value string `json:"value"`
+	}
+	if err := readCommand(r, &body); err != nil {
+		return nil, err
+	}
+	e.store.Put(platform.WorkerPrefix+body.Name, []byte(body.Value))
+	return struct{}{}, nil
+}
+
+func (e *Emulator) deleteForeignEntry(r *http.Request) (any, error) {
+	e.store.Delete(platform.WorkerPrefix + r.PathValue("name"))
+	return struct{}{}, nil
+}
+
 // amount is the JSON form of an amount of resources.
 type amount struct {
 	Cores        float64 `json:"cores"`
--- a/emulator/control_test.go
+++ b/emulator/control_test.go
@@ -107,6 +107,18 @@
 	return workers
 }
 
+// Guards against an entry of another writer that cannot be played.
+func TestForeignEntry(t *testing.T) {
+	p := newPlatform(t)
+	p.command(http.MethodPost, "/registrations", `{"name":"foreign","value":"[[["}`, "{}")
+	item, err := p.Get(t.Context(), platform.WorkerPrefix+"foreign")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(item.Value), qt.Equals, "[[[")
+	p.command(http.MethodDelete, "/registrations/foreign", "", "{}")
+	_, err = p.Get(t.Context(), platform.WorkerPrefix+"foreign")
+	qt.Assert(t, errors.Is(err, kv.ErrNotFound), qt.IsTrue)
+}
+
 // addresses returns the addresses of the registered workers by their machines.
 func (p *platformSetup) addresses() map[string]netip.AddrPort {
 	items, _, err := p.Range(p.t.Context(), platform.WorkerPrefix)
--- a/soak/operate_test.go
+++ b/soak/operate_test.go
@@ -74,10 +74,35 @@
 		return i.startWave(f)
 	case "evacuation":
 		return i.evacuate(f)
+	case "foreign-entry":
+		return i.writeForeignEntry(f)
 	}
 	return fmt.Errorf("unknown fault")
 }
 
+// foreignEntries are values that another writer leaves among the registrations of workers.
+var foreignEntries = []string{
+	"", "null", strings.Repeat("[", 200_000), strings.Repeat(`{"capacity":`, 50_000),
+	`{"service":"rounds","address":"127.0.0.1:99999","state":"ready","capacity":{"cpu":4000,"memMb":8000},"labels":["a","r1-1"],"born":1}`,
+	`{"service":"rounds","address":"127.0.0.1:0","state":"ready","capacity":{"cpu":4000,"memMb":8000},"labels":["a","r1-1"],"born":1}`,
+	`{"service":"rounds","address":"127.0.0.1:9","state":"ready","capacity":{"cpu":9223372036854775807,"memMb":1e400},"labels":["a","r1-1"],"born":1}`,
+	`{"service":"rounds","address":"127.0.0.1:9","state":"ready","capacity":{"cpu":9223372036854775807,"memMb":9223372036854775807},"labels":["a","r1-1"],"born":1}`,
+	`{"service":"rounds","address":"127.0.0.1:9","state":"draining","remainingMs":9223372036854775807,"capacity":{"cpu":-1,"memMb":1},"labels":[],"born":-1}`,
+}
+
+// writeForeignEntry leaves an entry of another writer among the registrations of workers.
+func (i *inflictor) writeForeignEntry(f *fault) error {
+	entry := struct {
+		Name  string `json:"name"`
+		Value string `json:"value"`
+	}{fmt.Sprintf("foreign-%d", f.pick%1000), foreignEntries[f.pick%uint64(len(foreignEntries))]}
+	if err := i.c.control.call(http.MethodPost, "/registrations", entry, nil); err != nil {
+		return err
+	}
+	sleep(context.Background(), f.length)
+	return i.c.control.call(http.MethodDelete, "/registrations/"+entry.Name, nil, nil)
+}
+
 // configure adds a queue and removes it later.
 func (i *inflictor) configure(f *fault) error {
 	i.mu.Lock()
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -108,6 +108,10 @@
 			faults = append(faults, &again)
 		}
 	}
+	// These come last, so that a seed gives the other faults as before there were any.
+	for at := trouble / 8; at < trouble; at += trouble / 4 {
+		faults = append(faults, &fault{at: at, kind: "foreign-entry", host: allTargets, pick: rng.Uint64(), length: time.Duration(200+rng.IntN(3800)) * time.Millisecond})
+	}
 	slices.SortStableFunc(faults, func(a, b *fault) int { return int(a.at - b.at) })
 	return faults
 }
