Compare a worker's clock without assuming that a new one begins at zero

A start has the usual lease exactly if the clock in its answer is not behind the expected one, whichever incarnation has answered: only a clock that is behind makes the lease longer. The age of an incarnation at a new owner comes from the time at which it began by its own time of day, not from its clock.

TestStartOnEarlierClockIsNotRunTwice plays clocks that are behind by 1, 20 and 100 s, TestStartOnEarlierClockThatIsBehind clocks that are ahead.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -45,14 +45,14 @@
 	s.reportUnlisted(w, answer)
 	switch {
 	case w.incarnation == 0:
-		s.coverPreviousOwner(w, answer.Clock)
+		s.coverPreviousOwner(w, answer)
 	case answer.Incarnation != w.incarnation:
 		s.newIncarnation(w, answer.Incarnation)
 		w.uncertain = true
 	}
 	w.incarnation = answer.Incarnation
 	s.coverEarlierClock(w)
-	w.clock, w.clockRead, w.clockAsked = answer.Clock, now, w.pollSent
+	w.clock, w.clockRead = answer.Clock, now
 	w.acknowledgedEnd = max(w.acknowledgedEnd, min(poll.AckedEnd, w.durableEnd))
 	w.recordAlive(w.pollSent)
 	s.applyListing(w, answer)
@@ -137,7 +137,7 @@
 		if r.confirmed.IsZero() {
 			r.confirmed = s.now
 		}
-		r.inKnownIncarnation = true
+		r.usualLease = true
 		s.measure(r, listed)
 		r.percent, r.load = listed.Percent, listed.Load
 		if listed.Checkpoint != "" {
@@ -228,7 +228,7 @@
 	r := &run{
 		step: st, index: index, number: listed.Run, worker: w, state: present, sent: s.now, confirmed: s.now,
 		percent: listed.Percent, load: listed.Load, checkpoint: listed.Checkpoint, need: st.spec.Reserved(),
-		inKnownIncarnation: true,
+		usualLease: true,
 	}
 	r.claim.setFence(w.fence)
 	s.reserve(r)
--- a/scheduler/incarnations_test.go
+++ b/scheduler/incarnations_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,15 +14,18 @@
 // fiveSeconds is a task that runs for longer than the usual lease and shorter than the longest one.
 var fiveSeconds = job.Step{Count: 1, Need: small}
 
-// newRestartedWorker returns a simulation in which w0 has restarted unnoticed while it was idle. Only
-// w0 can be reached, so that it gets the next task.
-func newRestartedWorker() *simulation {
+// newRestartedWorker returns a simulation in which w0 has restarted unnoticed while it was idle, with a
+// clock that is behind that of its earlier incarnation. Only w0 can be reached, so that it gets the next
+// task.
+func newRestartedWorker(behind time.Duration) *simulation {
 	sim := newSimulation(2)
 	sim.taskDuration = 5 * time.Second
 	sim.run(100 * time.Millisecond)
 	sim.workers["w1"].unreachable = true
 	sim.run(500 * time.Millisecond)
+	before := sim.workers["w0"].bornAt
 	sim.restartUnnoticed("w0", time.Hour)
+	sim.workers["w0"].bornAt = before.Add(behind)
 	return sim
 }
 
@@ -88,27 +92,46 @@
 		},
 	} {
 		for kind, step := range map[string]job.Step{"task": fiveSeconds, "gang": {Count: 2, Need: small, Gang: true}, "long-running": lasting} {
-			t.Run(name+"/"+kind, func(t *testing.T) {
-				sim := newRestartedWorker()
-				sim.submit("a", step)
-				play(sim)
-				qt.Assert(t, sim.starts > 0, qt.IsTrue)
-				cutOff(sim)
-				sim.run(16 * time.Second)
-				assertNoViolations(t, sim)
-				if kind == "long-running" {
-					assertRunning(t, sim, "a", 1)
-					return
-				}
-				sim.workers["w0"].unreachable = false
-				sim.run(6 * time.Second)
-				assertNoViolations(t, sim)
-				assertState(t, sim, "a", progress.Succeeded)
-			})
+			// Behind by a second, by more than the longest lease, and begun at zero.
+			for _, behind := range []time.Duration{time.Second, 20 * time.Second, 100 * time.Second} {
+				t.Run(fmt.Sprint(name, "/", kind, "/", behind), func(t *testing.T) {
+					sim := newRestartedWorker(behind)
+					sim.submit("a", step)
+					play(sim)
+					qt.Assert(t, sim.starts > 0, qt.IsTrue)
+					cutOff(sim)
+					sim.run(16 * time.Second)
+					assertNoViolations(t, sim)
+					if kind == "long-running" {
+						assertRunning(t, sim, "a", 1)
+						return
+					}
+					sim.workers["w0"].unreachable = false
+					sim.run(6 * time.Second)
+					assertNoViolations(t, sim)
+					assertState(t, sim, "a", progress.Succeeded)
+				})
+			}
 		}
 	}
 }
 
+// Guards against a start that is taken for one on a sound worker, or that is lost, because the clock of a
+// new incarnation is ahead of the earlier one: the worker rejects it as late or grants less.
+func TestStartOnEarlierClockThatIsBehind(t *testing.T) {
+	for _, ahead := range []time.Duration{time.Second, time.Minute} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			sim := newRestartedWorker(-ahead)
+			sim.submit("a", lasting)
+			sim.run(simulationStep)
+			cutOff(sim)
+			sim.run(DefaultLimits().Lease + time.Second)
+			assertNoViolations(t, sim)
+			assertRunning(t, sim, "a", 1)
+		})
+	}
+}
+
 // Guards against tasks that wait for the longest lease although their worker has confirmed by its
 // clock, or by its listing, that they run in the incarnation that the owner knows.
 func TestConfirmedRunsWaitForTheUsualLease(t *testing.T) {
--- a/scheduler/lost.go
+++ b/scheduler/lost.go
@@ -147,7 +147,7 @@
 // outlived its start, and how long its lease may last.
 func (w *workerState) applyRecord(u UnconfirmedRun, v UnresponsiveWorker) {
 	if r := w.runs[u.Task]; r != nil && r.number == u.Run {
-		r.inKnownIncarnation = slices.Contains(v.UsualLease, u.Task)
+		r.usualLease = slices.Contains(v.UsualLease, u.Task)
 		r.survived, r.begun = slices.Contains(v.Survived, u.Task), slices.Contains(v.Begun, u.Task)
 	}
 }
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -29,8 +29,9 @@
 	ended      []worker.End
 	lastEnd    int64
 	lease      time.Time
-	// bornAt is the zero of the worker's clock, which begins anew with each incarnation.
-	bornAt time.Time
+	// startedAt is the start of this incarnation, bornAt the zero of its clock, which begins anew with
+	// each incarnation.
+	startedAt, bornAt time.Time
 	// ignoredEnds holds the numbers of the ends up to the expiry of the lease; their acknowledgement
 	// is not recorded.
 	ignoredEnds map[int64]bool
@@ -213,8 +214,8 @@
 			ID: id, Pool: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: 1,
 			Capacity: resource.Amount{CPU: 4000, Memory: 8000}, Labels: worker.Labels{"a", "r1-1"}, Rack: "r1-1",
 		},
-		bornAt: sim.now.Add(-100 * time.Second),
-		runs:   make(map[job.Task]*fakeRun), highestRun: make(map[job.Task]int64), ignoredEnds: make(map[int64]bool),
+		startedAt: sim.now.Add(-100 * time.Second), bornAt: sim.now.Add(-100 * time.Second),
+		runs: make(map[job.Task]*fakeRun), highestRun: make(map[job.Task]int64), ignoredEnds: make(map[int64]bool),
 	}
 	sim.workers[id] = w
 	return w
@@ -408,7 +409,7 @@
 	registration.Incarnation++
 	n := sim.addWorker(id)
 	n.registration, n.earlierCapacities = registration, w.earlierCapacities
-	n.bornAt = sim.now
+	n.startedAt, n.bornAt = sim.now, sim.now
 	if n.listedAs = w.listedAs; n.listedAs == nil {
 		n.listedAs = &w.registration
 	}
@@ -777,7 +778,7 @@
 }
 
 func (w *fakeWorker) listing(now time.Time) *worker.Listing {
-	l := &worker.Listing{Incarnation: w.registration.Incarnation, Clock: now.Sub(w.bornAt), Ended: slices.Clone(w.ended)}
+	l := &worker.Listing{Incarnation: w.registration.Incarnation, Started: w.startedAt, Clock: now.Sub(w.bornAt), Ended: slices.Clone(w.ended)}
 	for _, name := range slices.SortedFunc(maps.Keys(w.runs), job.Compare) {
 		r := w.runs[name]
 		l.Running = append(l.Running, worker.Run{Task: name, Run: r.number, Percent: r.percent(now), Load: w.load(r)})
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -44,7 +44,7 @@
 		if w.started(r) {
 			v.Begun = append(v.Begun, name)
 		}
-		if s.usualLease(r) {
+		if s.endsWithUsualLease(r) {
 			v.UsualLease = append(v.UsualLease, name)
 		}
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -45,9 +45,9 @@
 	// uncertain is set while a run may be present that the worker has not listed.
 	uncertain bool
 
-	// clock is the worker's clock as of clockRead, in the answer to a poll that was sent at clockAsked.
-	clock                 time.Duration
-	clockRead, clockAsked time.Time
+	// clock is the worker's clock as of clockRead.
+	clock     time.Duration
+	clockRead time.Time
 	// leaseEnd is the time at which all runs of the known incarnation must have ended if the lease is
 	// not renewed. unseenLeaseEnd is that of runs in a newer incarnation that has not been listed yet.
 	leaseEnd, unseenLeaseEnd time.Time
@@ -120,9 +120,9 @@
 	confirmed time.Time
 	// awaitsAnswer is set until the start is answered or its timeout has passed.
 	awaitsAnswer bool
-	// inKnownIncarnation is set once the run is known to be in the incarnation of its worker that was
-	// listed last, or in none.
-	inKnownIncarnation bool
+	// usualLease is set once the run is known to be bound by leaseEnd of its worker: it was listed, or
+	// the clock in the answer to its start was not behind the one that was expected.
+	usualLease bool
 	// stopped is when the first stop was answered, stopSent when the last one was planned.
 	stopped, stopSent time.Time
 	percent           int
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -42,6 +42,8 @@
 // Listing is the list of runs and ends that a worker reports.
 type Listing struct {
 	Incarnation int64
+	// Started is when this incarnation began, by the worker's time of day; zero if it does not say.
+	Started time.Time
 	// Clock is the reading of the worker's monotonic clock.
 	Clock   time.Duration
 	Running []Run
