Let a recovery not wait for workers that left while the owner changed

In the logs: worker-not-recovered, "not registered", 10.3 s after the owner had loaded its state.

A recovery does not wait for a worker whose machine is down, absent or carries another worker, nor for one that has left if its machine is not listed any more, by a list that was requested after the worker was seen. The pool of a worker that has left is remembered, so that only its own is held back.

One case of TestRecoveryDoesNotWaitForGoneWorkers (the machine is not listed) failed before; the others held.

--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -56,7 +56,9 @@
 		}
 		m.Machine, m.unlisted = info, false
 		if !s.machinesKnown && info.State == worker.Up && info.Worker != "" && !s.recovered {
-			s.recoveryWorkers[info.Worker] = true
+			if _, known := s.recoveryWorkers[info.Worker]; !known {
+				s.recoveryWorkers[info.Worker] = recoveryWorker{info.ID, info.Pool, now}
+			}
 		}
 		if m.away && info.State == worker.Up && (info.Worker != "" || s.onStandby(info.Pool)) {
 			m.endAbsence(s.workers[info.Worker], asked)
@@ -78,6 +80,7 @@
 		}
 	}
 	s.findCrashed(asked)
+	s.dropGoneRecoveryWorkers(asked)
 }
 
 // endAbsence ends the absence of a machine that is up with a worker. w is the state of that
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -328,7 +328,7 @@
 		}
 	}
 	for _, m := range s.machines {
-		if s.recoveryWorkers[m.Worker] && s.workers[m.Worker] == nil {
+		if _, awaited := s.recoveryWorkers[m.Worker]; awaited && s.workers[m.Worker] == nil {
 			sum = sum.Add(m.Capacity)
 		}
 	}
--- a/scheduler/pooluse.go
+++ b/scheduler/pooluse.go
@@ -97,28 +97,14 @@
 		return
 	}
 	pools := make(map[string]bool)
-	for id := range s.recoveryWorkers {
+	for id, r := range s.recoveryWorkers {
 		w := s.workers[id]
 		switch {
 		case w == nil:
-			pool, found := s.poolOfWorker(id)
-			if !found {
-				return
-			}
-			pools[pool] = true
+			pools[r.pool] = true
 		case !w.answered && !w.runsAccounted:
 			pools[w.registration.Pool] = true
 		}
 	}
 	s.unreachedPools = pools
 }
-
-// poolOfWorker returns the pool of a worker that is not registered, which is that of its machine.
-func (s *Scheduler) poolOfWorker(id string) (string, bool) {
-	for _, m := range s.sortedMachines {
-		if m.Worker == id {
-			return m.Pool, true
-		}
-	}
-	return "", false
-}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,7 +85,8 @@
 	// tasks of jobs that a previous owner may have seen are not started.
 	recovered        bool
 	recoveryDeadline time.Time
-	recoveryWorkers  map[string]bool
+	// recoveryWorkers are the workers that may hold runs of a previous owner, by ID.
+	recoveryWorkers map[string]recoveryWorker
 	// machinesAsked is when the present list of machines was requested.
 	machinesAsked time.Time
 	machinesKnown bool
@@ -167,7 +168,7 @@
 		runTimes:        make(map[string]*runTimeStats),
 		shareBuckets:    make(map[string]*shareBucket),
 		relocationNeeds: make(map[relocationNeed]bool),
-		recoveryWorkers: make(map[string]bool),
+		recoveryWorkers: make(map[string]recoveryWorker),
 		changedPools:    make(map[string]bool),
 		changedWorkers:  make(map[*workerState]bool),
 		nextPass:        make(map[string]time.Time),
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -174,7 +174,7 @@
 		s.sortedWorkers = slices.Insert(s.sortedWorkers, at, w)
 		s.byPool = nil
 		if !s.recovered {
-			s.recoveryWorkers[e.ID] = true
+			s.recoveryWorkers[e.ID] = recoveryWorker{e.Machine, e.Pool, now}
 			w.leaseEnd, w.unseenLeaseEnd = s.started.Add(s.leaseBound(s.limits.Lease)), s.recoveryDeadline
 		}
 	}
