Try a step on the workers that are reserved for it

Cause: a pass skips steps that need at least as much as one that did not fit. The older job was tried without the two workers that are reserved for the younger one, and the younger one was skipped by that.

--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -118,9 +118,10 @@
 	*m = append(*m, st.spec.Reserved())
 }
 
-// covers reports whether a step needs at least as much as one that did not fit.
+// covers reports whether a step needs at least as much as one that did not fit. Workers that are reserved
+// for the step have capacity that the other one could not use.
 func (m *unplaceable) covers(st *stepState) bool {
-	if st.spec.Gang {
+	if st.spec.Gang || len(st.reservations) > 0 {
 		return false
 	}
 	for _, need := range *m {
--- a/scheduler/reservation_test.go
+++ b/scheduler/reservation_test.go
@@ -100,3 +100,31 @@
 	sim.advance(20 * time.Second)
 	assertState(t, sim.simulation, "small1", "succeeded")
 }
+
+// Pattern: two idle workers are reserved for a long-running job, and an older one that has lost its
+// worker needs almost as much. Guards against a step that is passed over because another one did not fit
+// beside its reservations: the two blocked each other beside the idle workers.
+func TestOlderStepDoesNotBlockReservedOne(t *testing.T) {
+	sim := newSimulation(9)
+	sim.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	sim.run(100 * time.Millisecond)
+	lastingOf := func(id string, count, cpu int) {
+		sim.submit(id, job.Step{Count: count, Need: resource.Amount{CPU: cpu, Memory: 100}, LongRunning: true})
+	}
+	sim.submit("six", job.Step{Count: 6, Need: resource.Amount{CPU: 1975, Memory: 100}, LongRunning: true, MaxPerWorker: 1})
+	sim.run(100 * time.Millisecond)
+	lastingOf("older", 1, 2250)
+	sim.run(100 * time.Millisecond)
+	sim.taskDuration = 10 * time.Second
+	sim.submit("short", job.Step{Count: 2, Need: resource.Amount{CPU: 4000, Memory: 100}})
+	sim.run(100 * time.Millisecond)
+	lastingOf("younger", 2, 2500)
+	sim.run(time.Second)
+	holder, _ := sim.core.Task(job.Task{Job: "older"})
+	sim.workers[holder].down = true
+	sim.core.RemoveWorker(holder, sim.now)
+	sim.run(13 * time.Second)
+	assertState(t, sim, "short", "succeeded")
+	assertRunning(t, sim, "younger", 2)
+	assertNoViolations(t, sim)
+}
