Reserve no worker for a step that may not start

A reservation now ends while its step waits for something else than capacity, and is made again when that is over. Both cases of TestStepThatMayNotStartReservesNothing failed before.

--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -132,13 +132,20 @@
 func (s *Scheduler) dropReservations(pool string) {
 	for _, w := range s.workersOf(pool) {
 		for _, r := range slices.Clone(w.reservations) {
-			if len(r.step.reservations) > r.step.tasksToPlace() || !s.usable(w) || s.cordoned(w) || s.dueForMaintenance(w) || !w.canHold(r.step) {
+			if len(r.step.reservations) > r.step.tasksToPlace() || s.mayNotStart(r.step) || !s.usable(w) || s.cordoned(w) || s.dueForMaintenance(w) || !w.canHold(r.step) {
 				s.endReservation(r)
 			}
 		}
 	}
 }
 
+// mayNotStart reports whether a step has to wait for something else than capacity, so that a worker that
+// is reserved for it would stay idle. A run that is being stopped still counts against the limit of its
+// account, so that its step may start once it has ended.
+func (s *Scheduler) mayNotStart(st *stepState) bool {
+	return s.mustWait(st) || (st.tasksToPlace() == len(st.waitingTasks) && !s.accountAllows(st, 1))
+}
+
 // tasksToPlace counts the tasks that wait or will wait once their runs have been stopped.
 func (st *stepState) tasksToPlace() int {
 	if st.job.state.Final() {
--- a/scheduler/reservation_test.go
+++ b/scheduler/reservation_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"egretdrum.example/catalog"
 	"egretdrum.example/job"
 	"egretdrum.example/property"
 	"egretdrum.example/resource"
@@ -128,3 +129,28 @@
 	assertRunning(t, sim, "younger", 2)
 	assertNoViolations(t, sim)
 }
+
+// Guards against workers that stay reserved for a step that may not start: its queue was removed, or its
+// account has reached its limit.
+func TestStepThatMayNotStartReservesNothing(t *testing.T) {
+	for name, change := range map[string]func(*machineSimulation){
+		"queue removed": func(sim *machineSimulation) {
+			delete(sim.catalog.Queues, "teams")
+		},
+		"account at its limit": func(sim *machineSimulation) {
+			sim.catalog.Accounts["arbiters"].Limit = resource.Amount{CPU: 1}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newMachineSimulation(map[string]int{"desk": 4})
+			sim.catalog.Queues["teams"] = &catalog.Queue{Name: "teams", Pool: "desk", MaxAttempts: 3, Stretch: 1.6}
+			advanceFull(sim, time.Second)
+			sim.submitFor("teams", "arbiters", "lasting", job.Step{Count: 2, Need: wide, LongRunning: true})
+			advanceFull(sim, 100*time.Millisecond)
+			qt.Assert(t, reservedWorkers(sim.core.sortedWorkers) > 0, qt.IsTrue)
+			change(sim)
+			sim.advance(300 * time.Millisecond)
+			qt.Assert(t, reservedWorkers(sim.core.sortedWorkers), qt.Equals, 0)
+		})
+	}
+}
