Let a long-running task end the trial of its worker

Cause: a worker that was in quarantine gets one run at a time until a run ends as done, and a long-running task never does.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -57,6 +57,7 @@
 	w.recordAlive(w.pollSent)
 	s.applyListing(w, answer)
 	s.checkWatched(w)
+	s.endTrial(w)
 	if !w.answered || w.uncertain {
 		s.changedPools[w.registration.Pool] = true
 	}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"egretdrum.example/crashes"
+)
 
 // A worker on which every run fails has free capacity again at once, attracts more tasks and
 // uses up their attempts. Two signs distinguish it from tasks that fail everywhere: runs of
@@ -47,6 +51,21 @@
 // one task at a time.
 func (w *workerState) onTrial() bool { return w.faults.quarantines > 0 }
 
+// endTrial ends the trial of a worker on which a long-running task, which never ends as done, has started
+// up and outlived its start.
+func (s *Scheduler) endTrial(w *workerState) {
+	if !w.onTrial() {
+		return
+	}
+	for _, r := range w.runs {
+		if r.step.spec.LongRunning && r.state == present && r.percent == 100 && w.knownPresence(r) >= crashes.Survival {
+			w.faults.recordSuccess()
+			s.changedPools[w.registration.Pool] = true
+			return
+		}
+	}
+}
+
 // quarantineIfFaulty puts a worker into quarantine if it is the likely cause of its failed runs.
 func (s *Scheduler) quarantineIfFaulty(w *workerState) {
 	f := &w.faults
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -83,3 +83,24 @@
 		assertState(t, sim, id, want)
 	}
 }
+
+// Pattern: jobs that can never be done fail on a sound worker, and the next task there is a long-running
+// one, which never ends as done. Guards against a worker that takes no other task while it runs.
+func TestLongRunningTaskEndsTheTrialOfItsWorker(t *testing.T) {
+	sim := newSimulation(1)
+	sim.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+	sim.taskFails = func(t job.Task, _ string) bool { return strings.HasPrefix(t.Job, "hopeless") }
+	sim.run(100 * time.Millisecond)
+	for n := range 2 {
+		sim.submit(fmt.Sprintf("hopeless%d", n), job.Step{Count: 2, Need: small})
+		sim.run(3 * time.Second)
+	}
+	qt.Assert(t, sim.core.workers["w0"].onTrial(), qt.IsTrue)
+	sim.submit("first", lasting)
+	sim.run(10 * time.Second)
+	assertRunning(t, sim, "first", 1)
+	sim.submit("second", lasting)
+	sim.run(3 * time.Second)
+	assertRunning(t, sim, "second", 1)
+	assertNoViolations(t, sim)
+}
