Allow for the resolution of workers' clocks

The lowest expected reading is a millisecond lower, and so much longer is the lease that the owner counts on. TestClockInStartAnswer failed before with a clock that is 999 us behind.

--- a/scheduler/clocks.go
+++ b/scheduler/clocks.go
@@ -7,14 +7,17 @@
 	"egretdrum.example/worker"
 )
 
+// clockResolution is the resolution of the clock times in answers of workers.
+const clockResolution = time.Millisecond
+
 // earliestClock is the lowest reading that the known incarnation of a worker can give in an answer to a
 // call that was decided on at the given time.
 func (s *Scheduler) earliestClock(w *workerState, sent time.Time) time.Duration {
 	if sent.Before(w.clockRead) {
-		return w.clock - s.now.Sub(sent)
+		return w.clock - s.now.Sub(sent) - clockResolution
 	}
 	since := sent.Sub(w.clockRead)
-	return w.clock + since - time.Duration(float64(since)*s.limits.MaxDrift)
+	return w.clock + since - time.Duration(float64(since)*s.limits.MaxDrift) - clockResolution
 }
 
 // noteStartAnswer evaluates the clock in the answer to a start. The clock of a newer incarnation may begin
--- a/scheduler/incarnations_test.go
+++ b/scheduler/incarnations_test.go
@@ -183,6 +183,24 @@
 	assertRunning(t, sim, "b", 1)
 }
 
+// Guards against a sound worker that counts as restarted because the clock in its answer is cut to
+// milliseconds, and against one that has restarted and counts as sound.
+func TestClockInStartAnswer(t *testing.T) {
+	for behind, usual := range map[time.Duration]bool{-time.Second: true, 0: true, 999 * time.Microsecond: true, 5 * time.Millisecond: false, time.Minute: false} {
+		t.Run(behind.String(), func(t *testing.T) {
+			sim, starts := newUnsentStarts(t)
+			w := sim.core.workers["w0"]
+			qt.Assert(t, starts[0].Claim(), qt.IsTrue)
+			// A clock that is as slow as it may be.
+			since := w.runs[starts[0].Task].sent.Sub(w.clockRead)
+			clock := w.clock + since - time.Duration(float64(since)*DefaultLimits().MaxDrift)
+			sim.core.StartAnswered(starts[0], StartAnswer{Result: StartAccepted, Clock: clock - behind}, sim.now)
+			qt.Assert(t, w.runs[starts[0].Task].usualLease, qt.Equals, usual)
+			qt.Assert(t, w.answered, qt.Equals, usual)
+		})
+	}
+}
+
 // Guards against a poll of a worker that is known to have restarted which grants a lease on the clock
 // of the earlier incarnation.
 func TestPollOfRestartedWorkerGrantsNoLease(t *testing.T) {
--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -90,7 +90,7 @@
 func (s *Scheduler) grant(w *workerState) time.Duration {
 	w.granted = s.now
 	since := s.now.Sub(w.clockRead)
-	s.extendLease(w, s.limits.Lease+time.Duration(float64(since)*s.limits.MaxDrift))
+	s.extendLease(w, s.limits.Lease+time.Duration(float64(since)*s.limits.MaxDrift)+clockResolution)
 	return w.clock + since + s.limits.Lease
 }
 
