Split the logging of odd registrations, and let lists pass over other accounts' marks

Found in reading the diff: a list showed a job as cancelled because of the mark of another account, which only a host of an older build can leave beside a job. The tests of odd registrations share the start of their owner.

--- a/dispatch/registrations.go
+++ b/dispatch/registrations.go
@@ -18,21 +18,23 @@
 	}
 	// It stays set if the decoder or the scheduler panics on the registration.
 	o.applyingWorker = item
-	e, err := o.Calls.DecodeWorker(item)
-	if err == nil {
+	if e, err := o.Calls.DecodeWorker(item); err == nil {
 		delete(o.oddEntries, item.Key)
 		o.core.SetWorker(e, now)
+	} else {
+		o.logOddEntry(item, err)
+		o.core.RemoveWorker(strings.TrimPrefix(item.Key, o.Calls.WorkerPrefix), now)
 	}
 	o.applyingWorker = kv.Item{}
-	if err == nil {
-		return
-	}
-	// Each read of all registrations has it again.
+}
+
+// logOddEntry logs a registration that can't be decoded, once for each revision: each read of all
+// registrations has it again.
+func (o *Owner) logOddEntry(item kv.Item, err error) {
 	if o.oddEntries[item.Key] != item.Revision {
 		o.oddEntries[item.Key] = item.Revision
 		o.Log.Info("worker-not-decoded", zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
 	}
-	o.core.RemoveWorker(strings.TrimPrefix(item.Key, o.Calls.WorkerPrefix), now)
 }
 
 // removeWorker applies the removal of a registration.
--- a/dispatch/registrations_test.go
+++ b/dispatch/registrations_test.go
@@ -115,6 +115,19 @@
 	return ids
 }
 
+// runRecorded runs a new owner whose calls are recorded, with the platform's decoder. prepare, unless nil,
+// changes its calls.
+func runRecorded(c *testCluster, prepare func(*Calls)) (r *calledWorkers, kill func(), ended <-chan struct{}) {
+	r = new(calledWorkers)
+	o := c.newOwner()
+	r.watch(o)
+	if prepare != nil {
+		prepare(&o.Calls)
+	}
+	kill, ended = c.runOwner(o)
+	return r, kill, ended
+}
+
 // newRegisteredCluster returns a cluster with two workers whose registrations have the platform's form.
 func newRegisteredCluster(t *testing.T) *testCluster {
 	c := newCluster(t, 2)
@@ -155,21 +168,16 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newRegisteredCluster(t)
 				defer c.close()
-				var r calledWorkers
-				o := c.newOwner()
-				r.watch(o)
-				kill, ended := c.runOwner(o)
+				r, kill, ended := runRecorded(c, nil)
 				time.Sleep(time.Second)
 				c.store.Put(platform.WorkerPrefix+e.key, []byte(e.value))
 				time.Sleep(time.Second)
-				assertServes(t, c, &r, ended, "seen by the watch", "w0", "w1")
+				assertServes(t, c, r, ended, "seen by the watch", "w0", "w1")
 				kill()
-				o = c.newOwner()
-				r.watch(o)
-				kill, ended = c.runOwner(o)
+				r, kill, ended = runRecorded(c, nil)
 				defer func() { kill() }()
 				time.Sleep(2 * time.Second)
-				assertServes(t, c, &r, ended, "read by a new owner", "w0", "w1")
+				assertServes(t, c, r, ended, "read by a new owner", "w0", "w1")
 			})
 		})
 	}
@@ -183,10 +191,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newRegisteredCluster(t)
 				defer c.close()
-				var r calledWorkers
-				o := c.newOwner()
-				r.watch(o)
-				kill, ended := c.runOwner(o)
+				r, kill, ended := runRecorded(c, nil)
 				defer kill()
 				time.Sleep(time.Second)
 				c.store.Put(platform.WorkerPrefix+"w0", []byte(oddEntries["port beyond 16 bits"]))
@@ -195,10 +200,10 @@
 				}
 				time.Sleep(5 * time.Second)
 				r.take()
-				assertServes(t, c, &r, ended, "odd", "w1")
+				assertServes(t, c, r, ended, "odd", "w1")
 				c.store.Put(platform.WorkerPrefix+"w0", []byte(entry("w0", nil)))
 				time.Sleep(time.Second)
-				assertServes(t, c, &r, ended, "valid again", "w0", "w1")
+				assertServes(t, c, r, ended, "valid again", "w0", "w1")
 			})
 		})
 	}
@@ -216,26 +221,25 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newRegisteredCluster(t)
 				defer c.close()
-				var r calledWorkers
-				o := c.newOwner()
-				r.watch(o)
-				poll := o.Calls.Poll
 				// The worker at the address has another ID.
-				o.Calls.Poll = func(ctx context.Context, a scheduler.Poll) (*worker.Listing, bool, error) {
-					if a.Worker.ID == "x" {
-						return nil, true, context.DeadlineExceeded
+				otherWorker := func(calls *Calls) {
+					poll := calls.Poll
+					calls.Poll = func(ctx context.Context, a scheduler.Poll) (*worker.Listing, bool, error) {
+						if a.Worker.ID == "x" {
+							return nil, true, context.DeadlineExceeded
+						}
+						return poll(ctx, a)
 					}
-					return poll(ctx, a)
 				}
 				for id, n := range map[string]int{"w0": 1, "w1": 2} {
 					c.store.Put(platform.WorkerPrefix+id, []byte(entry(id, map[string]string{"address": fmt.Sprintf(`"10.0.0.%d:80"`, n)})))
 				}
-				kill, ended := c.runOwner(o)
+				r, kill, ended := runRecorded(c, otherWorker)
 				defer kill()
 				time.Sleep(time.Second)
 				c.store.Put(platform.WorkerPrefix+"x", []byte(entry("x", fields)))
 				time.Sleep(time.Second)
-				assertServes(t, c, &r, ended, "second entry", "w0", "w1")
+				assertServes(t, c, r, ended, "second entry", "w0", "w1")
 				for _, n := range c.starts {
 					qt.Assert(t, n, qt.Equals, 1)
 				}
--- a/jobservice/list.go
+++ b/jobservice/list.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"egretdrum.example/cancellation"
 	"egretdrum.example/job"
 	"egretdrum.example/progress"
 	"egretdrum.example/storekeys"
@@ -33,7 +34,7 @@
 	for _, item := range submissions {
 		id, cancelled := storekeys.ParseSubmission(item.Key)
 		if cancelled {
-			cancellations[id] = true
+			cancellations[id] = cancellation.Covers(item.Value, t.Queue.Name, t.Account)
 			continue
 		}
 		j, err := job.Decode(item.Value)
