--- a/review/driver2/cancelled.go
+++ b/review/driver2/cancelled.go
@@ -28,6 +28,7 @@
 	workerStopTime = 900 * time.Millisecond
 
 	cancelledTasks = 3000
+	keptJobs       = 19
 	cancelledID    = "5c0e7a21d94b0001"
 )
 
@@ -60,6 +61,12 @@
 		return err
 	}
 	c.add("%d runs have begun", cancelledTasks)
+	// With these, the cancelled job is one of 20 that callers send.
+	for n := range keptJobs {
+		if err := c.submit(fmt.Sprintf("5c0e7a21d94b01%02d", n), "key-1", submission{Spec: "run-time=200ms", Steps: []step{{Count: 1, CPU: 40}}}); err != nil {
+			return err
+		}
+	}
 	time.Sleep(2 * time.Second)
 	if !trouble {
 		return c.awaitSuccess(cancelledID, 45*time.Second)
--- a/review/driver2/scheduled.go
+++ b/review/driver2/scheduled.go
@@ -38,6 +38,7 @@
 
 	scheduledID, lastingID, ordinaryID = "5c0e7a21d94b3001", "5c0e7a21d94b3002", "5c0e7a21d94b3003"
 	lastingTasks, ordinaryTasks        = 2, 2
+	otherJobs                          = 19
 	// finishTime is bounds.finish_s, idleTime how long a job may have nothing running.
 	finishTime, idleTime = 14 * time.Second, 3 * time.Second
 )
@@ -61,6 +62,12 @@
 	if _, err := c.awaitStarts(lastingID, lastingTasks, 5*time.Second); err != nil {
 		return err
 	}
+	// With these, the scheduled job is one of 22 that callers send.
+	for n := range otherJobs {
+		if err := c.submit(fmt.Sprintf("5c0e7a21d94b31%02d", n), "key-2", submission{Spec: "run-time=200ms", Steps: []step{{Count: 1, CPU: 500}}}); err != nil {
+			return err
+		}
+	}
 	if trouble {
 		overdue := submission{Spec: "run-time=1s", Steps: []step{{Count: 24, CPU: 500}}, RepeatCount: 100000, IntervalMs: 60000}
 		if err := c.submit(scheduledID, "key-2", overdue); err != nil {
