Begin the overdue occurrences of scheduled jobs in steps

A caller submits a scheduled job of 100,000 occurrences of 24 tasks without a start time, so that all are overdue.

Cause: startDue began each occurrence whose time had come, and nothing bounded the product of tasks and occurrences. Ruled out: the stored job (200 bytes, no record yet), log lines and goroutines of waiting tasks.

Each job may now have one occurrence at any time, and further ones within bounds for the job, its account and all. A new owner begins a late occurrence that it is told of alone, and not all before it. The state of a job that has ended goes with its last run. Due numbers and stored progress are found by search instead of by a walk for each occurrence.

--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -23,11 +23,12 @@
 func detach(r *run) {
 	st := r.step
 	d := &stepState{
-		job: st.job, occurrence: &occurrence{number: st.occurrence.number}, number: st.number, spec: st.spec,
+		job: st.job, occurrence: &occurrence{number: st.occurrence.number, runs: 1}, number: st.number, spec: st.spec,
 		tasks: make([]task, len(st.tasks)), detached: true,
 	}
 	d.tasks[r.index].run = r
 	st.tasks[r.index].run = nil
+	st.occurrence.runs--
 	r.step = d
 }
 
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -23,15 +23,19 @@
 	ended     time.Time
 	// took and objective are those of the last occurrence that was done.
 	took, objective time.Duration
-	// occurrences holds those that have begun and are not done; nextOccurrence is the number
-	// of the next one, finished has the numbers of those that are done.
+	// occurrences holds those that have begun and are not done, finished has the sorted numbers of
+	// those that are done. All before nextOccurrence have begun, and possibly later ones.
 	occurrences    map[int]*occurrence
 	nextOccurrence int
 	finished       []int
+	// size is the size of an occurrence, further that of those that have begun beside another one.
+	size, further int
+	// held is set while due occurrences wait until there is room for further ones.
+	held bool
 	// version counts changes of the record; saving is the version that is being saved, saved the
 	// last durable one.
 	version, saving, saved int
-	restored               *progress.Record
+	restored               map[stepKey]*progress.StepProgress
 }
 
 // occurrence is one repetition of the steps of a job.
@@ -41,6 +45,8 @@
 	due       time.Time
 	steps     []*stepState
 	openSteps int // steps that are not done
+	// runs counts the runs of its tasks that may be present.
+	runs int
 }
 
 // stepState is the progress of one step of one occurrence.
@@ -115,6 +121,7 @@
 		return false
 	}
 	j := &jobState{spec: spec, state: progress.Pending, inherited: inherited, arrived: now, occurrences: make(map[int]*occurrence)}
+	j.size = occurrenceSize(spec)
 	s.jobs[spec.ID] = j
 	if inherited {
 		// The wall clocks of hosts may differ, so the time of acceptance is used only for jobs of
@@ -126,8 +133,8 @@
 		j.overShare = s.takeFromShare(spec.Account)
 	}
 	if r != nil {
-		j.state, j.restored = r.State, r
-		j.finished = slices.Clone(r.Finished)
+		j.state = r.State
+		j.restore(r)
 		if r.Ended > 0 {
 			j.ended = time.UnixMilli(r.Ended)
 		}
@@ -136,13 +143,13 @@
 		return true
 	}
 	if spec.Repeat > 0 {
-		s.repeating = append(s.repeating, j)
-		s.startDue()
 		if r != nil {
-			for _, p := range r.Steps {
-				s.beginEarlier(j, p.Occurrence)
+			for i := range r.Steps {
+				s.beginKnown(j, r.Steps[i].Occurrence)
 			}
 		}
+		s.repeating = append(s.repeating, j)
+		s.startDue()
 		return true
 	}
 	s.begin(j, 0)
@@ -177,20 +184,6 @@
 	return ids
 }
 
-// startDue begins the occurrences that are due.
-func (s *Scheduler) startDue() {
-	s.repeating = slices.DeleteFunc(s.repeating, func(j *jobState) bool {
-		for j.nextOccurrence < j.spec.Repeat && !s.now.Before(j.spec.Due(j.nextOccurrence)) && !j.state.Final() {
-			if !slices.Contains(j.finished, j.nextOccurrence) {
-				s.begin(j, j.nextOccurrence)
-			} else {
-				j.nextOccurrence++
-			}
-		}
-		return j.state.Final() || j.nextOccurrence >= j.spec.Repeat
-	})
-}
-
 // begin creates the steps of an occurrence and queues those that depend on no unfinished step.
 func (s *Scheduler) begin(j *jobState, number int) {
 	o := &occurrence{number: number, due: j.arrived}
@@ -199,8 +192,10 @@
 		// clock.
 		o.due = s.now.Add(j.spec.Due(number).Sub(s.now.Round(0)))
 	}
+	if len(j.occurrences) > 0 {
+		s.countFurther(j, j.size)
+	}
 	j.occurrences[number] = o
-	j.nextOccurrence = number + 1
 	for i := range j.spec.Steps {
 		step := &j.spec.Steps[i]
 		st := &stepState{job: j, occurrence: o, number: i, spec: step, tasks: make([]task, step.Count), unfinished: step.Count}
@@ -315,9 +310,12 @@
 	delete(j.occurrences, o.number)
 	s.markDirty(j)
 	if j.spec.Repeat > 0 {
-		j.finished = append(j.finished, o.number)
+		if len(j.occurrences) > 0 {
+			s.countFurther(j, -j.size)
+		}
+		j.setFinished(o.number)
 	}
-	if len(j.occurrences) == 0 && j.nextOccurrence >= j.spec.Occurrences() {
+	if len(j.occurrences) == 0 && len(j.finished) >= j.spec.Repeat {
 		s.finishJob(j, progress.Succeeded)
 	}
 }
@@ -327,6 +325,7 @@
 	j.state = state
 	j.ended = s.now
 	s.markDirty(j)
+	s.countFurther(j, -j.further)
 	for _, o := range sorted(j.occurrences) {
 		for _, st := range o.steps {
 			st.waitingTasks = nil
@@ -337,6 +336,7 @@
 				s.stopEarlierRuns(&st.tasks[i], string(state))
 			}
 		}
+		j.forget(o)
 	}
 	s.logEvent(LogEvent{Event: "job-ended", Job: j.spec.ID, Reason: string(state), Took: j.took, Objective: j.objective})
 }
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -9,30 +9,42 @@
 	"egretdrum.example/progress"
 )
 
+// stepKey names a step of an occurrence.
+type stepKey struct{ occurrence, step int }
+
+// restore takes over the stored progress of a job.
+func (j *jobState) restore(r *progress.Record) {
+	for _, number := range r.Finished {
+		if number >= 0 && number < j.spec.Repeat {
+			j.setFinished(number)
+		}
+	}
+	j.restored = make(map[stepKey]*progress.StepProgress, len(r.Steps))
+	for i := range r.Steps {
+		j.restored[stepKey{r.Steps[i].Occurrence, r.Steps[i].Step}] = &r.Steps[i]
+	}
+}
+
+// restore takes over the stored progress of a step.
 func (s *Scheduler) restore(st *stepState) {
-	if st.job.restored == nil {
+	r := st.job.restored[stepKey{st.occurrence.number, st.number}]
+	if r == nil {
 		return
 	}
-	for i := range st.job.restored.Steps {
-		r := &st.job.restored.Steps[i]
-		if r.Occurrence != st.occurrence.number || r.Step != st.number {
-			continue
+	for _, f := range r.Failures {
+		if f.Index < len(st.tasks) {
+			st.tasks[f.Index].failed = slices.Clone(f.Runs)
 		}
-		for _, f := range r.Failures {
-			if f.Index < len(st.tasks) {
-				st.tasks[f.Index].failed = slices.Clone(f.Runs)
-			}
-		}
-		for _, c := range r.Crashes {
-			if c.Index < len(st.tasks) {
-				st.tasks[c.Index].evidence = crashes.Evidence{Runs: slices.Clone(c.Runs), Unconfirmed: c.Unconfirmed, Weak: c.Weak, Shared: c.Shared}
-			}
+	}
+	for _, c := range r.Crashes {
+		if c.Index < len(st.tasks) {
+			st.tasks[c.Index].evidence = crashes.Evidence{Runs: slices.Clone(c.Runs), Unconfirmed: c.Unconfirmed, Weak: c.Weak, Shared: c.Shared}
 		}
-		for n := range st.tasks {
-			if r.IsDone(n) {
-				st.tasks[n].done = true
-				st.unfinished--
-			}
+	}
+	for n := range st.tasks {
+		if r.IsDone(n) {
+			st.tasks[n].done = true
+			st.unfinished--
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -37,8 +37,12 @@
 	accounts  map[string]resource.Amount
 	waiting   map[string][]*stepState // by pool
 	repeating []*jobState
-	dirty     map[string]*jobState
-	machines  map[string]*machine
+	// further is the size of the occurrences that have begun beside another one of their job,
+	// furtherOfAccount that of those of each account.
+	further          int
+	furtherOfAccount map[string]int
+	dirty            map[string]*jobState
+	machines         map[string]*machine
 	// runTimes has the statistics of the tasks of each queue, shareBuckets what is left of
 	// the share of each account.
 	runTimes     map[string]*runTimeStats
@@ -110,7 +114,7 @@
 	actions Actions
 }
 
-// Limits are the durations and ratios that depend on the platform.
+// Limits are the durations, ratios and sizes that depend on the platform.
 type Limits struct {
 	// Lease is how long a worker keeps its tasks running without a poll. A longer one saves
 	// polls and lost work, a shorter one frees the tasks of unreachable workers sooner.
@@ -127,13 +131,16 @@
 	Maintenance time.Duration
 	// Stop is how long a worker needs to end a run that was ordered to stop.
 	Stop time.Duration
+	// FurtherTasks bounds the size of the occurrences of scheduled jobs that have begun beside
+	// another one of their job, in tasks of about 300 bytes. Other due occurrences wait.
+	FurtherTasks int
 }
 
 // DefaultLimits returns the limits that apply if none are configured.
 func DefaultLimits() Limits {
 	return Limits{
 		Lease: 2800 * time.Millisecond, MaxLease: 10 * time.Second, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
-		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond,
+		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond, FurtherTasks: 50_000,
 	}
 }
 
@@ -173,6 +180,8 @@
 		changedWorkers:  make(map[*workerState]bool),
 		nextPass:        make(map[string]time.Time),
 		lost:            make(map[string]*lostWorker),
+
+		furtherOfAccount: make(map[string]int),
 	}
 	if mutation.restartRuns {
 		s.lastRun = 0
@@ -327,6 +336,8 @@
 	// Isolated counts the runs of suspected tasks that have not outlived their start, GivenUp the
 	// jobs that were given up because a task crashed its workers.
 	Isolated, GivenUp int
+	// Held counts the scheduled jobs with due occurrences that wait until earlier ones are done.
+	Held int
 }
 
 // Summary returns the current counts.
@@ -337,6 +348,11 @@
 			sum.Waiting += len(st.waitingTasks)
 		}
 	}
+	for _, j := range s.repeating {
+		if j.held {
+			sum.Held++
+		}
+	}
 	for _, w := range s.workers {
 		sum.Running += len(w.runs)
 		for _, r := range w.watched {
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -148,6 +148,8 @@
 	// taskFails decides whether a run ends as failed.
 	taskFails    func(t job.Task, workerID string) bool
 	taskDuration time.Duration
+	// limits are those of each owner.
+	limits Limits
 	// evacuated has the availability zones under evacuation; each owner learns of them at once.
 	evacuated map[string]int64
 }
@@ -191,7 +193,7 @@
 
 func newSimulation(workers int) *simulation {
 	sim := &simulation{
-		now: time.UnixMilli(1_700_000_000_000), owner: 1, workers: make(map[string]*fakeWorker), jobs: make(map[string]*job.Job),
+		now: time.UnixMilli(1_700_000_000_000), owner: 1, limits: DefaultLimits(), workers: make(map[string]*fakeWorker), jobs: make(map[string]*job.Job),
 		added: make(map[string]int64), stored: make(map[string]*progress.Record), cancels: make(map[string]time.Time),
 		failures: make(map[job.Task]int), ends: make(map[job.Task][]*fakeEnd), endsAtStarts: make(map[job.Task][][]*fakeEnd),
 		done: make(map[job.Task]bool), acknowledged: make(map[job.Task]bool), taskDuration: 500 * time.Millisecond,
@@ -225,7 +227,7 @@
 func (sim *simulation) replaceOwner() {
 	sim.owner++
 	sim.polls, sim.writes, sim.unsent, sim.answers, sim.backlog = nil, nil, nil, nil, nil
-	sim.core = New(DefaultLimits(), sim.owner, sim.now)
+	sim.core = New(sim.limits, sim.owner, sim.now)
 	sim.core.SetCatalog(sim.catalog)
 	sim.core.SetEvacuated(sim.evacuated)
 	for _, id := range slices.Sorted(maps.Keys(sim.workers)) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -233,6 +233,7 @@
 	r.claim.withdraw()
 	w.unwatch(r)
 	delete(w.runs, r.step.name(r.index))
+	r.step.occurrence.runs--
 	w.used = w.used.Sub(r.need)
 	s.changedPools[w.registration.Pool] = true
 	w.countRun(r, -1)
@@ -244,6 +245,7 @@
 			r.step.checkpoint = r.checkpoint
 		}
 	}
+	r.step.job.forget(r.step.occurrence)
 }
 
 // reserve takes the resources of a run from its worker and its client account.
@@ -251,6 +253,7 @@
 	w := r.worker
 	s.changedWorkers[w] = true
 	w.runs[r.step.name(r.index)] = r
+	r.step.occurrence.runs++
 	w.used = w.used.Add(r.need)
 	w.countRun(r, 1)
 	s.addUse(r.step.job.spec.Account, r.step.spec.Need)
