Keep one task for a run that is stopped or has a copy

A run that is not the current one of its task has a step state of its own, with an array of all tasks of the step. A new owner that finds the runs of a cancelled job creates one for each of them: memory by the square of the job's size, 283 bytes a task. A job of 3,000 tasks that is cancelled while there is no owner would take the next one far over its limit; so would a speculative step on workers that do not answer.

Such a state has just the task of its run now. For the check of tolerated absence, the other tasks of such a step count as absent, as before.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -214,12 +214,7 @@
 		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted, Timeout: s.timeout(s.answerTimeout())})
 		return
 	}
-	step := &j.spec.Steps[listed.Task.Step]
-	detached := &stepState{
-		job: j, occurrence: &occurrence{number: listed.Task.Occurrence}, number: listed.Task.Step, spec: step,
-		tasks: make([]task, step.Count), detached: true,
-	}
-	s.stop(s.adopt(w, detached, listed), notWanted)
+	s.stop(s.adopt(w, newDetached(j, listed.Task.Occurrence, listed.Task.Step), listed), notWanted)
 }
 
 // adopt takes over a run that this owner did not start.
--- a/scheduler/availability.go
+++ b/scheduler/availability.go
@@ -16,6 +16,9 @@
 
 // absentTasks returns the number of other tasks of the step that are not known to be at work.
 func (s *Scheduler) absentTasks(r *run) int {
+	if r.step.detached {
+		return r.step.spec.Count - 1
+	}
 	n := 0
 	for i := range r.step.tasks {
 		if other := r.step.tasks[i].run; other != r && !s.atWork(other) {
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -9,7 +9,7 @@
 // ended.
 func (s *Scheduler) queueCopy(r *run, reason string) {
 	st, index := r.step, r.index
-	t := &st.tasks[index]
+	t := st.task(index)
 	if t.run != r || st.detached || !s.mayCopy(r) {
 		return
 	}
@@ -22,11 +22,8 @@
 // detach separates a run from its task, so that the task can have another one.
 func detach(r *run) {
 	st := r.step
-	d := &stepState{
-		job: st.job, occurrence: &occurrence{number: st.occurrence.number, runs: 1}, number: st.number, spec: st.spec,
-		tasks: make([]task, len(st.tasks)), detached: true,
-	}
-	d.tasks[r.index].run = r
+	d := newDetached(st.job, st.occurrence.number, st.number)
+	d.occurrence.runs, d.detachedTask.run = 1, r
 	st.tasks[r.index].run = nil
 	st.occurrence.runs--
 	r.step = d
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -181,7 +181,7 @@
 	if r.step.suspected(r.index) && r.worker.knownPresence(r) < crashes.Survival {
 		return false
 	}
-	return !slices.ContainsFunc(r.step.tasks[r.index].earlierRuns, func(other *run) bool {
+	return !slices.ContainsFunc(r.step.task(r.index).earlierRuns, func(other *run) bool {
 		return other.worker.runs[other.step.name(other.index)] == other && other.worker.knownPresence(other) < crashes.Survival
 	})
 }
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -75,9 +75,10 @@
 	tickets        map[string]*ticket
 	adviceInFlight bool
 	askAfter       time.Time
-	// detached states belong to runs that are not the current run of a task. Their tasks are not
-	// started.
-	detached bool
+	// detached states belong to runs that are not the current run of a task, one to each such run.
+	// They have no tasks but the one of the run, which is not started.
+	detached     bool
+	detachedTask task
 }
 
 type task struct {
@@ -105,6 +106,19 @@
 	triedWorkers []string
 }
 
+// newDetached returns the state for a run that is not the current run of its task.
+func newDetached(j *jobState, occurrenceNumber, number int) *stepState {
+	return &stepState{job: j, occurrence: &occurrence{number: occurrenceNumber}, number: number, spec: &j.spec.Steps[number], detached: true}
+}
+
+// task returns the task of a run of the step.
+func (st *stepState) task(index int) *task {
+	if st.detached {
+		return &st.detachedTask
+	}
+	return &st.tasks[index]
+}
+
 func (st *stepState) name(index int) job.Task {
 	return job.Task{Job: st.job.spec.ID, Occurrence: st.occurrence.number, Step: st.number, Index: index}
 }
@@ -256,7 +270,7 @@
 }
 
 func (s *Scheduler) requeue(st *stepState, index int) {
-	t := &st.tasks[index]
+	t := st.task(index)
 	if st.detached || st.job.state.Final() || st.blocked > 0 || t.done || t.run != nil || slices.Contains(st.waitingTasks, index) {
 		return
 	}
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -65,7 +65,8 @@
 // be done sooner by a restart elsewhere, it stops the run, or starts a copy if the step allows it.
 func (s *Scheduler) judgeSpeed(r *run) {
 	st, w := r.step, r.worker
-	st.tasks[r.index].rate, st.tasks[r.index].rateWorker = r.speed.rate, w
+	t := st.task(r.index)
+	t.rate, t.rateWorker = r.speed.rate, w
 	stalled := s.now.Sub(r.speed.changed) > stalledAfter
 	usual, known := st.usualRate(w)
 	slow := false
@@ -87,7 +88,6 @@
 	if !stalled && r.remainingTime() < restartTime+stopCost {
 		return
 	}
-	t := &st.tasks[r.index]
 	if t.slowRestarts >= maxSlowRestarts || !s.fitsElsewhere(r) {
 		return
 	}
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -102,10 +102,7 @@
 	}
 	current := st != nil && !j.state.Final() && !st.tasks[v.Task.Index].done && st.tasks[v.Task.Index].run == nil
 	if !current {
-		st = &stepState{
-			job: j, occurrence: &occurrence{number: v.Task.Occurrence}, number: v.Task.Step, spec: &j.spec.Steps[v.Task.Step],
-			tasks: make([]task, j.spec.Steps[v.Task.Step].Count), detached: true,
-		}
+		st = newDetached(j, v.Task.Occurrence, v.Task.Step)
 	}
 	st.waitingTasks = slices.DeleteFunc(st.waitingTasks, func(n int) bool { return n == v.Task.Index })
 	r := s.adopt(w, st, listed)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -238,7 +238,7 @@
 	s.changedPools[w.registration.Pool] = true
 	w.countRun(r, -1)
 	s.addUse(r.step.job.spec.Account, resource.Amount{}.Sub(r.step.spec.Need))
-	if t := &r.step.tasks[r.index]; t.run == r {
+	if t := r.step.task(r.index); t.run == r {
 		t.run = nil
 		if r.checkpoint != "" {
 			t.checkpoint = r.checkpoint
@@ -257,8 +257,7 @@
 	w.used = w.used.Add(r.need)
 	w.countRun(r, 1)
 	s.addUse(r.step.job.spec.Account, r.step.spec.Need)
-	t := &r.step.tasks[r.index]
-	t.run = r
+	r.step.task(r.index).run = r
 	s.watch(r)
 }
 
