Tell refused and unsent stops from unanswered ones, and send few at a time

Cause: all stops were sent at once, and 64 of them took the connections of the worker. Each of the others failed unsent, counted as one without an answer and raised the fencing token, so that the stops on their way were refused with 409 and raised it again, every 200 ms. Ruled out: slow workers, lost answers.

Answers to stops are told apart as those to starts are; only a missing answer raises the token, once for all calls that were sent before. Stops, and calls for the pace of background tasks, wait in a lane for each worker, take the newest token when they are sent, and are not sent for runs that have ended meanwhile. A stop is not repeated while its answer is outstanding. stop-not-accepted logs why a stop had no effect.

TestOrdersAreSentOnce and TestListing check the result of a stop where they checked a boolean.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -14,7 +14,7 @@
 const (
 	// paceTimeout is far above the usual response time of a few milliseconds.
 	paceTimeout    = 400 * time.Millisecond
-	stopRetryDelay = 200 * time.Millisecond
+	callRetryDelay = 200 * time.Millisecond
 	// maxQuickPolls bounds the polls in flight that do not wait for an end. A new owner polls
 	// all workers at once; with thousands of them, a host with a fifth of a core would treat
 	// responses that arrived in time as missing.
@@ -24,6 +24,13 @@
 	// and two start requests for each, has used up its 8,192 file descriptors.
 	startsPerWorker = 2
 	manyWorkers     = 500
+	// stopsPerWorker and pacesPerWorker leave most of the 64 connections that a worker takes from all
+	// hosts together to polls, which renew the leases, to starts, and to the next owner.
+	stopsPerWorker = 16
+	pacesPerWorker = 4
+	// maxLaneCalls bounds the connections for stops, and for paces, that a fleet of thousands of workers
+	// takes from the descriptors of a host.
+	maxLaneCalls = 512
 	// platformTimeout bounds a call to the platform.
 	platformTimeout = 1500 * time.Millisecond
 )
@@ -41,10 +48,10 @@
 		o.inBackground("look", func() { o.poll(p) })
 	}
 	for _, s := range a.Stops {
-		o.inBackground("stop", func() { o.stopRun(s) })
+		o.stops.add(s.Worker.ID, func() { o.stopRun(s) })
 	}
 	for _, p := range a.Paces {
-		o.inBackground("pace", func() { o.pace(p) })
+		o.paces.add(p.Worker.ID, func() { o.pace(p) })
 	}
 	for _, s := range a.Starts {
 		slot := o.startSlot(s.Worker.ID)
@@ -110,18 +117,41 @@
 	o.post(func(now time.Time) { o.core.StartAnswered(a, answer, now) })
 }
 
+// newLanes returns lanes for the calls of the given name.
+func (o *Owner) newLanes(name string, perWorker int) *lanes {
+	return &lanes{ctx: o.ctx, perWorker: perWorker, maxCalls: maxLaneCalls, run: func(f func()) { o.inBackground(name, f) }}
+}
+
+// stopRun sends a stop unless the run has ended while the stop waited for its turn.
 func (o *Owner) stopRun(a scheduler.Stop) {
 	if !o.awaitTerm("stop", a.Task.String()) {
 		return
 	}
+	if !a.Claim() {
+		o.post(func(now time.Time) {
+			o.core.StopAnswered(a, scheduler.StopAnswer{Result: scheduler.StopNotSent}, now)
+		})
+		return
+	}
 	o.Log.Info("run-stopped", zap.String("request", a.Task.Job), zap.Stringer("task", a.Task), zap.Int64("run", a.Run), zap.String("worker", a.Worker.ID), zap.String("reason", a.Reason))
 	ctx, cancel := context.WithTimeout(o.ctx, a.Timeout)
 	defer cancel()
-	ok := o.Calls.Stop(ctx, a)
-	if !ok {
-		wait.For(o.ctx, stopRetryDelay)
+	answer := o.Calls.Stop(ctx, a)
+	report := func() { o.post(func(now time.Time) { o.core.StopAnswered(a, answer, now) }) }
+	if answer.Result == scheduler.StopAccepted {
+		report()
+		return
 	}
-	o.post(func(now time.Time) { o.core.StopAnswered(a, ok, now) })
+	o.afterDelay(report)
+}
+
+// afterDelay calls f once a call that had no effect may be repeated. Other calls to the worker go on
+// meanwhile.
+func (o *Owner) afterDelay(f func()) {
+	o.inBackground("call-retry", func() {
+		wait.For(o.ctx, callRetryDelay)
+		f()
+	})
 }
 
 func (o *Owner) pace(a scheduler.Pace) {
@@ -131,10 +161,12 @@
 	ctx, cancel := context.WithTimeout(o.ctx, paceTimeout)
 	defer cancel()
 	ok := o.Calls.Pace(ctx, a)
-	if !ok {
-		wait.For(o.ctx, stopRetryDelay)
+	report := func() { o.post(func(now time.Time) { o.core.PaceAnswered(a, ok, now) }) }
+	if ok {
+		report()
+		return
 	}
-	o.post(func(now time.Time) { o.core.PaceAnswered(a, ok, now) })
+	o.afterDelay(report)
 }
 
 func (o *Owner) poll(a scheduler.Poll) {
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -63,6 +63,7 @@
 	applyingWorker              kv.Item
 	workersSetAside, oddEntries map[string]int64
 	startSlots                  map[string]chan struct{}
+	stops, paces                *lanes
 	// quickPollSlots is a semaphore for the polls in flight that do not wait for an end.
 	quickPollSlots chan struct{}
 	saver          *saver
@@ -92,7 +93,7 @@
 // Calls are the calls to workers and to the platform, and the platform's encodings.
 type Calls struct {
 	Start func(ctx context.Context, a scheduler.Start) scheduler.StartAnswer
-	Stop  func(ctx context.Context, a scheduler.Stop) bool
+	Stop  func(ctx context.Context, a scheduler.Stop) scheduler.StopAnswer
 	// Pace limits the speed of a background task and reports whether the worker answered.
 	Pace         func(ctx context.Context, a scheduler.Pace) bool
 	Poll         func(ctx context.Context, a scheduler.Poll) (*worker.Listing, bool, error)
@@ -158,6 +159,7 @@
 	o.eventDelay = eventDelay{}
 	o.zonesUnknown, o.capacitiesUnknown = false, false
 	o.startSlots = make(map[string]chan struct{})
+	o.stops, o.paces = o.newLanes("stop", stopsPerWorker), o.newLanes("pace", pacesPerWorker)
 	o.quickPollSlots = make(chan struct{}, maxQuickPolls)
 	o.waves = make(map[int64]waveRecord)
 	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
--- a/dispatch/owner_test.go
+++ b/dispatch/owner_test.go
@@ -126,7 +126,7 @@
 	return &Owner{
 		Store: c.store.Store(), Config: c.config, Limits: scheduler.DefaultLimits, KeepResults: func() time.Duration { return time.Minute }, EvacuateWithin: func() time.Duration { return c.evacuateWithin }, Log: zap.NewNop(), Meter: c.meter, Supervisor: &supervision.Supervisor{Log: zap.NewNop()},
 		Calls: Calls{
-			Start: c.start, Stop: func(context.Context, scheduler.Stop) bool { return true }, Poll: c.poll,
+			Start: c.start, Stop: func(context.Context, scheduler.Stop) scheduler.StopAnswer { return scheduler.StopAnswer{} }, Poll: c.poll,
 			ListMachines: c.listMachines, Order: c.orderMachine,
 			DecodeWorker: decodeWorker, WorkerPrefix: workerPrefix, WaveStatus: waveStatus, WaveStatusPrefix: waveStatusPrefix,
 		},
--- a/dispatch/validity_test.go
+++ b/dispatch/validity_test.go
@@ -31,7 +31,10 @@
 	o := c.newOwner()
 	core, logs := observer.New(zap.WarnLevel)
 	o.Log, c.warnings = zap.New(core), logs
-	o.Calls.Stop = func(_ context.Context, a scheduler.Stop) bool { stop(a); return true }
+	o.Calls.Stop = func(_ context.Context, a scheduler.Stop) scheduler.StopAnswer {
+		stop(a)
+		return scheduler.StopAnswer{Result: scheduler.StopAccepted}
+	}
 	term := election.NewTerm(c.store.Put(storekeys.Owner, nil), now, time.Hour)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -62,10 +62,21 @@
 	Worker worker.Entry
 	Task   job.Task
 	Run    int64
+	// Fence is set by Claim.
 	Fence  int64
 	Reason string
 	// Timeout is how long to wait for the answer.
 	Timeout time.Duration
+	// newest is the newest fencing token of the worker, claim holds that of this stop.
+	newest *atomic.Int64
+	claim  *claim
+}
+
+// Claim gives the stop the newest fencing token of its worker, and reports whether it is still
+// needed. It is called once, right before the stop is sent, from any goroutine.
+func (a *Stop) Claim() bool {
+	a.Fence = a.newest.Load()
+	return a.claim.markSent(a.Fence)
 }
 
 // Poll asks a worker for the list of its runs and ends, and renews its lease; report it by
@@ -215,3 +226,29 @@
 	// StartUnanswered means that there was no answer: the run may be present now or later.
 	StartUnanswered
 )
+
+// StopAnswer is a worker's answer to a stop.
+type StopAnswer struct {
+	Result StopResult
+	// Reason is for logs.
+	Reason string
+}
+
+// StopResult is what a worker did about a stop.
+type StopResult int
+
+// The answers to a stop.
+const (
+	// StopAccepted means that the run ends, or that it is not there and never will be.
+	StopAccepted StopResult = iota
+	// StopNotSent means that the stop was not sent, or did not reach the worker.
+	StopNotSent
+	// StopRejected means that the worker did nothing.
+	StopRejected
+	// StopFenced means that the worker did nothing because it has seen a higher fencing token.
+	StopFenced
+	// StopOtherIncarnation means that a worker with another ID answered at the address.
+	StopOtherIncarnation
+	// StopUnanswered means that there was no answer: the stop may be carried out now or later.
+	StopUnanswered
+)
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -170,7 +170,7 @@
 		}
 		return
 	}
-	if r.worker.pollSent.Sub(r.stopSent) <= s.limits.Stop+stopRepeatMargin {
+	if r.worker.stops[r.key()] != nil || r.worker.pollSent.Sub(r.stopSent) <= s.limits.Stop+stopRepeatMargin {
 		return
 	}
 	e := LogEvent{Event: "stop-repeated", Job: r.step.job.spec.ID, Task: r.step.name(r.index), Worker: r.worker.registration.ID, Run: r.number, Reason: "its worker has restarted since"}
@@ -211,7 +211,7 @@
 		w.hasUnknownRuns = true
 		// No run in the books stands for it: each listing leads to another stop until it is gone.
 		w.nextPoll = s.now.Add(pollRetry)
-		s.actions.Stops = append(s.actions.Stops, Stop{Worker: w.registration, Task: listed.Task, Run: listed.Run, Fence: w.fence, Reason: notWanted, Timeout: s.timeout(s.answerTimeout())})
+		s.orderStop(w, runKey{listed.Task, listed.Run}, notWanted)
 		return
 	}
 	s.stop(s.adopt(w, newDetached(j, listed.Task.Occurrence, listed.Task.Step), listed), notWanted)
@@ -369,7 +369,7 @@
 	case StartUnanswered:
 		s.logEvent(LogEvent{Event: "start-unanswered", Job: a.Task.Job, Task: a.Task, Worker: w.registration.ID, Run: a.Run})
 		if r.confirmed.IsZero() {
-			s.markStartUncertain(r)
+			s.markCallUncertain(r.worker, &r.claim)
 		}
 	case StartFenced:
 		if a.Fence >= w.fence {
@@ -415,26 +415,63 @@
 
 func (s *Scheduler) sendStop(r *run, reason string) {
 	r.stopSent = s.now
-	s.actions.Stops = append(s.actions.Stops, Stop{Worker: r.worker.registration, Task: r.step.name(r.index), Run: r.number, Fence: r.worker.fence, Reason: reason, Timeout: s.timeout(s.answerTimeout())})
+	s.orderStop(r.worker, r.key(), reason)
 }
 
-// StopAnswered reports whether a stop was answered. A stop without an answer is sent again.
-func (s *Scheduler) StopAnswered(a Stop, ok bool, now time.Time) {
+// orderStop tells a worker to end a run, unless the answer to an earlier stop of it is outstanding.
+func (s *Scheduler) orderStop(w *workerState, key runKey, reason string) {
+	if w.stops[key] != nil {
+		return
+	}
+	c := new(claim)
+	w.stops[key] = c
+	s.actions.Stops = append(s.actions.Stops, Stop{
+		Worker: w.registration, Task: key.task, Run: key.run, Reason: reason, Timeout: s.timeout(s.answerTimeout()), newest: w.newest, claim: c,
+	})
+}
+
+// StopAnswered reports the answer to a stop. A stop that the worker has not accepted is sent again as
+// long as it is needed.
+func (s *Scheduler) StopAnswered(a Stop, answer StopAnswer, now time.Time) {
 	s.now = now
 	w := s.workers[a.Worker.ID]
 	if w == nil {
 		return
 	}
+	if key := (runKey{a.Task, a.Run}); w.stops[key] == a.claim {
+		delete(w.stops, key)
+	}
 	r := w.runs[a.Task]
 	if r == nil || r.number != a.Run || r.state != stopping {
 		return
 	}
-	if !ok {
-		s.markUncertain(w)
-		s.sendStop(r, a.Reason)
+	if answer.Result == StopAccepted {
+		if r.stopSent = now; r.stopped.IsZero() {
+			r.stopped = now
+		}
 		return
 	}
-	if r.stopped.IsZero() {
-		r.stopped = now
+	s.logEvent(LogEvent{Event: "stop-not-accepted", Job: a.Task.Job, Task: a.Task, Worker: a.Worker.ID, Run: a.Run, Reason: answer.Reason})
+	s.noteFailedStop(w, a, answer.Result)
+	if w.runs[a.Task] == r {
+		s.sendStop(r, a.Reason)
+	}
+}
+
+// noteFailedStop draws the conclusions about a worker from a stop that it has not accepted. Only a
+// missing answer leaves open what the worker did; other results say nothing against it.
+func (s *Scheduler) noteFailedStop(w *workerState, a Stop, result StopResult) {
+	switch result {
+	case StopUnanswered:
+		s.markCallUncertain(w, a.claim)
+	case StopFenced:
+		if a.Fence >= w.fence {
+			// Another owner has polled the worker.
+			s.markUncertain(w)
+		}
+	case StopOtherIncarnation:
+		if w.incarnation != 0 && w.answered {
+			s.endIncarnation(w)
+		}
 	}
 }
--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -113,12 +113,10 @@
 	}
 }
 
-// markStartUncertain handles a start without an answer. If other uncertain calls have raised the
-// worker's fencing token since the start was sent, the poll that they caused resolves this start
-// too.
-func (s *Scheduler) markStartUncertain(r *run) {
-	w := r.worker
-	if !r.claim.sentBelow(w.fence) {
+// markCallUncertain handles a start or a stop without an answer. If other uncertain calls have raised
+// the worker's fencing token since the call was sent, the poll that they caused resolves this one too.
+func (s *Scheduler) markCallUncertain(w *workerState, c *claim) {
+	if !c.sentBelow(w.fence) {
 		s.markUncertain(w)
 		return
 	}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -689,14 +689,16 @@
 }
 
 func (sim *simulation) stop(a Stop) {
-	if a.Timeout <= 0 {
-		// The time for the call is over before it is sent.
-		sim.report(false, 0, func() { sim.core.StopAnswered(a, false, sim.now) })
+	if !a.Claim() || a.Timeout <= 0 {
+		// It is not needed any more, or the time for the call is over before it is sent.
+		sim.report(true, 0, func() { sim.core.StopAnswered(a, StopAnswer{Result: StopNotSent}, sim.now) })
 		return
 	}
 	w := sim.workers[a.Worker.ID]
+	answer := StopAnswer{Result: StopAccepted}
 	ok := sim.deliver("stop", w, func(w *fakeWorker) {
 		if a.Fence < w.fence {
+			answer.Result = StopFenced
 			return
 		}
 		w.fence = a.Fence
@@ -708,7 +710,10 @@
 		}
 		w.highestRun[a.Task] = max(w.highestRun[a.Task], a.Run)
 	})
-	sim.report(ok, orderTimeout, func() { sim.core.StopAnswered(a, ok, sim.now) })
+	if !ok {
+		answer.Result = StopUnanswered
+	}
+	sim.report(ok, orderTimeout, func() { sim.core.StopAnswered(a, answer, sim.now) })
 }
 
 func (sim *simulation) poll(a Poll) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -58,7 +58,9 @@
 	clockFence int64
 
 	runs map[job.Task]*run
-	used resource.Amount
+	// stops has the stops whose answers are outstanding.
+	stops map[runKey]*claim
+	used  resource.Amount
 	// lateUse is the part of used that belongs to runs of jobs that can't be in time any more.
 	lateUse resource.Amount
 	// reservations hold capacity for long-running tasks that wait.
@@ -109,6 +111,12 @@
 	version int
 }
 
+// runKey names a run.
+type runKey struct {
+	task job.Task
+	run  int64
+}
+
 // run is one run of a task on a worker.
 type run struct {
 	step      *stepState
@@ -123,7 +131,7 @@
 	// usualLease is set once the run is known to be bound by leaseEnd of its worker: it was listed, or
 	// the clock in the answer to its start was not behind the one that was expected.
 	usualLease bool
-	// stopped is when the first stop was answered, stopSent when the last one was planned.
+	// stopped is when the first stop was answered, stopSent when the last one was planned or answered.
 	stopped, stopSent time.Time
 	percent           int
 	load              int
@@ -150,6 +158,8 @@
 	claim claim
 }
 
+func (r *run) key() runKey { return runKey{r.step.name(r.index), r.number} }
+
 type runState int
 
 const (
@@ -166,7 +176,7 @@
 	s.now = now
 	w := s.workers[e.ID]
 	if w == nil {
-		w = &workerState{firstSeen: now, speed: 1, newest: new(atomic.Int64), runs: make(map[job.Task]*run)}
+		w = &workerState{firstSeen: now, speed: 1, newest: new(atomic.Int64), runs: make(map[job.Task]*run), stops: make(map[runKey]*claim)}
 		w.setFence(s.forgottenFence)
 		w.registration = e
 		s.workers[e.ID] = w
@@ -231,6 +241,9 @@
 func (s *Scheduler) release(r *run) {
 	w := r.worker
 	r.claim.withdraw()
+	if stop := w.stops[r.key()]; stop != nil {
+		stop.withdraw()
+	}
 	w.unwatch(r)
 	delete(w.runs, r.step.name(r.index))
 	r.step.occurrence.runs--
--- a/workerfake/fleet.go
+++ b/workerfake/fleet.go
@@ -178,11 +178,19 @@
 	return scheduler.StartAnswer{Result: scheduler.StartRejected, Reason: string(result), Clock: clock}
 }
 
-func (f *Fleet) stop(_ context.Context, a scheduler.Stop) bool {
+func (f *Fleet) stop(_ context.Context, a scheduler.Stop) scheduler.StopAnswer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, err := f.model.Stop(f.advance(), a.Worker.Machine, a.Worker.ID, a.Task, a.Run, a.Fence)
-	return err == nil
+	switch {
+	case errors.Is(err, fleetmodel.ErrOtherWorker):
+		return scheduler.StopAnswer{Result: scheduler.StopOtherIncarnation, Reason: err.Error()}
+	case errors.Is(err, fleetmodel.ErrFenced):
+		return scheduler.StopAnswer{Result: scheduler.StopFenced, Reason: err.Error()}
+	case err != nil:
+		return scheduler.StopAnswer{Result: scheduler.StopUnanswered, Reason: err.Error()}
+	}
+	return scheduler.StopAnswer{Result: scheduler.StopAccepted}
 }
 
 // poll waits until a run has ended or a.Wait has passed, as workers do.
