Show by a run of its own that an unanswered call raises the token

Like four other mutants it gets a directed play: a start is carried out late while its task runs on another worker.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -470,17 +470,54 @@
 		"attempts are not counted":                     &mutation.ignoreAttempts,
 		"cancellations are ignored":                    &mutation.ignoreCancel,
 		"unknown runs of a previous owner are ignored": &mutation.ignoreUnknown,
-		"uncertainty does not raise the token":         &mutation.keepFence,
 		"unanswered polls extend the lease":            &mutation.extendUnresponsive,
 		"run numbers restart with each owner":          &mutation.restartRuns,
 	}, func(t testing.TB) { rapid.Check(t, simulateFaultsWithoutCrashes) })
 	// Only one random run in some thousand reaches these cases, so that each has a run of its own.
+	property.CheckMutants(t, map[string]*bool{"uncertainty does not raise the token": &mutation.keepFence}, simulateLateStart)
 	property.CheckMutants(t, map[string]*bool{"ends are acknowledged before they are durable": &mutation.acknowledgeEarly}, simulateUnstoredEnd)
 	property.CheckMutants(t, map[string]*bool{"workers that were not reached are recorded empty": &mutation.recordUnknown}, simulateUnknownRuns)
 	property.CheckMutants(t, map[string]*bool{"recorded workers get tasks": &mutation.useRecorded}, simulateRecordedWorker)
 	property.CheckMutants(t, map[string]*bool{"the use of pools is not stored": &mutation.ignorePoolUse}, simulateQueueThatReturned)
 }
 
+// simulateLateStart has a worker carry out a start seconds after the owner has given up its answer, while
+// the task runs elsewhere.
+func simulateLateStart(t testing.TB) {
+	sim := newSimulation(2)
+	sim.run(time.Second)
+	sim.taskDuration = 2 * lateCallDelay
+	starts := 0
+	sim.callFault = func(kind string) callOutcome {
+		if kind != "start" {
+			return answered
+		}
+		if starts++; starts == 1 {
+			return requestDelayed
+		}
+		return answered
+	}
+	first := ""
+	sim.onActions = func(a Actions) {
+		if len(a.Starts) > 0 && first == "" {
+			first = a.Starts[0].Worker.ID
+		}
+	}
+	sim.submit("a", job.Step{Count: 1, Need: small})
+	sim.step()
+	// The task has to start on another worker.
+	leaving := sim.workers[first].registration
+	leaving.Leaving = true
+	sim.core.SetWorker(leaving, sim.now)
+	sim.run(4 * lateCallDelay)
+	assertNoViolations(t, sim)
+	assertState(t, sim, "a", progress.Succeeded)
+	qt.Assert(t, sim.starts, qt.Equals, 1)
+}
+
+// Guards against a start that takes effect after the owner has started its task elsewhere.
+func TestLateStartOfRestartedTaskIsFenced(t *testing.T) { simulateLateStart(t) }
+
 // simulateUnstoredEnd has a task end while the store is down, and a new owner as soon as it is back.
 func simulateUnstoredEnd(t testing.TB) {
 	sim := newSimulation(1)
