Show a job as running once one of its tasks has begun

One worker of twelve refuses starts with 503, the others are full, and eight jobs wait.

Cause: a job was marked as running, and stored so, when a start was decided. A refused, rejected, unanswered or withdrawn start did not take that back, and the next owner read it from the store. Evidence: a test without store and cache sees the state `running` and the count 0 in the scheduler itself, which rules out an old or cached count.

A job is marked as running by an accepted start, a listing or an end. The first record of a job is written then, one call later than before.

--- a/progress/record.go
+++ b/progress/record.go
@@ -11,7 +11,7 @@
 // State is the state of a job as callers see it.
 type State string
 
-// The states of a job. It is Pending until a start of one of its tasks was first planned.
+// The states of a job. It is Pending until a worker has confirmed that one of its tasks has begun.
 const (
 	Pending   State = "pending"
 	Running   State = "running"
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -132,12 +132,7 @@
 // applyRun applies a run that a worker lists.
 func (s *Scheduler) applyRun(w *workerState, listed *worker.Run) {
 	if r := w.runs[listed.Task]; r != nil && r.number == listed.Run {
-		if r.state == starting {
-			r.state = present
-		}
-		if r.confirmed.IsZero() {
-			r.confirmed = s.now
-		}
+		s.confirm(r)
 		r.usualLease = true
 		s.measure(r, listed)
 		r.percent, r.load = listed.Percent, listed.Load
@@ -237,6 +232,19 @@
 	return r
 }
 
+// confirm records that a run has begun.
+func (s *Scheduler) confirm(r *run) {
+	if r.state == starting {
+		r.state = present
+	}
+	if r.confirmed.IsZero() {
+		r.confirmed = s.now
+	}
+	s.markRunning(r.step.job)
+}
+
+// markRunning records that a task of a job has begun. That a start was decided does not count: it may be
+// refused.
 func (s *Scheduler) markRunning(j *jobState) {
 	if j.state == progress.Pending {
 		j.state = progress.Running
@@ -266,6 +274,7 @@
 	r := w.runs[e.Task]
 	current := r != nil && r.number == e.Run
 	s.logEvent(LogEvent{Event: "run-ended", Job: e.Task.Job, Task: e.Task, Worker: w.registration.ID, Run: e.Run, Reason: string(e.Reason)})
+	s.markRunning(st.job)
 	if current {
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
@@ -295,7 +304,6 @@
 		if st.spec.LongRunning {
 			break
 		}
-		s.markRunning(st.job)
 		if st.spec.Gang {
 			s.completeGang(st)
 			return
@@ -310,7 +318,6 @@
 			w.faults.recordFailure(e.Task.Job)
 			s.quarantineIfFaulty(w)
 		}
-		s.markRunning(st.job)
 		s.recordFailedAttempt(st, e.Task.Index, e.Run, w.registration.ID)
 	}
 	if current {
@@ -355,12 +362,7 @@
 	switch answer.Result {
 	case StartAccepted:
 		w.recordAlive(r.sent)
-		if r.state == starting {
-			r.state = present
-		}
-		if r.confirmed.IsZero() {
-			r.confirmed = now
-		}
+		s.confirm(r)
 		if r.step.spec.Background && w.serving > 0 && r.state == present {
 			s.setPace(r, initialPace)
 		}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -343,7 +343,6 @@
 	s.reserve(r)
 	s.useReservation(st, w)
 	s.unansweredStarts++
-	s.markRunning(st.job)
 	checkpoint := t.checkpoint
 	if st.spec.Gang {
 		checkpoint = st.checkpoint
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -148,6 +148,9 @@
 	// taskFails decides whether a run ends as failed.
 	taskFails    func(t job.Task, workerID string) bool
 	taskDuration time.Duration
+	// startFault decides the answer of a worker that refuses a start, StartAccepted for none; nil means
+	// that none is refused.
+	startFault func(workerID string) StartResult
 	// limits are those of each owner.
 	limits Limits
 	// evacuated has the availability zones under evacuation; each owner learns of them at once.
@@ -608,6 +611,11 @@
 
 // handleStart is how a worker handles a start.
 func (sim *simulation) handleStart(w *fakeWorker, a Start) StartResult {
+	if sim.startFault != nil {
+		if result := sim.startFault(w.registration.ID); result != StartAccepted {
+			return result
+		}
+	}
 	if a.Fence < w.fence {
 		return StartRejected
 	}
