Log the ends of all runs of known jobs

The state of an occurrence of an ended job goes with its last run, so that ends that a new owner is listed of a cancelled job would not be logged any more, and explain-job would not show them. The line is written before the state is looked up now.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -260,11 +260,15 @@
 	}
 	u := unsavedEnd{number: e.Number}
 	defer func() { w.unsavedEnds = append(w.unsavedEnds, u) }()
+	known := s.jobs[e.Task.Job]
+	if known != nil {
+		s.logEvent(LogEvent{Event: "run-ended", Job: e.Task.Job, Task: e.Task, Worker: w.registration.ID, Run: e.Run, Reason: string(e.Reason)})
+	}
 	if st != nil {
 		s.applyEnd(w, st, e)
 	}
 	// An end that changes nothing may repeat an earlier one whose effect is not durable yet.
-	if known := s.jobs[e.Task.Job]; known != nil && known.version > known.saved {
+	if known != nil && known.version > known.saved {
 		u.job, u.version = known, known.version
 	}
 }
@@ -273,7 +277,6 @@
 	t := &st.tasks[e.Task.Index]
 	r := w.runs[e.Task]
 	current := r != nil && r.number == e.Run
-	s.logEvent(LogEvent{Event: "run-ended", Job: e.Task.Job, Task: e.Task, Worker: w.registration.ID, Run: e.Run, Reason: string(e.Reason)})
 	s.markRunning(st.job)
 	if current {
 		if e.Checkpoint != "" {
