Judge the speed of a run only by progress that its listings can show

Cause: progress is listed in whole percent and was measured over 200 ms, in which a task of 25 s passes less than one; a run without a new percent had the speed zero. A run also counted as stalled after 0.45 s, in which a task of 100 s passes no percent. Ruled out: lost answers, leases, the new stops; the log has no other line of the job.

A rate is measured over two percent at least; before that a run is slow only if the highest rate that its listings allow is. The time after which it is stalled follows from the time that it needs for a percent. For tasks of up to ten seconds nothing changes.

--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -8,12 +8,16 @@
 )
 
 const (
-	// speedWindow is the time over which the progress of a run is measured. Progress is
-	// listed in whole percent, and short runs take half a second.
+	// speedWindow is the time over which the progress of a run is measured at least; short runs take
+	// half a second. minProgress is the progress in percent that is measured at least, as it is listed
+	// in whole percent and long runs take seconds for one.
 	speedWindow = 200 * time.Millisecond
-	// stalledAfter is how long a run may make no progress before it counts as stalled. Runs on
-	// slow workers still make some.
-	stalledAfter = 450 * time.Millisecond
+	minProgress = 2
+	// stalledAfter is how long a run may make no progress before it counts as stalled, and
+	// stalledPercents the same in multiples of the time for a percent. Runs on slow workers still make
+	// some.
+	stalledAfter    = 450 * time.Millisecond
+	stalledPercents = 2
 	// slowRatio is the fraction of the usual speed below which a run is slow; equal tasks differ
 	// by a third.
 	slowRatio = 0.4
@@ -31,10 +35,14 @@
 
 // speed is the measured progress of a run.
 type speed struct {
+	// percent is the progress at the start of the present window, at.
 	percent int
 	at      time.Time
-	// changed is when the progress last changed.
-	changed time.Time
+	// judged is when the speed was last judged, changed when the progress last changed.
+	judged, changed time.Time
+	// first is the progress in the first listing, at since.
+	first int
+	since time.Time
 	// rate is in percent per second; zero if it is not known.
 	rate float64
 }
@@ -46,32 +54,40 @@
 	}
 	v := &r.speed
 	if v.at.IsZero() || listed.Percent < v.percent {
-		*v = speed{percent: listed.Percent, at: s.now, changed: s.now}
+		*v = speed{percent: listed.Percent, at: s.now, judged: s.now, changed: s.now, first: listed.Percent, since: s.now}
 		return
 	}
 	if listed.Percent > r.percent {
 		v.changed = s.now
 	}
-	d := s.now.Sub(v.at)
-	if d < speedWindow {
+	if s.now.Sub(v.judged) < speedWindow {
 		return
 	}
-	v.rate = float64(listed.Percent-v.percent) / d.Seconds()
-	v.percent, v.at = listed.Percent, s.now
-	s.judgeSpeed(r)
+	v.judged = s.now
+	t := r.step.task(r.index)
+	d, progress := s.now.Sub(v.at).Seconds(), listed.Percent-v.percent
+	measured := progress >= minProgress
+	if measured {
+		v.rate = float64(progress) / d
+		v.percent, v.at = listed.Percent, s.now
+		t.rate, t.rateWorker = v.rate, r.worker
+	} else if highest := float64(progress+1) / d; v.rate == 0 || v.rate > highest {
+		// Less than the next percent was reached since the window began.
+		v.rate, t.rate = highest, 0
+	}
+	s.judgeSpeed(r, measured)
 }
 
 // judgeSpeed compares a run with the other tasks of its step on other workers. If the task would
-// be done sooner by a restart elsewhere, it stops the run, or starts a copy if the step allows it.
-func (s *Scheduler) judgeSpeed(r *run) {
+// be done sooner by a restart elsewhere, it stops the run, or starts a copy if the step allows it. The
+// rate of a run that is not measured is an upper bound.
+func (s *Scheduler) judgeSpeed(r *run, measured bool) {
 	st, w := r.step, r.worker
 	t := st.task(r.index)
-	t.rate, t.rateWorker = r.speed.rate, w
-	stalled := s.now.Sub(r.speed.changed) > stalledAfter
 	usual, known := st.usualRate(w)
+	stalled := s.now.Sub(r.speed.changed) > s.stallTime(r, usual)
 	slow := false
-	if known {
-		ratio := min(1.5, r.speed.rate/usual)
+	if ratio := min(1.5, r.speed.rate/usual); known && (measured || ratio < slowRatio) {
 		w.speed += speedWeight * (ratio - w.speed)
 		slow = ratio < slowRatio && w.speed < slowWorkerRatio
 	}
@@ -100,6 +116,21 @@
 	s.stop(r, "slow worker")
 }
 
+// stallTime is how long a run may make no progress before it counts as stalled. usual is the usual rate of
+// its step, zero if it is not known.
+func (s *Scheduler) stallTime(r *run, usual float64) time.Duration {
+	var perPercent time.Duration
+	if usual > 0 {
+		perPercent = time.Duration(float64(time.Second) / usual)
+	} else {
+		perPercent = s.expectedTime(r.step.job.spec.Queue, r.step.spec.Estimate) / 100
+		if v := &r.speed; r.percent > v.first {
+			perPercent = max(perPercent, v.changed.Sub(v.since)/time.Duration(r.percent-v.first))
+		}
+	}
+	return max(stalledAfter, stalledPercents*perPercent)
+}
+
 // remainingTime is the time that a run still needs at its current speed.
 func (r *run) remainingTime() time.Duration {
 	if r.speed.rate <= 0 {
