--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -8,7 +8,7 @@
 // one.
 type claim struct{ state atomic.Int64 }
 
-// The states of a claim besides the fencing token with which the start was sent.
+// The states of a claim besides the fencing token with which the call was sent.
 const (
 	unsent    = 0
 	withdrawn = -1
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -65,13 +65,13 @@
 	}
 	v.judged = s.now
 	t := r.step.task(r.index)
-	d, progress := s.now.Sub(v.at).Seconds(), listed.Percent-v.percent
-	measured := progress >= minProgress
+	d, progressed := s.now.Sub(v.at).Seconds(), listed.Percent-v.percent
+	measured := progressed >= minProgress
 	if measured {
-		v.rate = float64(progress) / d
+		v.rate = float64(progressed) / d
 		v.percent, v.at = listed.Percent, s.now
 		t.rate, t.rateWorker = v.rate, r.worker
-	} else if highest := float64(progress+1) / d; v.rate == 0 || v.rate > highest {
+	} else if highest := float64(progressed+1) / d; v.rate == 0 || v.rate > highest {
 		// Less than the next percent was reached since the window began.
 		v.rate, t.rate = highest, 0
 	}
