Compute the usual speed of a step once for a listing

The owner computed the median speed of a step for each of its runs that a worker lists, by the square of the step: a large job takes the owner's time from the work of others.

BenchmarkListingOfLargeStep, a worker that runs half of the tasks of a step: 3,000 tasks 10.1 and 9.9 ms before, 1.60 and 1.64 ms now; 300 tasks 0.21 ms before, 0.14 and 0.15 ms now. The median is that of the other workers, which a listing does not change.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretdrum.example/job"
+	"egretdrum.example/resource"
 )
 
 // BenchmarkTick measures a pass of the scheduler after the end of one run, with all workers full and
@@ -35,6 +36,31 @@
 	}
 }
 
+// BenchmarkListingOfLargeStep measures a listing of a worker that runs half of the tasks of a step.
+func BenchmarkListingOfLargeStep(b *testing.B) {
+	for _, tasks := range []int{300, 3000} {
+		b.Run(fmt.Sprintf("%d tasks", tasks), func(b *testing.B) {
+			sim := newSimulation(2)
+			sim.taskDuration = time.Hour
+			sim.run(100 * time.Millisecond)
+			sim.submit("a", job.Step{Count: tasks, Need: resource.Amount{CPU: 1}, Estimate: time.Hour})
+			sim.run(time.Second)
+			for i := range sim.core.jobs["a"].occurrences[0].steps[0].tasks {
+				t := &sim.core.jobs["a"].occurrences[0].steps[0].tasks[i]
+				t.rate, t.rateWorker = 4, t.run.worker
+			}
+			w := sim.core.workers["w0"]
+			listing := sim.workers["w0"].listing(sim.now)
+			b.ResetTimer()
+			for b.Loop() {
+				sim.core.now = sim.core.now.Add(speedWindow + time.Millisecond)
+				sim.core.applyListing(w, listing)
+				sim.core.TakeActions()
+			}
+		})
+	}
+}
+
 // BenchmarkTickWithMachines measures a pass with the machines of three pools, one of which has a
 // backlog, and the planning of machine moves every 50 ms.
 func BenchmarkTickWithMachines(b *testing.B) {
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -75,6 +75,8 @@
 	tickets        map[string]*ticket
 	adviceInFlight bool
 	askAfter       time.Time
+	// usual is the usual rate of its tasks in the last listing.
+	usual usualRate
 	// detached states belong to runs that are not the current run of a task, one to each such run.
 	// They have no tasks but the one of the run, which is not started.
 	detached     bool
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -84,7 +84,7 @@
 func (s *Scheduler) judgeSpeed(r *run, measured bool) {
 	st, w := r.step, r.worker
 	t := st.task(r.index)
-	usual, known := st.usualRate(w)
+	usual, known := st.usualRateAt(s.now, w)
 	stalled := s.now.Sub(r.speed.changed) > s.stallTime(r, usual)
 	slow := false
 	if ratio := min(1.5, r.speed.rate/usual); known && (measured || ratio < slowRatio) {
@@ -139,6 +139,23 @@
 	return time.Duration(float64(100-r.percent) / r.speed.rate * float64(time.Second))
 }
 
+// usualRate is the usual rate on other workers than worker, as of at.
+type usualRate struct {
+	at     time.Time
+	worker *workerState
+	rate   float64
+	known  bool
+}
+
+// usualRateAt is usualRate, which it computes once for all runs in a listing.
+func (st *stepState) usualRateAt(now time.Time, w *workerState) (rate float64, known bool) {
+	if u := &st.usual; u.worker != w || !u.at.Equal(now) {
+		rate, known := st.usualRate(w)
+		*u = usualRate{now, w, rate, known}
+	}
+	return st.usual.rate, st.usual.known
+}
+
 // usualRate is the median speed of the tasks of a step on other workers than w. Run times
 // within a queue differ too much to be used instead.
 func (st *stepState) usualRate(w *workerState) (rate float64, known bool) {
