--- a/dispatch/stops_test.go
+++ b/dispatch/stops_test.go
@@ -56,6 +56,13 @@
 	return scheduler.StopAnswer{Result: scheduler.StopAccepted}
 }
 
+// observe returns the fencing token that a worker has seen, and the number of its runs.
+func (c *testCluster) observe(id string) (fence int64, runs int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workers[id].fence, len(c.workers[id].runs)
+}
+
 // runLong has a worker run as many long tasks of a job.
 func (c *testCluster) runLong(t *testing.T, id string, tasks int) {
 	c.submit(t, id, job.Step{Count: tasks, Need: resource.Amount{CPU: 1}, LongRunning: true})
@@ -87,15 +94,16 @@
 		defer kill()
 		time.Sleep(time.Second)
 		c.runLong(t, "a", tasks)
-		fence := c.workers["w0"].fence
+		fence, _ := c.observe("w0")
 		c.store.Put(storekeys.Cancel("a"), nil)
 		time.Sleep(time.Second)
 		assertStored(t, c, "a", progress.Cancelled)
-		qt.Check(t, len(c.workers["w0"].runs), qt.Equals, 0)
+		fenceAfter, runs := c.observe("w0")
+		qt.Check(t, runs, qt.Equals, 0)
 		qt.Check(t, calls.calls.Load(), qt.Equals, int64(tasks))
 		qt.Check(t, calls.unsent.Load(), qt.Equals, int64(0))
 		qt.Check(t, calls.fenced.Load(), qt.Equals, int64(0))
-		qt.Check(t, c.workers["w0"].fence, qt.Equals, fence)
+		qt.Check(t, fenceAfter, qt.Equals, fence)
 	})
 }
 
