--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -194,6 +194,7 @@
 			o.Meter.Gauge("isolated_tasks", float64(sum.Isolated))
 			o.Meter.Gauge("given_up_jobs", float64(sum.GivenUp))
 			o.Meter.Gauge("held_jobs", float64(sum.Held))
+			o.Meter.Gauge("run_time_error", sum.RunTimeError)
 			o.Meter.Gauge("unanswered_workers", float64(sum.Unanswered))
 		})
 		var counts map[string]int
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -40,7 +40,7 @@
 	s.changedWorkers[w] = true
 	if w.unansweredPolls > 0 {
 		s.logEvent(LogEvent{Event: "worker-answered", Worker: w.registration.ID, AffectedCount: len(w.runs)})
-		w.unansweredPolls, w.copiesQueued = 0, false
+		w.unansweredPolls, w.copiesQueued, w.answeredAgain = 0, false, now
 	}
 	s.reportUnlisted(w, answer)
 	switch {
@@ -194,7 +194,7 @@
 	r := &run{
 		step: st, index: index, number: listed.Run, worker: w, state: present, sent: s.now, confirmed: s.now,
 		percent: listed.Percent, load: listed.Load, checkpoint: listed.Checkpoint, need: st.spec.Reserved(),
-		usualLease: true,
+		usualLease: true, adopted: true,
 	}
 	r.claim.setFence(w.fence)
 	s.reserve(r)
@@ -277,7 +277,7 @@
 	case e.Reason == worker.Done:
 		w.faults.recordSuccess()
 		if current {
-			s.recordRunTime(st, s.now.Sub(r.sent))
+			s.recordRunTime(r)
 		}
 		if st.spec.LongRunning {
 			break
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -77,6 +77,8 @@
 	askAfter       time.Time
 	// usual is the usual rate of its tasks in the last listing.
 	usual usualRate
+	// expected is the last expected run time of its tasks.
+	expected expectedTime
 	// detached states belong to runs that are not the current run of a task, one to each such run.
 	// They have no tasks but the one of the run, which is not started.
 	detached     bool
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -41,7 +41,7 @@
 func (s *Scheduler) criticalPath(queue string, o *occurrence) (total, remaining time.Duration) {
 	var longest, longestLeft [maxCriticalPathSteps]time.Duration
 	for _, st := range o.steps {
-		d := s.expectedTime(queue, st.spec.Estimate)
+		d := s.expectedTimeOf(queue, st)
 		if rate, known := st.usualRate(nil); known {
 			d = time.Duration(100 / rate * float64(time.Second))
 		}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -347,6 +347,7 @@
 	if st.spec.Gang {
 		checkpoint = st.checkpoint
 	}
+	r.resumed, r.copied = checkpoint != "", len(t.earlierRuns) > 0
 	s.actions.Starts = append(s.actions.Starts, Start{
 		Worker: w.registration, Task: st.name(index), Run: number, Spec: st.job.spec.Payload,
 		LeaseEnd: s.grant(w), Checkpoint: checkpoint, Ticket: st.ticketFor(w),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,7 @@
 	"egretdrum.example/job"
 	"egretdrum.example/progress"
 	"egretdrum.example/resource"
+	"egretdrum.example/runtimes"
 )
 
 // Scheduler is the scheduling state of one owner. It is not safe for concurrent use.
@@ -46,6 +48,7 @@
 	// runTimes has the statistics of the tasks of each queue, shareBuckets what is left of
 	// the share of each account.
 	runTimes     map[string]*runTimeStats
+	learnt       learntTimes
 	shareBuckets map[string]*shareBucket
 	waves        map[int64]*wave
 	// evacuatedZones has the availability zones under evacuation with the revisions of their
@@ -134,13 +137,15 @@
 	// FurtherTasks bounds the size of the occurrences of scheduled jobs that have begun beside
 	// another one of their job, in tasks of about 300 bytes. Other due occurrences wait.
 	FurtherTasks int
+	// RunTimeQuantiles has the distribution of run times learnt.
+	RunTimeQuantiles bool
 }
 
 // DefaultLimits returns the limits that apply if none are configured.
 func DefaultLimits() Limits {
 	return Limits{
 		Lease: 2800 * time.Millisecond, MaxLease: 10 * time.Second, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
-		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond, FurtherTasks: 50_000,
+		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond, FurtherTasks: 50_000, RunTimeQuantiles: true,
 	}
 }
 
@@ -173,6 +178,7 @@
 		accounts: make(map[string]resource.Amount),
 
 		runTimes:        make(map[string]*runTimeStats),
+		learnt:          learntTimes{stats: runtimes.New(), queues: make(map[string]bool)},
 		shareBuckets:    make(map[string]*shareBucket),
 		relocationNeeds: make(map[relocationNeed]bool),
 		recoveryWorkers: make(map[string]recoveryWorker),
@@ -338,11 +344,13 @@
 	Isolated, GivenUp int
 	// Held counts the scheduled jobs with due occurrences that wait until earlier ones are done.
 	Held int
+	// RunTimeError is the average factor by which run times differ from the expected ones.
+	RunTimeError float64
 }
 
 // Summary returns the current counts.
 func (s *Scheduler) Summary() Summary {
-	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp}
+	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp, RunTimeError: math.Exp(s.learnt.deviation)}
 	for _, steps := range s.waiting {
 		for _, st := range steps {
 			sum.Waiting += len(st.waitingTasks)
@@ -367,15 +375,6 @@
 	return sum
 }
 
-// Task returns the current run of a task and its worker, for explanations and tests.
-func (s *Scheduler) Task(t job.Task) (workerID string, run int64) {
-	if st := s.step(t); st != nil && st.tasks[t.Index].run != nil {
-		r := st.tasks[t.Index].run
-		return r.worker.registration.ID, r.number
-	}
-	return "", 0
-}
-
 // usable reports whether new tasks may be started on a worker.
 func (s *Scheduler) usable(w *workerState) bool {
 	if !w.answered || w.hasUnknownRuns || w.unansweredPolls > 0 || w.uncertain || (w.recordStored && !mutation.useRecorded) || w.registration.Leaving || w.orderedAway || s.now.Before(w.pausedUntil) || w.quarantined(s.now) || s.evacuated(w) {
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -92,12 +92,12 @@
 		slow = ratio < slowRatio && w.speed < slowWorkerRatio
 	}
 	if w.speed < slowWorkerRatio || stalled {
-		w.slowUntil = s.now.Add(avoidSlowFor)
+		s.avoidSlow(r, slow || stalled)
 	}
 	if r.state != present || st.spec.Gang || (!stalled && !slow) {
 		return
 	}
-	restartTime := s.expectedTime(st.job.spec.Queue, st.spec.Estimate)
+	restartTime := s.expectedTimeOf(st.job.spec.Queue, st)
 	if known {
 		restartTime = time.Duration(100 / usual * float64(time.Second))
 	}
@@ -116,6 +116,19 @@
 	s.stop(r, "slow worker")
 }
 
+// avoidSlow has the worker of a run avoided for a while. slow is set if this run is slow itself.
+func (s *Scheduler) avoidSlow(r *run, slow bool) {
+	w := r.worker
+	if s.now.After(w.slowUntil) {
+		w.slowRuns = 0
+	}
+	if slow && (!r.slow || w.slowRuns == 0) {
+		w.slowRuns++
+		r.slow = true
+	}
+	w.slowUntil = s.now.Add(avoidSlowFor)
+}
+
 // stallTime is how long a run may make no progress before it counts as stalled. usual is the usual rate of
 // its step, zero if it is not known.
 func (s *Scheduler) stallTime(r *run, usual float64) time.Duration {
@@ -123,7 +136,7 @@
 	if usual > 0 {
 		perPercent = time.Duration(float64(time.Second) / usual)
 	} else {
-		perPercent = s.expectedTime(r.step.job.spec.Queue, r.step.spec.Estimate) / 100
+		perPercent = s.expectedTimeOf(r.step.job.spec.Queue, r.step) / 100
 		if v := &r.speed; r.percent > v.first {
 			perPercent = max(perPercent, v.changed.Sub(v.since)/time.Duration(r.percent-v.first))
 		}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -92,7 +92,11 @@
 	// set while it is too low.
 	speed     float64
 	slowUntil time.Time
-	faults    faults
+	// slowRuns counts the runs that were slow until slowUntil, warmAt is when the worker is not cold any
+	// more, and answeredAgain when it last answered after it had not.
+	slowRuns              int
+	warmAt, answeredAgain time.Time
+	faults                faults
 	// aliveAt is the latest time at which the worker is known to have been alive. watched holds the
 	// runs of tasks under which workers have crashed. recordedIncarnation is that of the record of
 	// the previous owner.
@@ -152,6 +156,10 @@
 	checkpoint string
 	speed      speed
 	need       resource.Amount
+	// adopted is set for runs that another owner has started, resumed for those that began at a
+	// checkpoint, copied for those that were started beside another run of their task, and slow for
+	// those that were slow on a slow worker.
+	adopted, resumed, copied, slow bool
 	// late is set if the job could not be in time any more when the run was started.
 	late bool
 	// claim holds the fencing token with which the start was sent.
@@ -205,6 +213,9 @@
 	if warm := now.Add(e.ColdFor); warm.After(w.slowUntil) {
 		w.slowUntil = warm
 	}
+	if e.ColdFor > 0 {
+		w.warmAt = now.Add(e.ColdFor)
+	}
 	s.changedWorkers[w] = true
 	if e.Leaving {
 		s.evacuate(w)
@@ -348,3 +359,12 @@
 	}
 	return ids
 }
+
+// Task returns the current run of a task and its worker, for explanations and tests.
+func (s *Scheduler) Task(t job.Task) (workerID string, run int64) {
+	if st := s.step(t); st != nil && st.tasks[t.Index].run != nil {
+		r := st.tasks[t.Index].run
+		return r.worker.registration.ID, r.number
+	}
+	return "", 0
+}
