Commit submissions through the owner while the store does not serve a host

A host that has seen that the store refuses its calls, or leaves them unanswered beyond the usual time, sends it no further writes of callers. It asks the owner to commit them over the owner link, and refuses them at once if that is not possible.

--- a/command/platform.go
+++ b/command/platform.go
@@ -119,6 +119,7 @@
 		RevokeWithin:   func() time.Duration { return h.currentSettings.Load().RevokeWithin },
 		KeepResults:    func() time.Duration { return h.currentSettings.Load().KeepResults },
 		EvacuateWithin: func() time.Duration { return h.currentSettings.Load().EvacuateWithin },
+		Relay:          func() bool { return h.currentSettings.Load().OutageRelay },
 		Limits:         func() scheduler.Limits { return schedulerLimits(h.currentSettings.Load()) },
 		ElectionDelay:  ownershipDelay(capacityRatio(s), time.Now()),
 		Log:            h.log, Meter: h.meter,
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -17,7 +17,9 @@
 	"egretdrum.example/kv"
 	"egretdrum.example/meter"
 	"egretdrum.example/ownerlink"
+	"egretdrum.example/relay"
 	"egretdrum.example/scheduler"
+	"egretdrum.example/storehealth"
 	"egretdrum.example/subscription"
 	"egretdrum.example/supervision"
 )
@@ -42,6 +44,9 @@
 	Limits                                    func() scheduler.Limits
 	// ElectionDelay is how long the host leaves the ownership to other hosts before it competes for it.
 	ElectionDelay func() time.Duration
+	// Relay reports whether submissions go through the owner while the store does not serve this host;
+	// nil stands for a host that always does so.
+	Relay func() bool
 	// Now is the clock for leases and confirmations; nil stands for a clock that includes the
 	// time for which the machine is suspended.
 	Now   func() time.Duration
@@ -59,6 +64,7 @@
 	config     *subscription.Subscription
 	link       *ownerlink.Link
 	candidate  *election.Candidate
+	committer  *relay.Committer
 	supervisor *supervision.Supervisor
 }
 
@@ -68,24 +74,32 @@
 	if now == nil {
 		now = boottime.Now
 	}
+	relays := cfg.Relay
+	if relays == nil {
+		relays = func() bool { return true }
+	}
+	health := new(storehealth.Health)
+	store := health.Observe(cfg.Store)
 	supervisor := &supervision.Supervisor{Log: cfg.Log, Count: func(task string) { cfg.Meter.Count("part_failures", "part", task) }}
 	h := &Host{
 		supervisor: supervisor,
-		config:     subscription.New(cfg.Store, cfg.OperatorPrefix, cfg.ConfigKey, cfg.DecodeOperator, cfg.Log),
+		config:     subscription.New(store, cfg.OperatorPrefix, cfg.ConfigKey, cfg.DecodeOperator, cfg.Log),
 		link:       ownerlink.New(cfg.Log, supervisor),
+		committer:  relay.New(store, health.Serves, relays, cfg.Log, cfg.Meter, supervisor),
 	}
 	h.config.Now, h.config.EvacuationPrefix = now, cfg.EvacuationPrefix
 	h.JobService = &jobservice.Service{
-		Store: cfg.Store, Subscription: h.config, RevokeWithin: cfg.RevokeWithin, Log: cfg.Log, Meter: cfg.Meter,
+		Store: store, Subscription: h.config, RevokeWithin: cfg.RevokeWithin, Log: cfg.Log, Meter: cfg.Meter,
 		Notify: h.link.Notify, QueryState: h.link.QueryState,
+		Health: health, Relay: h.link.Commit, RelayEnabled: relays,
 	}
 	owner := &dispatch.Owner{
-		Store: cfg.Store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults, EvacuateWithin: cfg.EvacuateWithin,
+		Store: store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults, EvacuateWithin: cfg.EvacuateWithin,
 		Log: cfg.Log, Meter: cfg.Meter, Supervisor: supervisor,
 	}
-	h.Links = &ownerlink.Server{Token: owner.Token, Notify: owner.Notify, QueryState: owner.QueryState, Log: cfg.Log, Supervisor: supervisor}
+	h.Links = &ownerlink.Server{Token: owner.Token, Notify: owner.Notify, QueryState: owner.QueryState, Commit: h.committer.Commit, Log: cfg.Log, Supervisor: supervisor}
 	h.candidate = &election.Candidate{
-		Store: cfg.Store, Host: cfg.Name, RunOwner: owner.Run, Log: cfg.Log, Now: now, ElectionDelay: cfg.ElectionDelay,
+		Store: store, Host: cfg.Name, RunOwner: owner.Run, Log: cfg.Log, Now: now, ElectionDelay: cfg.ElectionDelay,
 		LinkAddress: cfg.LinkAddress, OwnerChanged: h.link.SetOwner, Supervisor: supervisor,
 	}
 	return h
@@ -98,6 +112,8 @@
 	tasks := []func(){
 		func() { h.supervisor.RunWithRestart(ctx, "configuration", h.config.Run) },
 		func() { h.supervisor.RunWithRestart(ctx, "owner-link", h.link.Run) },
+		func() { h.supervisor.RunWithRestart(ctx, "relay", h.committer.Run) },
+		func() { h.supervisor.RunWithRestart(ctx, "store-probe", h.JobService.Probe) },
 		// Logs call the background task of the election tenure.
 		func() { h.supervisor.RunWithRestart(ownerCtx, "tenure", h.candidate.Run) },
 	}
--- a/jobservice/counts.go
+++ b/jobservice/counts.go
@@ -21,6 +21,9 @@
 
 // Count returns how many jobs of a queue have not started, as stored by the owner.
 func (s *Service) Count(ctx context.Context, call *Call, t *Target) Answer {
+	if !s.storeServes() {
+		return s.refuse("the store does not serve this host")
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(s.timeout(call), commitTimeout))
 	defer cancel()
 	s.counts.mu.Lock()
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,16 +19,18 @@
 	"egretdrum.example/latency"
 	"egretdrum.example/meter"
 	"egretdrum.example/ownerlink"
-	"egretdrum.example/progress"
+	"egretdrum.example/storehealth"
 	"egretdrum.example/storekeys"
 	"egretdrum.example/subscription"
 	"egretdrum.example/wait"
 )
 
 const (
-	// RetryAfter is the retry delay in refusals while the store is unavailable; most outages
-	// last some seconds.
-	RetryAfter = time.Second
+	// RetryAfter is the shortest retry delay in refusals while the store is unavailable; most outages
+	// last some seconds. Callers are told to wait for one to maxRetryAfterSeconds of it, so that they
+	// do not come back together.
+	RetryAfter           = time.Second
+	maxRetryAfterSeconds = 2
 	// maxDenialAge is the maximum age of a configuration that may deny a call: in an older
 	// one, an unknown queue or key may be a new one. A change of the configuration, such as
 	// a new queue, has to be in force within two seconds.
@@ -67,8 +71,16 @@
 	// QueryState, if set, queries the owner for the state of a job; it reports false if the
 	// owner gave no answer that can be used.
 	QueryState func(ctx context.Context, id string) (ownerlink.Answer, bool)
-
-	counts countCache
+	// Health says whether the store serves this host; nil stands for a store that always does.
+	Health *storehealth.Health
+	// Relay, if set, commits a change by way of the owner, which is used while RelayEnabled returns
+	// true and the store does not serve this host.
+	Relay        func(ctx context.Context, c kv.Change) (int64, error)
+	RelayEnabled func() bool
+
+	// avoided is set while writes are not sent to the store, so that a change is logged once.
+	avoided atomic.Bool
+	counts  countCache
 	// commitLatency estimates how long the store needs for a commit.
 	commitLatency latency.Estimate
 
@@ -146,7 +158,7 @@
 }
 
 func (s *Service) refuse(reason string) Answer {
-	return Answer{Outcome: Refused, RetryAfter: RetryAfter, Reason: reason}
+	return Answer{Outcome: Refused, RetryAfter: RetryAfter * time.Duration(1+rand.IntN(maxRetryAfterSeconds)), Reason: reason}
 }
 
 // deny returns the answer a, or a refusal if the configuration is too old to deny a call.
@@ -205,7 +217,7 @@
 		if othersMark > 0 {
 			change.Deletes = []string{storekeys.Cancel(j.ID)}
 		}
-		revision, err := s.commit(ctx, change, failures)
+		revision, err := s.write(ctx, change, failures, mayBeStored)
 		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
@@ -220,8 +232,12 @@
 				// No earlier attempt can take effect any more.
 				return Answer{Outcome: Refused, Reason: "the job was cancelled before it was stored"}
 			}
-			othersMark = mark.Revision
 			s.Subscription.Apply(conflict.Find(s.Subscription.ConfigKey))
+			if _, newest, _ := s.Subscription.Current(); newest == t.revision && mark.Revision == othersMark {
+				// The owner does not send a large configuration along with the outcome.
+				return unknownIfMayBeStored(s.refuse("the configuration of this host is older than that of the store"), mayBeStored)
+			}
+			othersMark = mark.Revision
 		case kv.NotApplied(err):
 			if !mayBeStored {
 				return s.refuse(err.Error())
@@ -278,180 +294,3 @@
 	}
 	return revision, err
 }
-
-// State returns the state of a job.
-func (s *Service) State(ctx context.Context, call *Call, t *Target) Answer {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout(call))
-	defer cancel()
-	if a, ok := s.queryOwner(ctx, t); ok {
-		return a
-	}
-	for {
-		a, err := s.readState(ctx, t)
-		if err == nil {
-			return a
-		}
-		if !wait.For(ctx, retryDelay) {
-			return s.refuse(err.Error())
-		}
-	}
-}
-
-// queryOwner queries the owner, which knows the state of a job without reading the store.
-func (s *Service) queryOwner(ctx context.Context, t *Target) (Answer, bool) {
-	if s.QueryState == nil {
-		return Answer{}, false
-	}
-	a, ok := s.QueryState(ctx, t.ID)
-	s.Meter.Count("states", "from", stateSource(ok))
-	if !ok {
-		return Answer{}, false
-	}
-	if a.Queue != t.Queue.Name || a.Account != t.Account {
-		return Answer{Outcome: NoJob}, true
-	}
-	return Answer{Outcome: Shown, State: a.State}, true
-}
-
-func stateSource(fromOwner bool) string {
-	if fromOwner {
-		return "owner"
-	}
-	return "store"
-}
-
-func (s *Service) readState(ctx context.Context, t *Target) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	item, err := s.Store.Get(ctx, storekeys.Result(t.ID))
-	if err == nil {
-		r, err := progress.Decode(item.Value)
-		if err != nil {
-			return Answer{}, err
-		}
-		if r.Queue != t.Queue.Name || r.Account != t.Account {
-			return Answer{Outcome: NoJob}, nil
-		}
-		return s.withCancellation(ctx, t, r.State)
-	}
-	if !errors.Is(err, kv.ErrNotFound) {
-		return Answer{}, err
-	}
-	submitted, err := s.readSubmission(ctx, t)
-	switch {
-	case err != nil:
-		return Answer{}, err
-	case submitted.item.Revision == 0:
-		return Answer{Outcome: NoJob}, nil
-	case submitted.cancelled:
-		return Answer{Outcome: Shown, State: progress.Cancelled}, nil
-	}
-	return Answer{Outcome: Shown, State: progress.Pending}, nil
-}
-
-// withCancellation returns the state of a job with a stored record. A cancellation is durable before
-// the owner records it, so a record that is not final may be older.
-func (s *Service) withCancellation(ctx context.Context, t *Target, state progress.State) (Answer, error) {
-	if state.Final() {
-		return Answer{Outcome: Shown, State: state}, nil
-	}
-	_, err := s.Store.Get(ctx, storekeys.Cancel(t.ID))
-	switch {
-	case err == nil:
-		state = progress.Cancelled
-	case !errors.Is(err, kv.ErrNotFound):
-		return Answer{}, err
-	}
-	return Answer{Outcome: Shown, State: state}, nil
-}
-
-// submission is a stored job, the zero item if the queue has no such job of the account.
-type submission struct {
-	item      kv.Item
-	cancelled bool
-	// others is set if another queue or account has a job of this ID.
-	others bool
-}
-
-// readSubmission reads a job and whether it is cancelled.
-func (s *Service) readSubmission(ctx context.Context, t *Target) (submission, error) {
-	items, _, err := s.Store.Range(ctx, storekeys.Job(t.ID))
-	if err != nil {
-		return submission{}, err
-	}
-	var sub submission
-	for _, i := range items {
-		switch i.Key {
-		case storekeys.Cancel(t.ID):
-			sub.cancelled = cancellation.Covers(i.Value, t.Queue.Name, t.Account)
-		case storekeys.Job(t.ID):
-			j, err := job.Decode(i.Value)
-			if err != nil {
-				return submission{}, err
-			}
-			if j.Queue == t.Queue.Name && j.Account == t.Account {
-				sub.item = i
-			} else {
-				sub.others = true
-			}
-		}
-	}
-	return sub, nil
-}
-
-// Cancel stores the cancellation of a job. If there is no such job, it stores a mark that keeps a
-// submission from taking effect later.
-func (s *Service) Cancel(ctx context.Context, call *Call, t *Target) Answer {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout(call))
-	defer cancel()
-	a := s.cancel(ctx, t)
-	s.Meter.Count("cancellations", "outcome", string(a.Outcome))
-	return a
-}
-
-func (s *Service) cancel(ctx context.Context, t *Target) Answer {
-	for failures := 0; ; failures++ {
-		a, err := s.tryCancel(ctx, t, failures)
-		if err == nil {
-			return a
-		}
-		if !wait.For(ctx, retryDelay) {
-			return Answer{Outcome: Unknown, Reason: err.Error()}
-		}
-	}
-}
-
-func (s *Service) tryCancel(ctx context.Context, t *Target, failures int) (Answer, error) {
-	readCtx, cancelRead := context.WithTimeout(ctx, commitTimeout)
-	defer cancelRead()
-	submitted, err := s.readSubmission(readCtx, t)
-	switch {
-	case err != nil:
-		return Answer{}, err
-	case submitted.others:
-		return Answer{Outcome: NoJob}, nil
-	case submitted.item.Revision == 0:
-		return s.markCancelled(ctx, t)
-	case submitted.cancelled:
-		return Answer{Outcome: Accepted, Reason: "known"}, nil
-	}
-	put := kv.Put{Key: storekeys.Cancel(t.ID), Value: []byte{}}
-	revision, err := s.commit(ctx, kv.Change{
-		Conditions: []kv.Condition{{Key: storekeys.Job(t.ID), Revision: submitted.item.Revision}},
-		Puts:       []kv.Put{put},
-	}, failures)
-	if err != nil {
-		return Answer{}, err
-	}
-	s.notifyOwner(put, revision)
-	return Answer{Outcome: Accepted}, nil
-}
-
-// markCancelled stores the mark of a job that is not stored: its submission may be on its way.
-func (s *Service) markCancelled(ctx context.Context, t *Target) (Answer, error) {
-	s.marksOnce.Do(func() { s.marks = cancellation.New(s.Store, s.commit, s.Subscription.Now) })
-	if err := s.marks.Set(ctx, t.ID, t.Queue.Name, t.Account); err != nil {
-		return Answer{}, err
-	}
-	return Answer{Outcome: NoJob}, nil
-}
--- a/ownerlink/link.go
+++ b/ownerlink/link.go
@@ -43,6 +43,7 @@
 	lastID     uint64
 	pending    map[uint64]chan Answer
 	unanswered int
+	relays     relays
 }
 
 var (
@@ -157,6 +158,7 @@
 	l.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.relays.end()
 	for id, answer := range c.pending {
 		delete(c.pending, id)
 		answer <- Answer{}
@@ -177,6 +179,7 @@
 		c.unanswered = 0
 		answer := c.pending[r.ID]
 		delete(c.pending, r.ID)
+		c.relays.answer(&r)
 		c.mu.Unlock()
 		if answer != nil {
 			answer <- r.Answer
--- a/ownerlink/message.go
+++ b/ownerlink/message.go
@@ -34,14 +34,16 @@
 	redialDelay = 100 * time.Millisecond
 )
 
-// message is sent by a host: an item of the store, or a query for the state of a job if ID is
-// set.
+// message is sent by a host: an item of the store, or a request if ID is set, which is a query for
+// the state of a job or a change to commit.
 type message struct {
 	ID       uint64 `cbor:"1,keyasint,omitempty"`
 	Job      string `cbor:"2,keyasint,omitempty"`
 	Key      string `cbor:"3,keyasint,omitempty"`
 	Value    []byte `cbor:"4,keyasint,omitempty"`
 	Revision int64  `cbor:"5,keyasint,omitempty"`
+	// Change makes the message a request to commit a change.
+	Change *relayedChange `cbor:"16,keyasint,omitempty"`
 }
 
 func (m *message) item() kv.Item { return kv.Item{Key: m.Key, Value: m.Value, Revision: m.Revision} }
@@ -59,4 +61,6 @@
 type reply struct {
 	ID     uint64 `cbor:"1,keyasint"`
 	Answer Answer `cbor:"2,keyasint"`
+	// Outcome is the outcome of a change; an owner of a build without relays sends none.
+	Outcome *relayOutcome `cbor:"16,keyasint,omitempty"`
 }
--- a/ownerlink/server.go
+++ b/ownerlink/server.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -22,7 +23,10 @@
 	Notify func(kv.Item)
 	// QueryState answers a query for the state of a job by calling reply, which does not block.
 	QueryState func(job string, reply func(Answer))
-	Log        *zap.Logger
+	// Commit, if set, commits a change for a host within a time and calls reply with the result of
+	// kv.Store.Commit; neither blocks.
+	Commit func(c kv.Change, within time.Duration, reply func(revision int64, err error))
+	Log    *zap.Logger
 	// Supervisor recovers panics; a panic ends the link.
 	Supervisor *supervision.Supervisor
 }
@@ -67,8 +71,12 @@
 			s.Notify(m.item())
 			continue
 		}
+		if m.Change != nil {
+			s.commit(m.ID, m.Change, out)
+			continue
+		}
 		s.QueryState(m.Job, func(a Answer) {
-			b, err := cbor.Marshal(reply{m.ID, a})
+			b, err := cbor.Marshal(reply{ID: m.ID, Answer: a})
 			if err != nil {
 				s.Log.Error("answer-not-encoded", zap.String("request", m.Job), zap.Error(err))
 				return
--- a/ownerlink/upgrade_test.go
+++ b/ownerlink/upgrade_test.go
@@ -3,8 +3,10 @@
 import (
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 
+	"egretdrum.example/kv"
 	"egretdrum.example/progress"
 	"egretdrum.example/property"
 )
@@ -29,3 +31,24 @@
 	property.CheckEncoding(t, sentQuery, message{ID: 7, Job: "5c0e7a21d94b36f8"}, encode, decode)
 	property.CheckEncoding(t, sentReply, reply{ID: 7, Answer: Answer{Known: true, State: progress.Running, Queue: "rounds", Account: "arbiters"}}, encode, decode)
 }
+
+// Guards against a change that an owner of a build without relays takes for an item, and against its
+// answer that is taken for an outcome.
+func TestOwnersWithoutRelaysCommitNothing(t *testing.T) {
+	b, err := cbor.Marshal(message{ID: 7, Change: &relayedChange{Puts: []relayedItem{{Key: "egretdrum/in/1", Value: []byte("job")}}}})
+	qt.Assert(t, err, qt.IsNil)
+	var seen struct {
+		ID       uint64 `cbor:"1,keyasint,omitempty"`
+		Job      string `cbor:"2,keyasint,omitempty"`
+		Key      string `cbor:"3,keyasint,omitempty"`
+		Value    []byte `cbor:"4,keyasint,omitempty"`
+		Revision int64  `cbor:"5,keyasint,omitempty"`
+	}
+	qt.Assert(t, cbor.Unmarshal(b, &seen), qt.IsNil)
+	qt.Assert(t, seen.ID, qt.Equals, uint64(7))
+	qt.Assert(t, seen.Job+seen.Key, qt.Equals, "")
+	r, err := decode[reply]([]byte("\xa2\x01\x07\x02\xa0")) // to a query for a job that is not known
+	qt.Assert(t, err, qt.IsNil)
+	_, err = r.Outcome.result()
+	qt.Assert(t, kv.NotApplied(err), qt.IsTrue)
+}
--- a/storehealth/health.go
+++ b/storehealth/health.go
@@ -36,19 +36,23 @@
 }
 
 // Serves reports whether the store serves this host.
-func (h *Health) Serves() bool {
+func (h *Health) Serves() bool { return h.Failure() == "" }
+
+// Failure returns why the store is taken not to serve this host, empty if it serves it.
+func (h *Health) Failure() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.turnedAway || h.silent {
-		return false
+	if h.turnedAway {
+		return "calls are refused or find no connection"
 	}
-	now := time.Now()
+	silent, now := h.silent, time.Now()
 	for _, due := range h.due {
-		if h.tooLong(due, now) {
-			return false
-		}
+		silent = silent || h.tooLong(due, now)
+	}
+	if silent {
+		return "calls are not answered"
 	}
-	return true
+	return ""
 }
 
 // Doubted returns a channel that receives a value after calls without an answer.
