--- a/command/platform.go
+++ b/command/platform.go
@@ -146,6 +146,7 @@
 	limits := scheduler.DefaultLimits()
 	limits.Lease, limits.MaxLease = min(limits.Lease, s.MaxLease), s.MaxLease
 	limits.Maintenance, limits.Stop = s.MaintenanceTime, s.StopTime
+	limits.OrderByDue = s.OrderByDue
 	return limits
 }
 
--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -193,6 +193,7 @@
 			o.Meter.Gauge("workers", float64(sum.Workers))
 			o.Meter.Gauge("isolated_tasks", float64(sum.Isolated))
 			o.Meter.Gauge("given_up_jobs", float64(sum.GivenUp))
+			o.Meter.Gauge("delayed_jobs", float64(sum.Delayed))
 			o.Meter.Gauge("held_jobs", float64(sum.Held))
 			o.Meter.Gauge("unanswered_workers", float64(sum.Unanswered))
 		})
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -46,7 +46,8 @@
 	steps     []*stepState
 	openSteps int // steps that are not done
 	// runs counts the runs of its tasks that may be present.
-	runs int
+	runs    int
+	planned planned
 }
 
 // stepState is the progress of one step of one occurrence.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -29,6 +29,8 @@
 	// lateness is 0 while the occurrence can meet its objective, 1 while it can end late but
 	// with a result of use, and 2 afterwards.
 	lateness int
+	// objective is the time in which the job is to be done, path the critical path that is left.
+	objective, path time.Duration
 }
 
 // String returns the rank as it is logged.
@@ -66,30 +68,42 @@
 // maxCriticalPathSteps is the number of steps of a job that the critical path covers.
 const maxCriticalPathSteps = 16
 
-// sortSteps sorts steps in the order in which they are placed: long-running tasks first, then by
-// the priority of the queue, then accounts within their share, then jobs that can still meet
-// their objective, and then by their due time. Small jobs don't overtake large ones: when they did,
-// the large jobs of all accounts waited in a burst for as long as small ones arrived.
-func (s *Scheduler) sortSteps(steps []*stepState) {
+// sortSteps sorts the waiting steps of a pool in the order in which they are placed: long-running tasks
+// first, and the others by the plan of the pool. In a pool with room for all, or without plans, the
+// order is the priority of the queue, then accounts within their share, then jobs that can still
+// meet their objective, and then the due time.
+func (s *Scheduler) sortSteps(pool string, steps []*stepState, workers []*workerState) {
 	for _, st := range steps {
 		if s.now.Sub(st.rank.at) > maxRankAge {
 			st.rank = s.rankOf(st.job, st.occurrence)
 		}
 	}
+	if !s.planPool(pool, steps, workers) {
+		slices.SortStableFunc(steps, compareByDue)
+		return
+	}
 	slices.SortStableFunc(steps, func(a, b *stepState) int {
-		return cmp.Or(
-			-boolCompare(a.spec.LongRunning, b.spec.LongRunning),
-			cmp.Compare(a.rank.priority, b.rank.priority),
-			boolCompare(a.rank.overShare, b.rank.overShare),
-			cmp.Compare(a.rank.lateness, b.rank.lateness),
-			a.occurrence.due.Compare(b.occurrence.due),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-			cmp.Compare(a.occurrence.number, b.occurrence.number),
-			cmp.Compare(a.number, b.number),
-		)
+		if a.spec.LongRunning || b.spec.LongRunning || a.occurrence.planned.place == b.occurrence.planned.place {
+			return compareByDue(a, b)
+		}
+		return cmp.Compare(a.occurrence.planned.place, b.occurrence.planned.place)
 	})
 }
 
+// compareByDue compares steps in the order that does not depend on plans.
+func compareByDue(a, b *stepState) int {
+	return cmp.Or(
+		-boolCompare(a.spec.LongRunning, b.spec.LongRunning),
+		cmp.Compare(a.rank.priority, b.rank.priority),
+		boolCompare(a.rank.overShare, b.rank.overShare),
+		cmp.Compare(a.rank.lateness, b.rank.lateness),
+		a.occurrence.due.Compare(b.occurrence.due),
+		cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		cmp.Compare(a.occurrence.number, b.occurrence.number),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
 func (s *Scheduler) rankOf(j *jobState, o *occurrence) rank {
 	total, remaining := s.criticalPath(j.spec.Queue, o)
 	r := rank{at: s.now, overShare: j.overShare}
@@ -98,11 +112,11 @@
 		return r
 	}
 	r.priority = q.Priority
-	objective := objective(q, total)
+	r.objective, r.path = objective(q, total), remaining
 	switch end := s.now.Sub(o.due) + remaining; {
-	case end > lateFactor*objective:
+	case end > lateFactor*r.objective:
 		r.lateness = 2
-	case end > objective:
+	case end > r.objective:
 		r.lateness = 1
 	}
 	return r
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -34,7 +34,7 @@
 		}
 		workers := s.candidates(pool)
 		maxFree := maxFreeCapacity(workers)
-		s.sortSteps(steps)
+		s.sortSteps(pool, steps, workers)
 		s.nextPass[pool] = s.now.Add(passPause(len(steps), len(workers)))
 		var unplaceable unplaceable
 		for _, st := range steps {
@@ -204,13 +204,13 @@
 		st.waitedFor = st.reason
 		if !st.waitLogged && s.now.Sub(st.waitingSince) > waitLogDelay && len(st.waitingTasks) > 0 {
 			st.waitLogged = true
-			s.logEvent(LogEvent{Event: "tasks-wait", Job: st.job.spec.ID, Waited: s.now.Sub(st.waitingSince), WaitReason: st.reason + s.evacuationNote(), Reason: fmt.Sprintf("step %d, %d tasks; %s", st.number, len(st.waitingTasks), st.rank)})
+			s.logEvent(LogEvent{Event: "tasks-wait", Job: st.job.spec.ID, Waited: s.now.Sub(st.waitingSince), WaitReason: st.reason + s.evacuationNote(), Reason: fmt.Sprintf("step %d, %d tasks; %s", st.number, len(st.waitingTasks), st.rankNote())})
 		}
 		return
 	}
 	s.logEvent(LogEvent{
 		Event: "tasks-placed", Job: st.job.spec.ID, Run: before + 1, Waited: s.now.Sub(st.waitingSince), WaitReason: st.waitedFor,
-		Reason: fmt.Sprintf("step %d, %d tasks, %d wait; %s", st.number, s.lastRun-before, len(st.waitingTasks), st.rank),
+		Reason: fmt.Sprintf("step %d, %d tasks, %d wait; %s", st.number, s.lastRun-before, len(st.waitingTasks), st.rankNote()),
 	})
 }
 
@@ -339,7 +339,7 @@
 // start reserves the resources of a run and tells the worker to start it.
 func (s *Scheduler) start(st *stepState, index int, w *workerState, number int64) {
 	t := &st.tasks[index]
-	r := &run{step: st, index: index, number: number, worker: w, sent: s.now, awaitsAnswer: true, need: st.spec.Reserved(), late: st.rank.lateness > 0 && !st.spec.LongRunning, percentAllowed: 100, paceKnown: true}
+	r := &run{step: st, index: index, number: number, worker: w, sent: s.now, awaitsAnswer: true, need: st.spec.Reserved(), late: st.rank.lateness > 0 && !st.spec.LongRunning, aged: st.isAged(), percentAllowed: 100, paceKnown: true}
 	s.reserve(r)
 	s.useReservation(st, w)
 	s.unansweredStarts++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -47,7 +47,10 @@
 	// the share of each account.
 	runTimes     map[string]*runTimeStats
 	shareBuckets map[string]*shareBucket
-	waves        map[int64]*wave
+	// plans has the plan of each pool, lastPlan is the number of the last one.
+	plans    map[string]*poolPlan
+	lastPlan int64
+	waves    map[int64]*wave
 	// evacuatedZones has the availability zones under evacuation with the revisions of their
 	// evacuations. zonesUnknown is set while the owner does not know which ones are.
 	evacuatedZones map[string]int64
@@ -134,6 +137,8 @@
 	// FurtherTasks bounds the size of the occurrences of scheduled jobs that have begun beside
 	// another one of their job, in tasks of about 300 bytes. Other due occurrences wait.
 	FurtherTasks int
+	// OrderByDue orders waiting work by age, also while a pool has too little room for it.
+	OrderByDue bool
 }
 
 // DefaultLimits returns the limits that apply if none are configured.
@@ -174,6 +179,7 @@
 
 		runTimes:        make(map[string]*runTimeStats),
 		shareBuckets:    make(map[string]*shareBucket),
+		plans:           make(map[string]*poolPlan),
 		relocationNeeds: make(map[relocationNeed]bool),
 		recoveryWorkers: make(map[string]recoveryWorker),
 		changedPools:    make(map[string]bool),
@@ -338,6 +344,8 @@
 	Isolated, GivenUp int
 	// Held counts the scheduled jobs with due occurrences that wait until earlier ones are done.
 	Held int
+	// Delayed counts the jobs that are delayed so that others are in time.
+	Delayed int
 }
 
 // Summary returns the current counts.
@@ -353,6 +361,7 @@
 			sum.Held++
 		}
 	}
+	sum.Delayed = s.delayedJobs()
 	for _, w := range s.workers {
 		sum.Running += len(w.runs)
 		for _, r := range w.watched {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -63,6 +63,8 @@
 	used  resource.Amount
 	// lateUse is the part of used that belongs to runs of jobs that can't be in time any more.
 	lateUse resource.Amount
+	// agedUse is the part of used that belongs to runs of aged work.
+	agedUse resource.Amount
 	// reservations hold capacity for long-running tasks that wait.
 	reservations []*reservation
 
@@ -154,6 +156,8 @@
 	need       resource.Amount
 	// late is set if the job could not be in time any more when the run was started.
 	late bool
+	// aged is set if the run was started because its job had waited for very long.
+	aged bool
 	// claim holds the fencing token with which the start was sent.
 	claim claim
 }
@@ -287,6 +291,9 @@
 	if r.late {
 		w.lateUse = w.lateUse.Add(r.need.Times(n))
 	}
+	if r.aged {
+		w.agedUse = w.agedUse.Add(r.need.Times(n))
+	}
 }
 
 // expire drops the runs of a worker once their lease must have ended, and removes workers that are
