--- a/backlog/order.go
+++ b/backlog/order.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"math"
 	"slices"
 )
 
@@ -81,7 +80,7 @@
 const costSteps = 16
 
 // workForCost returns the work that is left for the cost of its delay.
-func workForCost(it *item) float64 { return math.Round(costSteps * it.Left / max(1e-9, it.DelayCost)) }
+func workForCost(it *item) float64 { return it.workForCost }
 
 // deferWork delays work that can't be in time together with other work of at least its priority and
 // share.
--- a/backlog/plan.go
+++ b/backlog/plan.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -90,6 +91,8 @@
 	verdict      Verdict
 	// latest is the latest start with which the work is in time, lastUse that with which it is of use.
 	latest, lastUse float64
+	// workForCost is the ratio of the work that is left and the cost of its delay, in costSteps.
+	workForCost float64
 }
 
 // load returns the work that others have to wait for.
@@ -177,7 +180,8 @@
 	path := max(w.Path, seconds(w.Left/max(1, p.capacity.Total)))
 	it := item{
 		Work: w, verdict: First,
-		latest: (w.Deadline.Sub(p.now) - path).Seconds(), lastUse: (w.Limit.Sub(p.now) - path).Seconds(),
+		workForCost: math.Round(costSteps * w.Left / max(1e-9, w.DelayCost)),
+		latest:      (w.Deadline.Sub(p.now) - path).Seconds(), lastUse: (w.Limit.Sub(p.now) - path).Seconds(),
 	}
 	switch {
 	case p.now.Sub(w.Due) > agedFactor*w.Limit.Sub(w.Due):
@@ -208,15 +212,17 @@
 
 // compare returns the order of starts.
 func (p *Plan) compare(a, b *item) int {
+	if c := boolCompare(a.verdict != Aged, b.verdict != Aged); c != 0 {
+		return c
+	}
 	compare := p.order.Compare
 	if p.short && p.order.CompareShort != nil {
 		compare = p.order.CompareShort
 	}
-	return cmp.Or(
-		boolCompare(a.verdict != Aged, b.verdict != Aged),
-		compare(a, b),
-		cmp.Compare(a.index, b.index),
-	)
+	if c := compare(a, b); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.index, b.index)
 }
 
 // workBy returns the work that the pool can start up to a time. Work that runs already ends evenly,
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -13,7 +13,7 @@
 	// minPlanAge is how long the plan of a pool is used at least, with planAgePerJob in addition for
 	// each of its jobs, so that plans take a few percent of the owner's time.
 	minPlanAge    = 40 * time.Millisecond
-	planAgePerJob = 20 * time.Microsecond
+	planAgePerJob = 40 * time.Microsecond
 	// arrivalTime is how long until a machine that is ordered to a pool takes tasks there.
 	arrivalTime = 1500 * time.Millisecond
 )
