--- a/command/platform.go
+++ b/command/platform.go
@@ -148,6 +148,7 @@
 	limits.Lease, limits.MaxLease = min(limits.Lease, s.MaxLease), s.MaxLease
 	limits.Maintenance, limits.Stop = s.MaintenanceTime, s.StopTime
 	limits.RunTimeQuantiles = s.RunTimeQuantiles
+	limits.OrderByDue = s.OrderByDue
 	return limits
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -50,7 +50,10 @@
 	runTimes     map[string]*runTimeStats
 	learnt       learntTimes
 	shareBuckets map[string]*shareBucket
-	waves        map[int64]*wave
+	// plans has the plan of each pool, lastPlan is the number of the last one.
+	plans    map[string]*poolPlan
+	lastPlan int64
+	waves    map[int64]*wave
 	// evacuatedZones has the availability zones under evacuation with the revisions of their
 	// evacuations. zonesUnknown is set while the owner does not know which ones are.
 	evacuatedZones map[string]int64
@@ -139,6 +142,8 @@
 	FurtherTasks int
 	// RunTimeQuantiles has the distribution of run times learnt.
 	RunTimeQuantiles bool
+	// OrderByDue orders waiting work by age, also while a pool has too little room for it.
+	OrderByDue bool
 }
 
 // DefaultLimits returns the limits that apply if none are configured.
@@ -180,6 +185,7 @@
 		runTimes:        make(map[string]*runTimeStats),
 		learnt:          learntTimes{stats: runtimes.New(), queues: make(map[string]bool)},
 		shareBuckets:    make(map[string]*shareBucket),
+		plans:           make(map[string]*poolPlan),
 		relocationNeeds: make(map[relocationNeed]bool),
 		recoveryWorkers: make(map[string]recoveryWorker),
 		changedPools:    make(map[string]bool),
@@ -346,6 +352,8 @@
 	Held int
 	// RunTimeError is the average factor by which run times differ from the expected ones.
 	RunTimeError float64
+	// Delayed counts the jobs that are delayed so that others are in time.
+	Delayed int
 }
 
 // Summary returns the current counts.
@@ -361,6 +369,7 @@
 			sum.Held++
 		}
 	}
+	sum.Delayed = s.delayedJobs()
 	for _, w := range s.workers {
 		sum.Running += len(w.runs)
 		for _, r := range w.watched {
