Order by plan only while most waiting jobs can't be in time

In a small overload, lent machines arrive before the delayed jobs are late, and the prediction does not know of them.

--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -102,14 +102,23 @@
 	for _, st := range steps {
 		o := st.occurrence
 		switch {
-		case p.plan == nil:
+		case !p.overloaded():
 			o.planned = planned{}
 		case o.planned.by != p.number && !st.spec.LongRunning:
 			_, v, place := p.plan.Predict(s.workLeft(st, p.capacity))
 			o.planned = planned{p.number, v, 2*place - 1}
 		}
 	}
-	return p.plan != nil
+	return p.overloaded()
+}
+
+// overloaded reports whether the order of the plan applies: at least as many jobs can't be in time as can.
+// With a smaller overload, machines that other pools lend make up for it before the delayed jobs are late.
+func (p *poolPlan) overloaded() bool {
+	if p.plan == nil || !p.plan.Short() {
+		return false
+	}
+	return p.plan.Count(backlog.Delayed)+p.plan.Count(backlog.Late)+p.plan.Count(backlog.Useless) >= p.plan.Count(backlog.First)
 }
 
 // makePlan makes the plan for the waiting steps of a pool.
@@ -177,9 +186,9 @@
 	return total, left
 }
 
-// logRoom logs that a pool begins or ceases to have too little room for its work to be in time.
+// logRoom logs that a pool begins or ceases to be overloaded.
 func (s *Scheduler) logRoom(pool string, p *poolPlan, next *backlog.Plan) {
-	was, is := p.plan != nil && p.plan.Short(), next != nil && next.Short()
+	was, is := p.overloaded(), (&poolPlan{plan: next}).overloaded()
 	switch {
 	case is && !was:
 		s.logEvent(LogEvent{Event: "pool-short", Reason: fmt.Sprintf("pool %s; %s", pool, next)})
