--- a/command/platform.go
+++ b/command/platform.go
@@ -120,6 +120,7 @@
 		KeepResults:    func() time.Duration { return h.currentSettings.Load().KeepResults },
 		EvacuateWithin: func() time.Duration { return h.currentSettings.Load().EvacuateWithin },
 		Limits:         func() scheduler.Limits { return schedulerLimits(h.currentSettings.Load()) },
+		ConfigWithin:   func() time.Duration { return configWithin(h.currentSettings.Load()) },
 		ElectionDelay:  ownershipDelay(capacityRatio(s), time.Now()),
 		Log:            h.log, Meter: h.meter,
 	})
@@ -142,6 +143,15 @@
 	}
 }
 
+// configWithin returns the time within which a new configuration has to be in force, zero if the owner
+// must not go on while the store is silent.
+func configWithin(s *platform.Settings) time.Duration {
+	if !s.ContinueOutage {
+		return 0
+	}
+	return s.ConfigWithin
+}
+
 func schedulerLimits(s *platform.Settings) scheduler.Limits {
 	limits := scheduler.DefaultLimits()
 	limits.Lease, limits.MaxLease = min(limits.Lease, s.MaxLease), s.MaxLease
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -99,14 +100,12 @@
 	case <-o.ctx.Done():
 		return
 	}
-	if !o.term.Valid() {
+	if !o.term.AllowsPolls() {
 		o.stop()
 		return
 	}
-	if !o.mayStart(a) || !o.mayHaveRoom(a.Worker.Pool) || !a.Claim() {
-		o.post(func(now time.Time) {
-			o.core.StartAnswered(a, scheduler.StartAnswer{Result: scheduler.StartNotSent}, now)
-		})
+	if !o.mayStart(a) || !o.mayHaveRoom(a.Worker.Pool) || !o.termAllowsStarts() || !a.Claim() {
+		o.reportNotSent(a)
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, a.Timeout)
@@ -114,6 +113,9 @@
 	sent := time.Now()
 	answer := o.Calls.Start(ctx, a)
 	o.Meter.Scope.Timer("start_time").Record(time.Since(sent))
+	if answer.Result == scheduler.StartFenced {
+		o.fenced(a.Worker.ID, a.Fence)
+	}
 	o.post(func(now time.Time) { o.core.StartAnswered(a, answer, now) })
 }
 
@@ -124,7 +126,7 @@
 
 // stopRun sends a stop unless the run has ended while the stop waited for its turn.
 func (o *Owner) stopRun(a scheduler.Stop) {
-	if !o.awaitTerm("stop", a.Task.String()) {
+	if !o.awaitPolls("stop", a.Task.String()) {
 		return
 	}
 	if !a.Claim() {
@@ -137,6 +139,9 @@
 	ctx, cancel := context.WithTimeout(o.ctx, a.Timeout)
 	defer cancel()
 	answer := o.Calls.Stop(ctx, a)
+	if answer.Result == scheduler.StopFenced {
+		o.fenced(a.Worker.ID, a.Fence)
+	}
 	report := func() { o.post(func(now time.Time) { o.core.StopAnswered(a, answer, now) }) }
 	if answer.Result == scheduler.StopAccepted {
 		report()
@@ -155,7 +160,7 @@
 }
 
 func (o *Owner) pace(a scheduler.Pace) {
-	if !o.awaitTerm("pace", a.Task.String()) {
+	if !o.awaitPolls("pace", a.Task.String()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, paceTimeout)
@@ -178,7 +183,7 @@
 			return
 		}
 	}
-	if !o.awaitTerm("poll", a.Worker.ID) {
+	if !o.awaitPolls("poll", a.Worker.ID) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, a.Wait+a.Timeout)
@@ -187,6 +192,9 @@
 	if err != nil && o.ctx.Err() == nil {
 		o.Log.Info("look-failed", zap.String("worker", a.Worker.ID), zap.Int64("fence", a.Fence), zap.Error(err))
 	}
+	if errors.Is(err, scheduler.ErrFenced) {
+		o.fenced(a.Worker.ID, a.Fence)
+	}
 	o.post(func(now time.Time) { o.core.PollAnswered(a, listing, otherIncarnation, now) })
 }
 
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -37,22 +37,28 @@
 	// EvacuateWithin returns the time after which no task may start in an evacuated zone any
 	// more, zero if this deployment evacuates no zones.
 	EvacuateWithin func() time.Duration
-	Log            *zap.Logger
+	// ConfigWithin returns the time after which a new configuration has to be in force, zero if it is
+	// not known; nil stands for zero. Tasks are started without a confirmed lease only within it.
+	ConfigWithin func() time.Duration
+	Log          *zap.Logger
 	Meter          *meter.Meter
 	// Supervisor recovers panics; a panic ends the term.
 	Supervisor *supervision.Supervisor
 
-	term     *election.Term
-	termWait *termWait
-	core     *scheduler.Scheduler
-	events   chan event
+	term *election.Term
+	// Calls wait for the term in termWait, pollWait and writeWait, by what they need.
+	termWait, pollWait, writeWait *termWait
+	// restricted is set while the scheduler plans only what needs no confirmed lease.
+	restricted atomic.Bool
+	core       *scheduler.Scheduler
+	events     chan event
 	// eventDelay is how late events are applied; only the loop uses it.
 	eventDelay eventDelay
 	// zonesUnknown is set while it is not known which zones are under evacuation.
 	zonesUnknown bool
 	// registrationsRead is when the newest read of the registrations that is applied was requested;
 	// capacitiesUnknown is set while it is too long ago.
-	registrationsRead atomic.Pointer[time.Time]
+	registrationsRead atomic.Pointer[readTime]
 	capacitiesUnknown bool
 	// applyingJob is the job that is being added to the scheduler; setAside holds the jobs
 	// on which that failed.
@@ -154,7 +160,9 @@
 		o.setAside, o.workersSetAside = make(map[string]bool), make(map[string]int64)
 	}
 	o.applyingWorker, o.oddEntries = kv.Item{}, make(map[string]int64)
-	o.term, o.termWait = term, &termWait{}
+	o.term, o.termWait, o.pollWait, o.writeWait = term, &termWait{}, &termWait{}, &termWait{}
+	o.restricted.Store(false)
+	defer o.endRestriction()
 	o.events, o.queries = make(chan event, eventBuffer), make(chan func(), eventBuffer)
 	o.eventDelay = eventDelay{}
 	o.zonesUnknown, o.capacitiesUnknown = false, false
@@ -164,12 +172,13 @@
 	o.waves = make(map[int64]waveRecord)
 	o.changedWaves, o.wavesChanged = make(map[int64]bool), make(chan struct{}, 1)
 	o.core = scheduler.New(o.Limits(), term.Number, time.Now())
-	o.saver = newSaver(o.Store, term.Number, o.Log, o.Supervisor)
-	o.keys = newGuardedKeys(o.Store, term.Number)
+	store := o.holdWrites()
+	o.saver = newSaver(store, term.Number, o.Log, o.Supervisor)
+	o.keys = newGuardedKeys(store, term.Number)
 	o.keyWriter = newKeyWriter(o.keys, o.Log)
 	o.jobRevisions, o.removedJobs = make(map[string]int64), make(map[string]removedJob)
 	o.cancelledUnknown = make(map[string][]byte)
-	o.jobRemover = newJobRemover(o.Store, term.Number, o.Log)
+	o.jobRemover = newJobRemover(store, term.Number, o.Log)
 	// Items that arrive during the load wait for the loop. There is no channel for queries
 	// yet, so hosts read the store instead.
 	o.linkTerm.Store(&linkTerm{term: term, events: o.events, done: o.ctx.Done()})
@@ -249,6 +258,7 @@
 	o.applyConfig(time.Now())
 	for {
 		o.updateEventDelay(time.Now())
+		o.checkTerm()
 		o.checkZones()
 		o.checkCapacities()
 		o.core.Tick(time.Now())
@@ -317,7 +327,7 @@
 	defer cancel()
 	var workers, submissions, results, waves, unresponsive, pools []kv.Item
 	var from watchRevisions
-	requested := time.Now()
+	requested := o.readTime()
 	reads := []<-chan error{
 		o.rangeAsync(ctx, o.Calls.WorkerPrefix, &workers, &from.workers),
 		o.rangeAsync(ctx, storekeys.Submissions, &submissions, &from.submissions),
@@ -400,6 +410,10 @@
 		o.Log.Warn("job-not-decoded", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
+	if !o.term.Valid() {
+		// A successor may take the job for newer than its term, and start it at once.
+		o.checkTerm()
+	}
 	// Jobs that are newer than the term were unknown to previous owners.
 	inherited := item.Revision < o.term.Number
 	if o.core.AddJob(j, records[storekeys.Result(id)], inherited, now) {
--- a/dispatch/registrations.go
+++ b/dispatch/registrations.go
@@ -54,6 +54,14 @@
 	registrationsReadInterval = 200 * time.Millisecond
 )
 
+// readTime is the time of a read, and the same on the clock of the term.
+type readTime struct {
+	at     time.Time
+	onTerm time.Duration
+}
+
+func (o *Owner) readTime() readTime { return readTime{time.Now(), o.term.Now()} }
+
 // noteRegistrationsRead returns a function that notes, behind the events that it has brought, a read
 // of the registrations which was requested at the given time.
 func (o *Owner) noteRegistrationsRead() func(requested time.Time) {
@@ -63,7 +71,9 @@
 			return
 		}
 		last = requested
-		o.post(func(time.Time) { o.registrationsRead.Store(&requested) })
+		// The watch has waited since, on the clock that stops during a suspension.
+		boot := o.term.Now() - time.Since(requested)
+		o.post(func(time.Time) { o.registrationsRead.Store(&readTime{requested, boot}) })
 	}
 }
 
@@ -74,7 +84,8 @@
 	if read == nil {
 		return false, 0
 	}
-	age = time.Since(*read)
+	// The clock of the term counts suspensions.
+	age = max(time.Since(read.at), o.term.Now()-read.onTerm)
 	return age <= maxRegistrationsAge, age
 }
 
--- a/election/election.go
+++ b/election/election.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"errors"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,9 +35,6 @@
 	renewalsInFlight = 3
 	// callTimeout covers a store that responds 80 times slower than usual, in 330 ms.
 	callTimeout = 600 * time.Millisecond
-	// expiryMargin ends a term before its lease expires, to leave time for requests that are
-	// being sent.
-	expiryMargin = 200 * time.Millisecond
 	// watchWait is how long one watch waits for a change of the owner's key.
 	watchWait  = 5 * time.Second
 	retryDelay = 150 * time.Millisecond
@@ -62,6 +58,10 @@
 	OwnerChanged func(at netip.AddrPort, token []byte)
 	// RunOwner runs while this host is the owner; its context ends with ownership.
 	RunOwner func(ctx context.Context, term *Term)
+	// Continuation, if set, returns how long an owner whose lease can't be confirmed may go on with
+	// polls, after the end of the lease, and with starts, after the last confirmation. Zero for polls
+	// ends the term with its lease.
+	Continuation func() (polls, starts time.Duration)
 	Log      *zap.Logger
 	Now      func() time.Duration
 	// Supervisor recovers panics of renewals.
@@ -71,40 +71,6 @@
 	responseTime time.Duration
 }
 
-// Term is one period of ownership of this host.
-type Term struct {
-	// Number is the revision of the store at which this host created the owner's key. It is
-	// higher than that of all earlier terms of any host and can be compared with the revisions
-	// of stored items.
-	Number int64
-	// Token authenticates links to the owner: it is known only to hosts that can read the
-	// store.
-	Token []byte
-
-	now   func() time.Duration
-	mu    sync.Mutex
-	until time.Duration
-}
-
-// Valid reports whether this host is still the owner; it is checked before each request to a
-// worker or the platform.
-func (t *Term) Valid() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.now() < t.until-expiryMargin
-}
-
-func (t *Term) extend(until time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.until = max(t.until, until)
-}
-
-// NewTerm returns a term whose lease expires at a time of the given clock.
-func NewTerm(number int64, now func() time.Duration, until time.Duration) *Term {
-	return &Term{Number: number, now: now, until: until}
-}
-
 // ownerRecord is the value of the owner's key.
 type ownerRecord struct {
 	Host string `cbor:"1,keyasint"`
@@ -235,7 +201,10 @@
 		wait.For(ctx, retryDelay)
 		return
 	}
-	term := &Term{Number: number, Token: record.Token, now: c.Now, until: sent + ttl}
+	term := &Term{Number: number, Token: record.Token, now: c.Now, confirmed: sent, until: sent + ttl}
+	if c.Continuation != nil {
+		term.SetContinuation(c.Continuation())
+	}
 	c.notifyOwnerChanged(record)
 	c.runTerm(ctx, lease, term)
 }
@@ -267,6 +236,7 @@
 	stop()
 	<-done
 	c.Log.Info("ownership-ended", zap.Int64("term", term.Number), zap.Bool("valid", term.Valid()))
+	term.End("the owner has stopped")
 	c.revoke(lease)
 	if failed {
 		wait.For(ctx, failureDelay)
@@ -275,7 +245,8 @@
 
 // renew returns when the term has expired or RunOwner has returned. A renewal does not wait for
 // the response to the previous one, as the store may be slow or lose single responses. The first
-// one is sent at once, because an election with a slow store uses up part of the lease.
+// one is sent at once, because an election with a slow store uses up part of the lease. Renewals go on
+// while the term has less than full rights: the store may have kept the lease.
 func (c *Candidate) renew(ctx context.Context, lease int64, term *Term, done <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan error, renewalsInFlight)
@@ -299,6 +270,7 @@
 			switch {
 			case errors.Is(err, kv.ErrNotFound):
 				c.Log.Warn("lease-lost", zap.Int64("term", term.Number))
+				term.End("the store has ended the lease")
 				return
 			case err != nil && ctx.Err() == nil:
 				c.Log.Warn("lease-not-renewed", zap.Int64("term", term.Number), zap.Error(err))
@@ -310,8 +282,9 @@
 				go func() { results <- c.renewOnce(ctx, lease, term) }()
 			}
 		}
-		if !term.Valid() {
+		if !term.AllowsPolls() {
 			c.Log.Warn("lease-expired", zap.Int64("term", term.Number))
+			term.End("the time is over")
 			return
 		}
 	}
@@ -328,7 +301,7 @@
 		sent := c.Now()
 		var ttl time.Duration
 		if ttl, err = c.Store.Renew(ctx, lease); err == nil {
-			term.extend(sent + ttl)
+			term.extend(sent, ttl)
 		}
 	})
 	return err
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -40,6 +40,9 @@
 	// EvacuateWithin is zero if the deployment evacuates no zones.
 	RevokeWithin, KeepResults, EvacuateWithin func() time.Duration
 	Limits                                    func() scheduler.Limits
+	// ConfigWithin is the time after which a new configuration has to be in force. Zero, or nil, ends the
+	// term of an owner whose lease the store does not confirm with the lease.
+	ConfigWithin func() time.Duration
 	// ElectionDelay is how long the host leaves the ownership to other hosts before it competes for it.
 	ElectionDelay func() time.Duration
 	// Now is the clock for leases and confirmations; nil stands for a clock that includes the
@@ -81,16 +84,30 @@
 	}
 	owner := &dispatch.Owner{
 		Store: cfg.Store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults, EvacuateWithin: cfg.EvacuateWithin,
-		Log: cfg.Log, Meter: cfg.Meter, Supervisor: supervisor,
+		ConfigWithin: cfg.ConfigWithin, Log: cfg.Log, Meter: cfg.Meter, Supervisor: supervisor,
 	}
 	h.Links = &ownerlink.Server{Token: owner.Token, Notify: owner.Notify, QueryState: owner.QueryState, Log: cfg.Log, Supervisor: supervisor}
 	h.candidate = &election.Candidate{
 		Store: cfg.Store, Host: cfg.Name, RunOwner: owner.Run, Log: cfg.Log, Now: now, ElectionDelay: cfg.ElectionDelay,
 		LinkAddress: cfg.LinkAddress, OwnerChanged: h.link.SetOwner, Supervisor: supervisor,
+		Continuation: cfg.continuation,
 	}
 	return h
 }
 
+// continuation returns how long an owner without a confirmed lease may go on with polls, after the end of
+// the lease, and with starts, after its last confirmation.
+func (c *Config) continuation() (polls, starts time.Duration) {
+	if c.ConfigWithin == nil {
+		return 0, 0
+	}
+	within := c.ConfigWithin()
+	if within <= 0 {
+		return 0, 0
+	}
+	return c.Limits().PollsAfterLease(), within - dispatch.StartMargin
+}
+
 // Run runs the background tasks of the host until ctx ends; one that fails unexpectedly is
 // started again. When ownerCtx ends, which comes first in a planned stop, the host gives up the
 // ownership and no longer competes for it.
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -95,6 +96,9 @@
 	sequence int64
 }
 
+// ErrFenced means that a worker did nothing because it has seen a higher fencing token.
+var ErrFenced = errors.New("the worker has seen a higher fencing token")
+
 // Save stores the progress of a job; report it by Saved.
 type Save struct {
 	Job     string
--- a/scheduler/clocks.go
+++ b/scheduler/clocks.go
@@ -10,6 +10,10 @@
 // clockResolution is the resolution of the clock times in answers of workers.
 const clockResolution = time.Millisecond
 
+// maxClockAge is how long before a grant an owner has read the clock of the worker at most: polls are
+// answered within this time, and a worker that does not answer gets no lease.
+const maxClockAge = 2 * time.Second
+
 // earliestClock is the lowest reading that the known incarnation of a worker can give in an answer to a
 // call that was decided on at the given time.
 func (s *Scheduler) earliestClock(w *workerState, sent time.Time) time.Duration {
@@ -70,6 +74,15 @@
 	if (!known || enforced) && s.recoveryDeadline.After(w.leaseEnd) {
 		w.leaseEnd = s.recoveryDeadline
 	}
+	// A previous owner without a confirmed lease may have extended the lease until this answer, but not
+	// beyond the recovery deadline.
+	end := s.now.Add(s.leaseBound(s.limits.Lease + time.Duration(float64(maxClockAge)*s.limits.MaxDrift) + clockResolution))
+	if end.After(s.recoveryDeadline) {
+		end = s.recoveryDeadline
+	}
+	if end.After(w.leaseEnd) && !mutation.ignoreLeaseBeforeAnswer {
+		w.leaseEnd = end
+	}
 }
 
 // endsWithUsualLease reports whether a run has ended by the end of the usual lease if its worker gets no
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -40,6 +40,7 @@
 	}
 	s.logEvent(LogEvent{Event: "worker-crashed", Worker: w.registration.ID, AffectedCount: len(w.runs), Reason: w.registration.Machine + " is down"})
 	s.reportCrash(w, w.sortedRuns(), w.registration.Machine+" is down")
+	s.bar(w)
 	w.leaseExpired = true
 	w.setFence(w.fence + 1)
 	w.uncertain, w.answered = false, false
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -43,6 +43,7 @@
 func (s *Scheduler) newIncarnation(w *workerState, incarnation int64) {
 	s.logEvent(LogEvent{Event: "worker-restarted", Worker: w.registration.ID, AffectedCount: len(w.runs)})
 	w.incarnation = incarnation
+	s.bar(w)
 	s.dropUnsent(w, restartedReason)
 	w.setFence(w.fence + 1)
 	if !w.granted.IsZero() {
@@ -76,6 +77,7 @@
 	s.logEvent(LogEvent{Event: "worker-replaced", Worker: w.registration.ID, AffectedCount: len(w.runs)})
 	s.reportCrash(w, w.sortedRuns(), w.registration.Machine+" carries another worker")
 	w.replaced, w.answered = true, false
+	s.bar(w)
 	w.sequence++
 	w.ignoredUpTo = w.sequence
 	delete(s.recoveryWorkers, w.registration.ID)
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -17,6 +17,9 @@
 	cancelled bool
 	// inherited jobs may have runs that a previous owner started.
 	inherited bool
+	// late is set if the job arrived while the owner was restricted: another owner may start its tasks
+	// at once, as they are newer than its term.
+	late bool
 	// overShare is set if the account had used up its share when the job arrived.
 	overShare bool
 	arrived   time.Time
@@ -136,7 +139,7 @@
 	if s.jobs[spec.ID] != nil {
 		return false
 	}
-	j := &jobState{spec: spec, state: progress.Pending, inherited: inherited, arrived: now, occurrences: make(map[int]*occurrence)}
+	j := &jobState{spec: spec, state: progress.Pending, inherited: inherited, late: s.restricted, arrived: now, occurrences: make(map[int]*occurrence)}
 	j.size = occurrenceSize(spec)
 	s.jobs[spec.ID] = j
 	if inherited {
--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -79,6 +79,7 @@
 			s.replace(w)
 		}
 	}
+	s.barWorkers()
 	s.findCrashed(asked)
 	s.dropGoneRecoveryWorkers(asked)
 }
--- a/scheduler/mutation.go
+++ b/scheduler/mutation.go
@@ -11,5 +11,7 @@
 
 	keepUnsent, countShrunk bool
 
+	expireRestricted, startLate, useBarred, ignorePollLimit, ignoreLeaseBeforeAnswer bool
+
 	ignoreCrashes, ignoreIsolation, ignoreDurability bool
 }
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -63,7 +63,7 @@
 
 // startsHeld reports whether no further tasks are started for now.
 func (s *Scheduler) startsHeld() bool {
-	if s.eventDelay >= noStartsDelay || s.zonesUnknown {
+	if s.eventDelay >= noStartsDelay || s.zonesUnknown || (s.restricted && !s.restrictedStarts) {
 		return true
 	}
 	full := s.unansweredStarts >= s.startWindow
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -43,6 +43,8 @@
 			case s.startsHeld():
 				st.reason = "the owner lags, or too many starts are unanswered"
 				s.changedPools[pool] = true
+			case s.waitsForTerm(st):
+				st.reason = termWait
 			case s.mustWait(st):
 				st.reason = s.waitReason(st)
 			case s.catalog.Queues[st.job.spec.Queue].Pool != pool:
--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -24,14 +24,14 @@
 func (s *Scheduler) planPoll(w *workerState) {
 	w.advanceDurableEnd()
 	s.pollForProof(w)
-	if w.replaced || w.polling || s.now.Before(w.nextPoll) {
+	if w.replaced || w.polling || s.barred(w) || s.now.Before(w.nextPoll) {
 		return
 	}
 	unknown := !w.answered || w.uncertain || w.hasUnknownRuns
 	if !w.registered && len(w.runs) == 0 && !w.uncertain && s.recovered {
 		return
 	}
-	news := w.durableEnd > w.acknowledgedEnd
+	news := w.durableEnd > w.acknowledgedEnd && !s.restricted
 	if !unknown && !news && len(w.runs) == 0 {
 		return
 	}
--- a/scheduler/recoveryworkers.go
+++ b/scheduler/recoveryworkers.go
@@ -29,7 +29,8 @@
 		}
 		m, w := s.machines[r.machine], s.workers[id]
 		left := w == nil || !w.registered || w.registration.Leaving
-		gone := m == nil && left
+		// An empty list is that of a deployment without machines, and proves nothing.
+		gone := m == nil && left && len(s.machines) > 0
 		if m != nil {
 			gone = m.State == worker.Down || m.workerReplaced(id)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -54,7 +54,10 @@
 	zonesUnknown   bool
 	// capacitiesUnknown is set while the capacities of the workers may have shrunk without notice.
 	capacitiesUnknown bool
-	nextPlan          time.Time
+	// restricted is set while the lease of the owner is not confirmed and another owner may have begun.
+	// restrictedStarts is set while it may start tasks nevertheless.
+	restricted, restrictedStarts bool
+	nextPlan                     time.Time
 	// relocationNeeds has the machines that pools lack to relocate long-running tasks that
 	// have to leave their worker.
 	relocationNeeds map[relocationNeed]bool
@@ -186,7 +189,8 @@
 	if mutation.restartRuns {
 		s.lastRun = 0
 	}
-	// The previous owner may have granted leases on the clocks of earlier incarnations.
+	// The previous owner may have granted leases on the clocks of earlier incarnations, and may go on
+	// without a confirmed lease until PollsAfterLease has passed.
 	s.recoveryDeadline = now.Add(s.leaseBound(limits.MaxLease))
 	return s
 }
@@ -378,7 +382,7 @@
 
 // usable reports whether new tasks may be started on a worker.
 func (s *Scheduler) usable(w *workerState) bool {
-	if !w.answered || w.hasUnknownRuns || w.unansweredPolls > 0 || w.uncertain || (w.recordStored && !mutation.useRecorded) || w.registration.Leaving || w.orderedAway || s.now.Before(w.pausedUntil) || w.quarantined(s.now) || s.evacuated(w) {
+	if s.barred(w) || !w.answered || w.hasUnknownRuns || w.unansweredPolls > 0 || w.uncertain || (w.recordStored && !mutation.useRecorded) || w.registration.Leaving || w.orderedAway || s.now.Before(w.pausedUntil) || w.quarantined(s.now) || s.evacuated(w) {
 		return false
 	}
 	return w.registered || s.now.Sub(w.unregisteredAt) < s.limits.Absence
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -94,7 +94,7 @@
 	if w.speed < slowWorkerRatio || stalled {
 		w.slowUntil = s.now.Add(avoidSlowFor)
 	}
-	if r.state != present || st.spec.Gang || (!stalled && !slow) {
+	if s.restricted || r.state != present || st.spec.Gang || (!stalled && !slow) {
 		return
 	}
 	restartTime := s.expectedTime(st.job.spec.Queue, st.spec.Estimate)
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -15,6 +15,9 @@
 
 // recordUnresponsive stores which workers do not answer and what may run on them.
 func (s *Scheduler) recordUnresponsive() {
+	if s.restricted {
+		return
+	}
 	for _, w := range s.sortedWorkers {
 		// Until a recovery is over, a worker that has not answered may hold unknown runs of a
 		// previous owner.
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -109,7 +109,7 @@
 }
 
 func (s *Scheduler) planMachines() {
-	if !s.machinesKnown || !s.recovered || s.catalog == nil || s.now.Before(s.nextPlan) {
+	if s.restricted || !s.machinesKnown || !s.recovered || s.catalog == nil || s.now.Before(s.nextPlan) {
 		return
 	}
 	s.nextPlan = s.now.Add(planInterval + s.eventDelay)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -22,6 +22,8 @@
 	leaseExpired bool
 	// replaced is set once its machine carries another worker: nothing runs on it any more.
 	replaced bool
+	// barred is set while a restricted owner may neither poll the worker nor start tasks on it.
+	barred bool
 	// answered is set once the worker has answered a poll of this owner in its present incarnation.
 	answered    bool
 	incarnation int64
@@ -176,7 +178,7 @@
 	s.now = now
 	w := s.workers[e.ID]
 	if w == nil {
-		w = &workerState{firstSeen: now, speed: 1, newest: new(atomic.Int64), runs: make(map[job.Task]*run), stops: make(map[runKey]*claim)}
+		w = &workerState{firstSeen: now, barred: s.restricted, speed: 1, newest: new(atomic.Int64), runs: make(map[job.Task]*run), stops: make(map[runKey]*claim)}
 		w.setFence(s.forgottenFence)
 		w.registration = e
 		s.workers[e.ID] = w
@@ -217,6 +219,7 @@
 	s.now = now
 	if w := s.workers[id]; w != nil && w.registered {
 		w.registered, w.unregisteredAt = false, now
+		s.bar(w)
 	}
 }
 
@@ -292,6 +295,10 @@
 // expire drops the runs of a worker once their lease must have ended, and removes workers that are
 // gone.
 func (s *Scheduler) expire(w *workerState) {
+	if s.restricted && !mutation.expireRestricted {
+		// Another owner may have adopted the runs and extended their lease.
+		return
+	}
 	if s.now.After(w.leaseEnd) {
 		s.expireRuns(w)
 	}
