--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -14,8 +14,11 @@
 // tasks that it knew. docs/design/store-outage-owner.md says why that is safe.
 
 const (
-	// StartMargin is the part of ConfigWithin that is left for starts in flight.
-	StartMargin = 300 * time.Millisecond
+	// startMargin is the part of ConfigWithin that is left for starts in flight.
+	startMargin = 300 * time.Millisecond
+	// maxStartsWithin bounds how long tasks are started without news of cancellations: no task of a
+	// job may start 4 s after its cancellation.
+	maxStartsWithin = 3 * time.Second
 	// configWatchWait is the age that a configuration reaches while each watch of it is answered.
 	configWatchWait = time.Second
 )
@@ -38,7 +41,13 @@
 		return false
 	}
 	_, _, age := o.Config.Current()
-	return age <= o.ConfigWithin()-StartMargin+configWatchWait
+	return age <= StartsAfterConfirmation(o.ConfigWithin())+configWatchWait
+}
+
+// StartsAfterConfirmation returns how long after the last confirmation of its lease an owner may start
+// tasks, given the time after which a new configuration has to be in force.
+func StartsAfterConfirmation(configWithin time.Duration) time.Duration {
+	return min(configWithin, maxStartsWithin) - startMargin
 }
 
 // checkTerm tells the scheduler whether the lease is confirmed.
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -41,7 +41,7 @@
 	// not known; nil stands for zero. Tasks are started without a confirmed lease only within it.
 	ConfigWithin func() time.Duration
 	Log          *zap.Logger
-	Meter          *meter.Meter
+	Meter        *meter.Meter
 	// Supervisor recovers panics; a panic ends the term.
 	Supervisor *supervision.Supervisor
 
--- a/election/election.go
+++ b/election/election.go
@@ -62,8 +62,8 @@
 	// polls, after the end of the lease, and with starts, after the last confirmation. Zero for polls
 	// ends the term with its lease.
 	Continuation func() (polls, starts time.Duration)
-	Log      *zap.Logger
-	Now      func() time.Duration
+	Log          *zap.Logger
+	Now          func() time.Duration
 	// Supervisor recovers panics of renewals.
 	Supervisor *supervision.Supervisor
 
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -105,7 +105,7 @@
 	if within <= 0 {
 		return 0, 0
 	}
-	return c.Limits().PollsAfterLease(), within - dispatch.StartMargin
+	return c.Limits().PollsAfterLease(), dispatch.StartsAfterConfirmation(within)
 }
 
 // Run runs the background tasks of the host until ctx ends; one that fails unexpectedly is
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -70,6 +70,10 @@
 	core    *Scheduler
 	owner   int64
 	workers map[string]*fakeWorker
+	// former is an owner without a confirmed lease beside the present one, nil without one. The present
+	// one does not reach the workers of successorCut.
+	former       *formerOwner
+	successorCut map[string]bool
 	// machineList is what each new owner gets as the list of machines.
 	machineList []worker.Machine
 	jobs        map[string]*job.Job
@@ -308,6 +312,9 @@
 	}
 	sim.core.Tick(sim.now)
 	sim.execute(sim.core.TakeActions())
+	if sim.former != nil {
+		sim.former.step()
+	}
 	sim.checkInvariants()
 }
 
@@ -493,7 +500,7 @@
 // caller gets an answer. A delayed call reaches the incarnation that the worker has by then: only
 // another ID at the address makes a worker refuse it.
 func (sim *simulation) deliver(kind string, w *fakeWorker, apply func(*fakeWorker)) bool {
-	if w.down || w.unreachable {
+	if w.down || w.unreachable || sim.successorCut[w.registration.ID] {
 		return false
 	}
 	switch sim.outcome(kind) {
@@ -709,14 +716,7 @@
 			answer.Result = StopFenced
 			return
 		}
-		w.fence = a.Fence
-		if r := w.runs[a.Task]; r != nil && r.number == a.Run {
-			if r.stopAt.IsZero() {
-				r.stopAt = sim.now.Add(stopTime)
-			}
-			return
-		}
-		w.highestRun[a.Task] = max(w.highestRun[a.Task], a.Run)
+		w.acceptStop(a, sim.now)
 	})
 	if !ok {
 		answer.Result = StopUnanswered
@@ -724,6 +724,18 @@
 	sim.report(ok, orderTimeout, func() { sim.core.StopAnswered(a, answer, sim.now) })
 }
 
+// acceptStop carries out a stop.
+func (w *fakeWorker) acceptStop(a Stop, now time.Time) {
+	w.fence = a.Fence
+	if r := w.runs[a.Task]; r != nil && r.number == a.Run {
+		if r.stopAt.IsZero() {
+			r.stopAt = now.Add(stopTime)
+		}
+		return
+	}
+	w.highestRun[a.Task] = max(w.highestRun[a.Task], a.Run)
+}
+
 func (sim *simulation) poll(a Poll) {
 	w := sim.workers[a.Worker.ID]
 	var listing *worker.Listing
