--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -86,7 +86,7 @@
 // is not confirmed, a token of another owner ends the term for good.
 func (o *Owner) fenced(worker string, fence int64) {
 	o.post(func(time.Time) {
-		if o.term.Valid() || !o.core.Outranked(worker, fence) {
+		if o.term.Valid() || o.term.EndReason() != "" || !o.core.Outranked(worker, fence) {
 			return
 		}
 		o.Log.Warn("owner-outranked", zap.Int64("term", o.term.Number), zap.String("worker", worker), zap.Int64("fence", fence))
--- a/jobhost/recovery_test.go
+++ b/jobhost/recovery_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"egretdrum.example/catalog"
+	"egretdrum.example/dispatch"
 	"egretdrum.example/election"
 	"egretdrum.example/job"
 	"egretdrum.example/jobhost"
@@ -49,17 +50,25 @@
 	started time.Time
 	hosts   [hosts]*hostProcess
 	jobs    int
+	// configWithin is the setting of that name; zero ends the term of an owner with its lease.
+	configWithin time.Duration
+	// calls changes the calls of a host to the workers; nil leaves them as they are.
+	calls func(host int, c dispatch.Calls) dispatch.Calls
 }
 
 // hostProcess is one process of an entry host.
 type hostProcess struct {
 	service *jobservice.Service
-	kill    func()
-	ended   chan struct{}
+	// disconnect cuts the process off from the store, kill ends it as well.
+	disconnect, kill func()
+	ended            chan struct{}
 }
 
-func newTestCluster(t *testing.T) *testCluster {
-	c := &testCluster{t: t, store: kvfake.New(), started: time.Now()}
+func newTestCluster(t *testing.T) *testCluster { return startTestCluster(t, &testCluster{}) }
+
+// startTestCluster starts a cluster with the settings of c.
+func startTestCluster(t *testing.T, c *testCluster) *testCluster {
+	c.t, c.store, c.started = t, kvfake.New(), time.Now()
 	c.store.Put(configKey, nil)
 	var err error
 	c.fleet, err = workerfake.New(c.store, "desk", workers, resource.Amount{CPU: 4000, Memory: 4000}, taskTime)
@@ -83,17 +92,22 @@
 func (c *testCluster) start(n int) {
 	store, disconnect := c.store.Disconnectable()
 	m := meter.New()
+	calls := c.fleet.Calls()
+	if c.calls != nil {
+		calls = c.calls(n, calls)
+	}
 	h := jobhost.New(&jobhost.Config{
 		Name: fmt.Sprintf("host-%d", n), Store: store, OperatorPrefix: "operators/", ConfigKey: configKey, DecodeOperator: decode,
-		Calls: c.fleet.Calls(), Log: zap.NewNop(), Meter: m, Now: func() time.Duration { return time.Since(c.started) },
+		Calls: calls, Log: zap.NewNop(), Meter: m, Now: func() time.Duration { return time.Since(c.started) },
 		RevokeWithin:   func() time.Duration { return time.Minute },
 		KeepResults:    func() time.Duration { return time.Minute },
 		EvacuateWithin: func() time.Duration { return 0 },
+		ConfigWithin:   func() time.Duration { return c.configWithin },
 		Limits:         scheduler.DefaultLimits,
 		ElectionDelay:  func() time.Duration { return time.Duration(20+10*n) * time.Millisecond },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &hostProcess{service: h.JobService, ended: make(chan struct{})}
+	p := &hostProcess{service: h.JobService, disconnect: disconnect, ended: make(chan struct{})}
 	p.kill = func() { disconnect(); cancel(); <-p.ended }
 	go func() {
 		defer close(p.ended)
@@ -114,14 +128,23 @@
 	return n
 }
 
+var (
+	taskNeed    = resource.Amount{CPU: 1700, Memory: 100}
+	lastingNeed = resource.Amount{CPU: 100, Memory: 100}
+)
+
 // submit submits a job of three tasks to a host that is ready.
 func (c *testCluster) submit() {
+	c.submitJob(&job.Job{Steps: []job.Step{{Count: 3, Need: taskNeed, Estimate: taskTime}}})
+}
+
+func (c *testCluster) submitJob(j *job.Job) {
 	for _, p := range c.hosts {
 		if p == nil || !p.service.Ready() {
 			continue
 		}
 		call := &jobservice.Call{Queue: "rounds", ID: fmt.Sprintf("%016x", c.jobs), Timeout: time.Second, Received: time.Now()}
-		j := &job.Job{ID: call.ID, Steps: []job.Step{{Count: 3, Need: resource.Amount{CPU: 1700, Memory: 100}, Estimate: taskTime}}}
+		j.ID = call.ID
 		if p.service.Submit(context.Background(), call, j).Outcome == jobservice.Accepted {
 			c.jobs++
 			return
--- a/kvfake/fake.go
+++ b/kvfake/fake.go
@@ -44,8 +44,10 @@
 	retention time.Duration
 	written   []time.Time
 	leases    map[int64]*lease
-	changed   chan struct{}
-	calls     map[string]int
+	// pausedAt is when the time of leases was stopped, the zero time while it goes on.
+	pausedAt time.Time
+	changed  chan struct{}
+	calls    map[string]int
 }
 
 type lease struct {
@@ -109,6 +111,21 @@
 	return f.items[key]
 }
 
+// PauseLeases stops the time of all leases, as a store may do that is down, or lets it go on.
+func (f *Fake) PauseLeases(pause bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if pause {
+		f.expire()
+		f.pausedAt = time.Now()
+		return
+	}
+	for _, l := range f.leases {
+		l.expiresAt = l.expiresAt.Add(time.Since(f.pausedAt))
+	}
+	f.pausedAt = time.Time{}
+}
+
 // SetRetention drops changes from the history that are older than d.
 func (f *Fake) SetRetention(d time.Duration) {
 	f.mu.Lock()
@@ -351,6 +368,9 @@
 
 // expire ends the leases whose time to live is over.
 func (f *Fake) expire() {
+	if !f.pausedAt.IsZero() {
+		return
+	}
 	for id, l := range f.leases {
 		if time.Now().After(l.expiresAt) {
 			f.endLease(id)
--- a/scheduler/restricted_test.go
+++ b/scheduler/restricted_test.go
@@ -341,3 +341,15 @@
 	assertState(t, sim, "a", progress.Succeeded)
 	assertState(t, sim, "late", progress.Succeeded)
 }
+
+// Guards against an owner that takes a refusal by its own newer token for that of a later owner.
+func TestOwnNewerTokenOutranksNoOwner(t *testing.T) {
+	sim := newSimulation(1)
+	sim.run(100 * time.Millisecond)
+	w := sim.core.workers["w0"]
+	sent := w.fence
+	qt.Assert(t, sim.core.Outranked("w0", sent), qt.IsTrue)
+	sim.core.markUncertain(w)
+	qt.Assert(t, sim.core.Outranked("w0", sent), qt.IsFalse)
+	qt.Assert(t, sim.core.Outranked("gone", sent), qt.IsFalse)
+}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -32,6 +32,8 @@
 	grace = 4 * time.Second
 	// evacuateWithin is when nothing may start in an evacuated zone any more.
 	evacuateWithin = 4 * time.Second
+	// configWithin is when a new configuration has to be in force.
+	configWithin = 2 * time.Second
 	// maxReported is how many failures of one promise are reported.
 	maxReported = 10
 	// portsPerHost is the number of ports that the emulator sets aside for each host.
@@ -205,7 +207,7 @@
 		content = strings.Replace(content, "cloud.address="+machines.String(), "cloud.address="+h.machines.address().String(), 1)
 	}
 	// The last value of a key counts.
-	content += fmt.Sprintf("\nbounds.graceS=%d\nbounds.evacuateMs=%d\n", int(grace.Seconds()), evacuateWithin.Milliseconds())
+	content += fmt.Sprintf("\nbounds.graceS=%d\nbounds.evacuateMs=%d\nbounds.configApplyMs=%d\n", int(grace.Seconds()), evacuateWithin.Milliseconds(), configWithin.Milliseconds())
 	h.settings = strings.TrimSuffix(settings, ".conf") + ".linked.conf"
 	return os.WriteFile(h.settings, []byte(content), 0o600)
 }
--- a/workerfake/fleet.go
+++ b/workerfake/fleet.go
@@ -130,6 +130,13 @@
 	return runs
 }
 
+// Starts returns the starts of tasks so far, in order of their times.
+func (f *Fleet) Starts() []fleetmodel.Start {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.model.Starts())
+}
+
 // Violations returns the promises that were broken so far.
 func (f *Fleet) Violations() []promises.Violation {
 	f.mu.Lock()
@@ -210,6 +217,9 @@
 			return nil, false, ctx.Err()
 		}
 	}
+	if errors.Is(err, fleetmodel.ErrFenced) {
+		err = scheduler.ErrFenced
+	}
 	if err != nil {
 		return nil, errors.Is(err, fleetmodel.ErrOtherWorker), err
 	}
