--- a/dispatch/jobremover.go
+++ b/dispatch/jobremover.go
@@ -160,9 +160,10 @@
 // noteSubmissionsRead returns a function that notes, behind the items that it has brought, a read
 // of the submissions which was requested at the given time: later reads have no job any more that
 // was removed before.
-func (o *Owner) noteSubmissionsRead() func(requested time.Time) {
+func (o *Owner) noteSubmissionsRead() func(requested readTime) {
 	var last time.Time
-	return func(requested time.Time) {
+	return func(read readTime) {
+		requested := read.at
 		if requested.Sub(last) < removalReadInterval {
 			return
 		}
--- a/dispatch/registrations.go
+++ b/dispatch/registrations.go
@@ -64,16 +64,14 @@
 
 // noteRegistrationsRead returns a function that notes, behind the events that it has brought, a read
 // of the registrations which was requested at the given time.
-func (o *Owner) noteRegistrationsRead() func(requested time.Time) {
+func (o *Owner) noteRegistrationsRead() func(requested readTime) {
 	var last time.Time
-	return func(requested time.Time) {
-		if requested.Sub(last) < registrationsReadInterval {
+	return func(requested readTime) {
+		if requested.at.Sub(last) < registrationsReadInterval {
 			return
 		}
-		last = requested
-		// The watch has waited since, on the clock that stops during a suspension.
-		boot := o.term.Now() - time.Since(requested)
-		o.post(func(time.Time) { o.registrationsRead.Store(&readTime{requested, boot}) })
+		last = requested.at
+		o.post(func(time.Time) { o.registrationsRead.Store(&requested) })
 	}
 }
 
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -26,10 +26,10 @@
 
 // follow watches a prefix and applies its events. After a failed watch it reads the whole
 // prefix again. read is called for each response that is applied, with the time of its request.
-func (o *Owner) follow(prefix string, after int64, event func(kv.Event), reload func([]kv.Item), read func(requested time.Time)) {
+func (o *Owner) follow(prefix string, after int64, event func(kv.Event), reload func([]kv.Item), read func(requested readTime)) {
 	watchFailed := false
 	for o.ctx.Err() == nil {
-		requested := time.Now()
+		requested := o.readTime()
 		ctx, cancel := context.WithTimeout(o.ctx, watchWait+watchTimeout)
 		events, revision, err := o.Store.Watch(ctx, prefix, after, watchWait)
 		cancel()
@@ -55,7 +55,7 @@
 			o.Log.Warn("feed-lost", zap.String("prefix", prefix), zap.Error(err), zap.Bool("history-dropped", errors.Is(err, kv.ErrCompacted)))
 		}
 		// A failed watch may have missed events; the range read returns the current state.
-		requested = time.Now()
+		requested = o.readTime()
 		if items, revision, ok := o.readRange(prefix); ok {
 			reload(items)
 			read(requested)
--- a/scheduler/restricted.go
+++ b/scheduler/restricted.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"egretdrum.example/worker"
@@ -31,7 +32,9 @@
 		s.barWorkers()
 	case !restricted && before:
 		for _, w := range s.sortedWorkers {
-			w.barred = false
+			if w.barred = false; w.registration.Leaving {
+				s.evacuate(w)
+			}
 		}
 		for _, j := range s.jobs {
 			j.late = false
@@ -57,8 +60,14 @@
 	if !s.restricted {
 		return
 	}
+	listed := make(map[string]bool, len(s.machines))
+	for _, m := range s.machines {
+		if m.State == worker.Up {
+			listed[m.Worker] = true
+		}
+	}
 	for _, w := range s.sortedWorkers {
-		if !s.awaitedBySuccessor(w) {
+		if !awaitedBySuccessor(w) || (len(s.machines) > 0 && !listed[w.registration.ID]) {
 			s.bar(w)
 		}
 	}
@@ -72,17 +81,10 @@
 	}
 }
 
-// awaitedBySuccessor reports whether a new owner waits for a worker that it does not reach: it finds
-// its registration or its machine, no record of it, and no proof of its end.
-func (s *Scheduler) awaitedBySuccessor(w *workerState) bool {
-	if !w.registered || w.recordStored || w.replaced || w.orderedAway || w.incarnation == 0 {
-		return false
-	}
-	if len(s.machines) == 0 {
-		return true
-	}
-	m := s.machineOf(w)
-	return m != nil && m.State == worker.Up
+// awaitedBySuccessor reports whether a new owner that knows the machine of a worker waits for it if it
+// does not reach it: there is no record of it, and no proof of its end.
+func awaitedBySuccessor(w *workerState) bool {
+	return w.registered && !w.recordStored && !w.replaced && !w.orderedAway && w.incarnation != 0
 }
 
 // barred reports whether the worker is barred at present.
@@ -103,10 +105,5 @@
 	if st.job.late && !mutation.startLate {
 		return true
 	}
-	for i := range st.tasks {
-		if len(st.tasks[i].evidence.Runs) > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(st.waitingTasks, func(index int) bool { return len(st.tasks[index].evidence.Runs) > 0 })
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -225,6 +225,9 @@
 
 // evacuate stops the long-running tasks of a worker that is leaving, so that they start elsewhere.
 func (s *Scheduler) evacuate(w *workerState) {
+	if s.restricted {
+		return
+	}
 	for _, r := range w.sortedRuns() {
 		if r.step.spec.LongRunning && r.state == present {
 			s.stop(r, "worker leaving")
