--- a/dispatch/registrations.go
+++ b/dispatch/registrations.go
@@ -54,15 +54,23 @@
 	registrationsReadInterval = 200 * time.Millisecond
 )
 
+// readTime is the time of a read, and the same on the clock of the term.
+type readTime struct {
+	at     time.Time
+	onTerm time.Duration
+}
+
+func (o *Owner) readTime() readTime { return readTime{time.Now(), o.term.Now()} }
+
 // noteRegistrationsRead returns a function that notes, behind the events that it has brought, a read
 // of the registrations which was requested at the given time.
-func (o *Owner) noteRegistrationsRead() func(requested time.Time) {
+func (o *Owner) noteRegistrationsRead() func(requested readTime) {
 	var last time.Time
-	return func(requested time.Time) {
-		if requested.Sub(last) < registrationsReadInterval {
+	return func(requested readTime) {
+		if requested.at.Sub(last) < registrationsReadInterval {
 			return
 		}
-		last = requested
+		last = requested.at
 		o.post(func(time.Time) { o.registrationsRead.Store(&requested) })
 	}
 }
@@ -74,7 +82,8 @@
 	if read == nil {
 		return false, 0
 	}
-	age = time.Since(*read)
+	// The clock of the term counts suspensions.
+	age = max(time.Since(read.at), o.term.Now()-read.onTerm)
 	return age <= maxRegistrationsAge, age
 }
 
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -94,7 +94,7 @@
 	if w.speed < slowWorkerRatio || stalled {
 		s.avoidSlow(r, slow || stalled)
 	}
-	if r.state != present || st.spec.Gang || (!stalled && !slow) {
+	if s.restricted || r.state != present || st.spec.Gang || (!stalled && !slow) {
 		return
 	}
 	restartTime := s.expectedTimeOf(st.job.spec.Queue, st)
