Bound what callers can make a host hold

Bodies that arrive, and submissions that are being decoded and stored, have a budget in memory (callermemory). This holds for all addresses of a platform host, and for the operators', peers' and callers' addresses of the older entry path, which also bounds the bodies that it buffers.

The buffer of the log is bounded in bytes too, as lines quote paths of callers.

TestSettingsPage covers the keys of package platform, and servesJobs in TestOperationsPage the new package callerbody and command/platformservers.go.

--- a/cmd/egretdrum/operations_test.go
+++ b/cmd/egretdrum/operations_test.go
@@ -37,7 +37,7 @@
 func servesJobs(path string) bool {
 	path = strings.TrimPrefix(path, moduleRoot+"/")
 	dir, _, _ := strings.Cut(path, "/")
-	return slices.Contains([]string{"jobservice", "dispatch", "jobapi", "jobhost", "ownerlink", "platform", "scheduler", "subscription", "supervision", "election"}, dir) || path == "command/platform.go"
+	return slices.Contains([]string{"callerbody", "jobservice", "dispatch", "jobapi", "jobhost", "ownerlink", "platform", "scheduler", "subscription", "supervision", "election"}, dir) || strings.HasPrefix(path, "command/platform")
 }
 
 // namesOnPage returns the sorted first cells of the table in a section. Names of log events
--- a/command/platform.go
+++ b/command/platform.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,10 +13,9 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
-	"egretdrum.example/callerlimit"
+	"egretdrum.example/callermemory"
 	"egretdrum.example/dispatch"
 	"egretdrum.example/eventlog"
-	"egretdrum.example/jobapi"
 	"egretdrum.example/jobhost"
 	"egretdrum.example/meter"
 	"egretdrum.example/platform"
@@ -45,26 +41,15 @@
 	referenceDescriptors = 8000
 	// maxAgeDelay is added to the election delay of a host that has run for maxDelayAge or longer.
 	maxAgeDelay = 60 * time.Millisecond
-	// callerDescriptorShare is the share of the descriptors for callers; the others are for
-	// workers, the store and owner links.
-	callerDescriptorShare = 0.5
 	// idleDescriptorShare is the share of the descriptors for idle connections to workers.
 	// Without this limit, an owner of thousands of workers keeps three idle ones for each.
 	idleDescriptorShare = 0.25
-	// callerConnectionMemory is the memory that a caller's connection needs, with its buffers
-	// and its goroutine. callerMemoryShare is the share of the memory that these connections
-	// may use.
-	callerConnectionMemory = 24 << 10
-	callerMemoryShare      = 0.2
 	// settingsPollInterval is the interval at which the settings file is read, since it may
 	// change without a signal.
 	settingsPollInterval = 2 * time.Second
 	// minCapacityRatio limits the election delay of hosts without usable limits in the settings.
 	minCapacityRatio = 0.1
 	maxDelayAge      = time.Minute
-	headerTimeout    = 10 * time.Second
-	// callerIdleTimeout exceeds the interval between the requests of callers that poll.
-	callerIdleTimeout = 60 * time.Second
 )
 
 func platformHostCommand() *cli.Command {
@@ -91,6 +76,7 @@
 	closeLog        context.CancelFunc
 	meter           *meter.Meter
 	jobs            *jobhost.Host
+	memory          *callermemory.Budget
 	draining        atomic.Bool
 	// lastSettingsError is the last error in the settings file, so that it is logged only once.
 	lastSettingsError string
@@ -101,6 +87,7 @@
 	out := eventlog.NewBuffered(logCtx, os.Stdout)
 	h := &platformHost{startSettings: s, log: eventlog.New(out), logClosed: out.Done(), closeLog: closeLog, meter: meter.New()}
 	h.apply(s)
+	h.memory = &callermemory.Budget{Limits: func() callermemory.Limits { return callerMemory(h.currentSettings.Load()) }}
 	client := platform.NewClient(s.Host)
 	client.SetMaxIdleConns(max(1, int(idleDescriptorShare*float64(s.Descriptors))))
 	machines := &platform.Machines{Client: client, Address: s.Machines}
@@ -159,27 +146,14 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	h.log.Info("host-started", zap.String("host", h.startSettings.Host), zap.String("version", Version), zap.String("availability-zone", h.startSettings.AvailabilityZone))
-	failed := make(chan error, 5)
-	callers := &http.Server{
-		Handler:           &platform.CallerHandler{JobService: h.jobs.JobService, Log: h.log, Draining: &h.draining},
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-	}
-	callerLimit := &callerlimit.Limit{Max: maxCallers(h.startSettings), Refuse: platform.TooManyConnections()}
-	callerLimit.Apply(callers)
-	ready := func() bool { return !h.draining.Load() && h.jobs.JobService.Ready() }
-	readiness := &http.Server{Handler: platform.Readiness(ready), ReadHeaderTimeout: headerTimeout}
-	metrics := &http.Server{Handler: h.meter.Handler(), ReadHeaderTimeout: headerTimeout}
-	links := &http.Server{Handler: h.jobs.Links, ReadHeaderTimeout: headerTimeout}
-	jobs := &http.Server{Handler: jobapi.New(h.jobs.JobService, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
-	servers := map[*http.Server]netip.AddrPort{
-		callers: h.startSettings.Callers, readiness: h.startSettings.Readiness, metrics: h.startSettings.Metrics, links: h.startSettings.Link,
-		jobs: h.startSettings.Jobs,
-	}
-	for server, address := range servers {
-		if err := serve(ctx, server, address, failed); err != nil {
+	servers := h.servers()
+	failed := make(chan error, len(servers))
+	for _, server := range servers {
+		if err := server.serve(ctx, failed); err != nil {
 			return err
 		}
 	}
+	callers := servers[0]
 	ownership, resign := context.WithCancel(ctx)
 	defer resign()
 	jobsDone := make(chan struct{})
@@ -191,12 +165,12 @@
 		case err := <-failed:
 			return err
 		case <-settingsTicker.C:
-			h.meter.Gauge("caller_connections", float64(callerLimit.Open()))
+			h.reportCallers(callers)
 			h.reload(false)
 		case <-reload:
 			h.reload(true)
 		case <-stopCtx.Done():
-			h.drain(resign, callers)
+			h.drain(resign, callers.http)
 			cancel()
 			<-jobsDone
 			h.log.Info("host-stopped", zap.String("host", h.startSettings.Host))
@@ -205,31 +179,6 @@
 	}
 }
 
-// serve listens on address and serves in the background. An error other than
-// http.ErrServerClosed is sent to failed.
-func serve(ctx context.Context, server *http.Server, address netip.AddrPort, failed chan<- error) error {
-	if !address.IsValid() {
-		return nil
-	}
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address.String())
-	if err != nil {
-		return err
-	}
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
-	return nil
-}
-
-// maxCallers returns the number of callers' connections that the descriptors and the memory
-// of the host allow.
-func maxCallers(s *platform.Settings) int64 {
-	byMemory := callerMemoryShare * float64(s.MemoryBytes) / callerConnectionMemory
-	return max(1, int64(min(callerDescriptorShare*float64(s.Descriptors), byMemory)))
-}
-
 // apply makes s the settings in force.
 func (h *platformHost) apply(s *platform.Settings) {
 	debug.SetMemoryLimit(int64(gcMemoryShare * float64(s.MemoryBytes)))
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -28,6 +28,10 @@
 // sent again.
 const maxBufferedBody = 64 << 10
 
+// maxBufferedBodies bounds the bodies, in bytes, that a host buffers at the same time. Further ones
+// are streamed, so that they take no memory while they wait.
+const maxBufferedBodies = 64 << 20
+
 // exchange forwards one caller's request to a minion and the response to the caller.
 type exchange struct {
 	host    *Host
@@ -39,6 +43,8 @@
 
 	body         []byte // the buffered body, possibly empty
 	bodyBuffered bool   // body is complete
+	// reservedBytes is what the buffered body takes of maxBufferedBodies.
+	reservedBytes int64
 	// streamedBody is the body if it is not buffered.
 	streamedBody *readTracker
 	triedWorkers []string
@@ -62,6 +68,7 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.request.deadline)
 	defer cancel()
+	defer x.releaseBuffer()
 	if !x.bufferBody() {
 		return
 	}
@@ -115,7 +122,7 @@
 		x.bodyBuffered = true
 		return true
 	}
-	if x.r.ContentLength < 0 || x.r.ContentLength > maxBufferedBody {
+	if x.r.ContentLength < 0 || x.r.ContentLength > maxBufferedBody || !x.reserveBuffer() {
 		x.streamedBody = &readTracker{ReadCloser: x.r.Body}
 		x.r.Body = x.streamedBody
 		return true
@@ -129,6 +136,18 @@
 	return true
 }
 
+// reserveBuffer reports whether there is room for the body, which releaseBuffer returns.
+func (x *exchange) reserveBuffer() bool {
+	if x.host.bufferedBytes.Add(x.r.ContentLength) > maxBufferedBodies {
+		x.host.bufferedBytes.Add(-x.r.ContentLength)
+		return false
+	}
+	x.reservedBytes = x.r.ContentLength
+	return true
+}
+
+func (x *exchange) releaseBuffer() { x.host.bufferedBytes.Add(-x.reservedBytes) }
+
 // waitForSlot submits the call and waits for its verdict. It reports false, after writing a
 // refusal, if the caller disconnects or the deadline passes first.
 func (x *exchange) waitForSlot(ctx context.Context, call *node.Call) (node.Verdict, bool) {
--- a/entry/host.go
+++ b/entry/host.go
@@ -45,8 +45,10 @@
 	self  epoch.Member
 	ready atomic.Bool
 	// stopping is set at the start of a shutdown; from then on new requests are refused.
-	stopping  atomic.Bool
-	listeners listeners
+	stopping atomic.Bool
+	// bufferedBytes is the size of the bodies that are buffered.
+	bufferedBytes atomic.Int64
+	listeners     listeners
 	// keyPair holds the certificate and its key; it is nil without TLS.
 	keyPair *certificate.Pair
 }
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/callerlimit"
 	"egretdrum.example/certificate"
 	"egretdrum.example/httplimit"
 )
@@ -19,6 +20,8 @@
 	maxHeaderBytes = 64 << 10
 	bodyTimeout    = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
+	// maxPlainConns bounds the connections of operators, and those of peers until they are links.
+	maxPlainConns = 256
 	// unreadyDelay is the time from the failure of the readiness check to the close of idle
 	// connections. A request that arrives on a connection while it is being closed gets no
 	// response; load balancers that probe at least once a second have stopped using the host
@@ -103,7 +106,11 @@
 		peers = h.keyPair.PeerServer()
 	}
 	plain := func(handler http.Handler) *http.Server {
-		return &http.Server{Handler: handler, ReadHeaderTimeout: h.settings.HeaderTimeout}
+		s := &http.Server{
+			Handler: handler, ReadHeaderTimeout: h.settings.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		}
+		(&callerlimit.Limit{Max: maxPlainConns, Refuse: http.HandlerFunc(refuseConnection)}).Apply(s)
+		return s
 	}
 	return servers{
 		callers:   serve(limits.Server(http.HandlerFunc(h.serveCaller)), limits.Listen(h.listeners.callers), callers),
@@ -112,6 +119,10 @@
 	}
 }
 
+func refuseConnection(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "too many connections", http.StatusServiceUnavailable)
+}
+
 // serve runs a server, with TLS if a configuration is given.
 func serve(s *http.Server, l net.Listener, cfg *tls.Config) *server {
 	if cfg != nil {
--- a/eventlog/buffered.go
+++ b/eventlog/buffered.go
@@ -12,11 +12,17 @@
 type Buffered struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// queued is the size of the lines in the buffer.
+	queued atomic.Int64
+	done   chan struct{}
 }
 
-// maxBufferedLines bounds the buffer to about 1 MB when the destination is slow.
-const maxBufferedLines = 4096
+// The buffer is bounded by lines and by bytes when the destination is slow, since a line may quote
+// a path of 16 KB that a caller has sent.
+const (
+	maxBufferedLines = 4096
+	maxBufferedBytes = 2 << 20
+)
 
 // NewBuffered returns a writer that forwards lines to w until ctx is cancelled, and then
 // flushes the buffer and closes Done.
@@ -28,11 +34,16 @@
 
 // Write implements io.Writer.
 func (b *Buffered) Write(line []byte) (int, error) {
-	select {
-	case b.lines <- append([]byte(nil), line...):
-	default:
-		b.dropped.Add(1)
+	size := int64(len(line))
+	if b.queued.Add(size) <= maxBufferedBytes {
+		select {
+		case b.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	b.queued.Add(-size)
+	b.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -46,6 +57,7 @@
 	for {
 		select {
 		case line := <-b.lines:
+			b.queued.Add(-int64(len(line)))
 			batch = b.collect(append(batch[:0], line...))
 			b.flush(w, batch)
 		case <-ctx.Done():
@@ -62,6 +74,7 @@
 	for len(batch) < cap(batch) {
 		select {
 		case line := <-b.lines:
+			b.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"sync/atomic"
 	"time"
 
 	"egretdrum.example/refusal"
@@ -33,6 +34,8 @@
 	waited     time.Duration // time spent waiting for the caller
 	received   int64
 	err        error // returned by all further reads
+	// ended is set after the first error. A transport may read while the handler returns.
+	ended atomic.Bool
 }
 
 // limitBody returns a copy of the request with a limited body. The body of the original request
@@ -40,7 +43,7 @@
 // first deadline applies to the server when it reads the part of a body that the handler left
 // unread. Full duplex stays off: with it, the server of Go 1.26 panics with "invalid concurrent
 // Body.Read call" if the handler did not read the whole body.
-func limitBody(w http.ResponseWriter, r *http.Request, l Limits) *http.Request {
+func limitBody(w http.ResponseWriter, r *http.Request, l Limits) (*http.Request, *limitedBody) {
 	b := &limitedBody{
 		ReadCloser: http.MaxBytesReader(w, r.Body, l.BodyBytes),
 		controller: http.NewResponseController(w),
@@ -52,7 +55,7 @@
 	}
 	limited := *r
 	limited.Body = b
-	return &limited
+	return &limited, b
 }
 
 func (b *limitedBody) Read(p []byte) (int, error) {
@@ -82,5 +85,8 @@
 		err = &SlowBodyError{Waited: b.waited}
 	}
 	b.err = err
+	if err != nil {
+		b.ended.Store(true)
+	}
 	return err
 }
--- a/httplimit/limits.go
+++ b/httplimit/limits.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"egretdrum.example/callerlimit"
 	"egretdrum.example/refusal"
 )
 
@@ -61,7 +62,14 @@
 func (l Limits) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != http.NoBody {
-			r = limitBody(w, r, l)
+			whole := r
+			var body *limitedBody
+			r, body = limitBody(w, r, l)
+			defer func() {
+				if !body.ended.Load() && !body.http2 {
+					callerlimit.AnswerUnread(w, whole)
+				}
+			}()
 		}
 		switch {
 		case r.Context().Value(overLimitKey{}) != nil:
--- a/jobapi/api.go
+++ b/jobapi/api.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,12 +11,17 @@
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/callerbody"
+	"egretdrum.example/job"
 	"egretdrum.example/jobfile"
 	"egretdrum.example/jobservice"
 )
 
 // API is the handler of the interface. New returns one.
 type API struct {
+	// Bodies receives the submissions; it must be set before the first call.
+	Bodies callerbody.Receiver
+
 	service *jobservice.Service
 	log     *zap.Logger
 	mux     *http.ServeMux
@@ -30,7 +34,7 @@
 func New(service *jobservice.Service, log *zap.Logger) *API {
 	a := &API{service: service, log: log, mux: http.NewServeMux()}
 	a.mux.HandleFunc("GET /v1/queues/{queue}/jobs", a.list)
-	a.mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", a.handle(a.submit))
+	a.mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", a.submit)
 	a.mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", a.handle(func(r *http.Request, c *jobservice.Call, t *jobservice.Target) jobservice.Answer {
 		return a.service.State(r.Context(), c, t)
 	}))
@@ -58,22 +62,30 @@
 		if t != nil {
 			answer = serve(r, c, t)
 		}
-		a.log.Info("api-answered", zap.String("request", c.ID), zap.String("queue", c.Queue), zap.String("method", r.Method),
-			zap.String("outcome", string(answer.Outcome)), zap.String("reason", answer.Reason), zap.Duration("took", time.Since(c.Received)))
-		a.writeAnswer(w, answer, nil)
+		a.answer(w, r, c, answer)
 	}
 }
 
-func (a *API) submit(r *http.Request, c *jobservice.Call, _ *jobservice.Target) jobservice.Answer {
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, a.service.MaxBodyBytes()))
-	if err != nil {
-		return jobservice.Answer{Outcome: jobservice.Invalid, Reason: err.Error()}
-	}
-	j, err := jobfile.Decode(c.ID, b)
-	if err != nil {
-		return jobservice.Answer{Outcome: jobservice.Invalid, Reason: err.Error()}
+func (a *API) answer(w http.ResponseWriter, r *http.Request, c *jobservice.Call, answer jobservice.Answer) {
+	a.log.Info("api-answered", zap.String("request", c.ID), zap.String("queue", c.Queue), zap.String("method", r.Method),
+		zap.String("outcome", string(answer.Outcome)), zap.String("reason", answer.Reason), zap.Duration("took", time.Since(c.Received)))
+	a.writeAnswer(w, answer, nil)
+}
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request) {
+	c := newCall(r)
+	t, answer := a.service.Resolve(c)
+	if t != nil {
+		j, release, refusal := a.Bodies.Receive(w, r, c, a.service.MaxBodyBytes(), func(content []byte) (*job.Job, error) {
+			return jobfile.Decode(c.ID, content)
+		})
+		defer release()
+		answer = refusal
+		if j != nil {
+			answer = a.service.Submit(r.Context(), c, j)
+		}
 	}
-	return a.service.Submit(r.Context(), c, j)
+	a.answer(w, r, c, answer)
 }
 
 func (a *API) list(w http.ResponseWriter, r *http.Request) {
@@ -120,7 +132,9 @@
 		w.Header().Set("Retry-After", strconv.Itoa(int((answer.RetryAfter+time.Second-1)/time.Second)))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	b = append(b, '\n')
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	w.WriteHeader(statuses[answer.Outcome])
 	// The caller may have closed the connection, which net/http handles itself.
-	_, _ = w.Write(append(b, '\n'))
+	_, _ = w.Write(b)
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"egretdrum.example/platform"
 )
 
 // fixture holds the values of a valid settings file, by "section key", and a directory for
@@ -218,10 +220,19 @@
 
 The settings file of an entry host is an INI file. ` + "`egretdrum check-config FILE`" + ` prints every fault in it, one line each, and ends with code 1 if there is one. Unknown sections and keys, empty values and keys that are set twice are faults.
 
-This page is made from the key table in ` + "`settings/keys.go`" + `. After a change there: ` + "`EGRETDRUM_UPDATE_DOCS=1 go test ./settings -run TestSettingsPage`" + `.
+This page is made from the key tables in ` + "`settings/keys.go` and `platform/ownsettings.go`" + `. After a change there: ` + "`EGRETDRUM_UPDATE_DOCS=1 go test ./settings -run TestSettingsPage`" + `.
+`
+
+const platformHead = `
+## The platform's settings file
+
+` + "`egretdrum platform-host`" + ` reads the settings file of the users' platform, whose lines have the form ` + "`key=value`" + `. These keys are egretdrum's own. They may be missing; a value that is not accepted is a fault.
+
+| key | accepted | default | meaning |
+|---|---|---|---|
 `
 
-// TestSettingsPage guards against a docs/settings.md that differs from the key table.
+// TestSettingsPage guards against a docs/settings.md that differs from the key tables.
 func TestSettingsPage(t *testing.T) {
 	var want strings.Builder
 	want.WriteString(pageHead)
@@ -240,6 +251,10 @@
 			fmt.Fprintf(&want, "| `%s` | %s | %s | %s |\n", k.name, k.accepted, defaultValue, k.description)
 		}
 	}
+	want.WriteString(platformHead)
+	for _, k := range platform.OwnSettings() {
+		fmt.Fprintf(&want, "| `%s` | %s | `%s` | %s |\n", k.Name, k.Accepted, k.Default, k.Meaning)
+	}
 	file := filepath.Join("..", "docs", "settings.md")
 	if os.Getenv("EGRETDRUM_UPDATE_DOCS") != "" {
 		qt.Assert(t, os.WriteFile(file, []byte(want.String()), 0o644), qt.IsNil)
