--- a/clientload/clients_test.go
+++ b/clientload/clients_test.go
@@ -39,8 +39,10 @@
 func newJob() string { return fmt.Sprintf("%016x", jobs.Add(1)) }
 
 // submission returns the head of a submission, without the length of its body and the empty line.
-func submission(deadline time.Duration) string {
-	return fmt.Sprintf("POST /rounds/%s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nDeadline-Ms: %d\r\n", newJob(), queueHost, key, deadline.Milliseconds())
+func submission(deadline time.Duration) string { return submissionOf("/rounds/"+newJob(), deadline) }
+
+func submissionOf(path string, deadline time.Duration) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nDeadline-Ms: %d\r\n", path, queueHost, key, deadline.Milliseconds())
 }
 
 // apiSubmission is the submission to the host's own interface.
--- a/clientload/load_test.go
+++ b/clientload/load_test.go
@@ -61,6 +61,8 @@
 		{"many steps", decodeCrowd, func() string { return withLength(submission(crowdDeadline), len(manySteps)) }, whole(manySteps)},
 		{"many dependencies", entryCrowd, func() string { return withLength(submission(crowdDeadline), len(manyDependencies)) }, whole(manyDependencies)},
 		{"many labels", entryCrowd, func() string { return withLength(submission(crowdDeadline), len(manyLabels)) }, whole(manyLabels)},
+		{"complete bodies", bodyCrowd, unfinished, whole(validBody(maxBodyBytes))},
+		{"jobs of long names", entryCrowd, func() string { return withLength(submission(crowdDeadline), len(longNames)) }, whole(longNames)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			checkHost(t, p, func(t *testing.T) { crowd(t, test.n, p.callers, test.head, test.client) })
@@ -74,6 +76,9 @@
 	manyLabels       = repeated(`{"steps":[`, `{"count":1,"constraints":"a","affinity":"b","image":"c"}`, `]}`)
 )
 
+// longNames is a valid job of the largest size whose names fill it.
+var longNames = repeated(`{"steps":[`, `{"count":1,"cpu":1,"constraints":"`+strings.Repeat("x", 1000)+`"}`, `]}`)
+
 // shortFields returns n bytes of a head that consists of fields with names of two letters.
 func shortFields(n int) []byte {
 	var b bytes.Buffer
--- a/httplimit/limits_test.go
+++ b/httplimit/limits_test.go
@@ -124,3 +124,13 @@
 	_, err := first.reader.ReadByte()
 	c.Assert(err, qt.ErrorIs, io.EOF)
 }
+
+// Guards against a refusal that waits for the rest of a body that does not come.
+func TestAnswerDoesNotWaitForBody(t *testing.T) {
+	c := qt.New(t)
+	l := testLimits()
+	// Longer than the client waits.
+	l.BodyTimeout = time.Minute
+	address, _ := startServer(t, l)
+	dial(c, address).assertStatus(413, post(101, "x"))
+}
