Keep connections usable after a body that was not read

A read deadline in the past, set to keep net/http from waiting for the rest of a body, also applied to its wait for the end of the connection and so cancelled the contexts of all later requests on the connection.

--- a/callerlimit/limit.go
+++ b/callerlimit/limit.go
@@ -23,10 +23,9 @@
 	maxFields = 100
 	// answerTime bounds the time in which a caller has to take the end of an answer.
 	answerTime = 5 * time.Second
-	// lingerTime and lingerBytes bound what is read of a body after its request was answered.
-	// A connection that is closed with unread bytes is reset, and the answer may be lost.
-	lingerTime  = 250 * time.Millisecond
-	lingerBytes = 256 << 10
+	// drainTime and drainBytes bound what is read of a body that its handler has not read.
+	drainTime  = 250 * time.Millisecond
+	drainBytes = 256 << 10
 )
 
 // Limit limits the connections of one http.Server. It is safe for concurrent use.
@@ -199,7 +198,9 @@
 		limited.Body = body
 	}
 	switch {
-	case r.Context().Value(overLimit{}) != nil:
+	case r.Context().Value(overLimit{}) != nil || r.Context().Err() != nil:
+		// If a read of net/http has failed after the last request, the contexts of all further
+		// requests are cancelled.
 		w.Header().Set("Connection", "close")
 		l.Refuse.ServeHTTP(w, &limited)
 	case countFields(r.Header) > maxFields:
@@ -214,7 +215,7 @@
 	// Writers without deadlines have no connection that could stall.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTime))
 	if body != nil && !body.ended {
-		AnswerUnread(w, r)
+		DrainBody(w, r)
 	}
 }
 
@@ -253,16 +254,24 @@
 	}
 }
 
-// AnswerUnread sends the answer of a handler that has not read the body of its request to the
-// end. Otherwise net/http waits for the rest before it sends an answer that fits its buffer.
-func AnswerUnread(w http.ResponseWriter, r *http.Request) {
+// DrainBody reads the rest of a body that its handler has not read, for a short time. Otherwise
+// net/http waits for it without a bound before it sends an answer that fits its buffer. If the
+// rest does not come, net/http closes the connection after the answer.
+func DrainBody(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now())
-	if rc.Flush() != nil {
+	if r.Header.Get("Expect") != "" {
+		// A read would ask for the body; net/http closes the connection after the answer.
+		_ = rc.SetReadDeadline(time.Now())
 		return
 	}
-	_ = rc.SetReadDeadline(time.Now().Add(lingerTime))
-	// The answer is sent, so it does not matter how the body ends.
-	_, _ = io.CopyN(io.Discard, r.Body, lingerBytes)
-	_ = rc.SetReadDeadline(time.Now())
+	deadline := time.Now().Add(drainTime)
+	if rc.SetReadDeadline(deadline) != nil {
+		return
+	}
+	n, err := io.CopyN(io.Discard, r.Body, drainBytes)
+	if err == io.EOF && n < drainBytes && time.Now().Before(deadline) {
+		// After the end of the body, net/http waits for the end of the connection. A deadline
+		// that passes meanwhile would cancel the contexts of all later requests.
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 }
--- a/callerlimit/room_test.go
+++ b/callerlimit/room_test.go
@@ -134,3 +134,34 @@
 		qt.Assert(t, conn.Close(), qt.IsNil)
 	}
 }
+
+// Guards against a deadline for the rest of a body that cancels the contexts of later requests
+// on the same connection.
+func TestConnectionIsUsableAfterUnreadBody(t *testing.T) {
+	ended := make(chan error, 1)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Longer than the rest of a body is waited for.
+		select {
+		case <-r.Context().Done():
+		case <-time.After(400 * time.Millisecond):
+		}
+		ended <- r.Context().Err()
+		w.WriteHeader(http.StatusUnauthorized)
+	}))
+	(&callerlimit.Limit{Max: 2}).Apply(s.Config)
+	s.Start()
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+		qt.Assert(t, err, qt.IsNil)
+		resp, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusUnauthorized)
+		qt.Assert(t, <-ended, qt.IsNil)
+	}
+}
--- a/callermemory/reservation.go
+++ b/callermemory/reservation.go
@@ -64,8 +64,12 @@
 	if !b.complete(res) {
 		return nil, refuse(CauseSlow)
 	}
-	// A deadline that passes while the call is carried out would end its context.
+	// After the end of the body, net/http waits for the end of the connection. A deadline that
+	// passes meanwhile would cancel the context of this call and those of later ones.
 	_ = res.controller.SetReadDeadline(time.Time{})
+	if !time.Now().Before(deadline) {
+		return nil, refuse(CauseLate)
+	}
 	received = true
 	return res, nil
 }
--- a/httplimit/limits.go
+++ b/httplimit/limits.go
@@ -67,12 +67,12 @@
 			r, body = limitBody(w, r, l)
 			defer func() {
 				if !body.ended.Load() && !body.http2 {
-					callerlimit.AnswerUnread(w, whole)
+					callerlimit.DrainBody(w, whole)
 				}
 			}()
 		}
 		switch {
-		case r.Context().Value(overLimitKey{}) != nil:
+		case r.Context().Value(overLimitKey{}) != nil || r.Context().Err() != nil:
 			w.Header().Set("Connection", "close")
 			refusal.QueueFull.Write(w, requestID(r), refusal.RunNo, "all connections are in use", connRetryAfter)
 		case r.ContentLength > l.BodyBytes:
