--- a/httplimit/limits.go
+++ b/httplimit/limits.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"egretdrum.example/callerlimit"
 	"egretdrum.example/refusal"
 )
 
@@ -61,10 +62,17 @@
 func (l Limits) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != http.NoBody {
-			r = limitBody(w, r, l)
+			whole := r
+			var body *limitedBody
+			r, body = limitBody(w, r, l)
+			defer func() {
+				if !body.ended.Load() && !body.http2 {
+					callerlimit.DrainBody(w, whole)
+				}
+			}()
 		}
 		switch {
-		case r.Context().Value(overLimitKey{}) != nil:
+		case r.Context().Value(overLimitKey{}) != nil || r.Context().Err() != nil:
 			w.Header().Set("Connection", "close")
 			refusal.QueueFull.Write(w, requestID(r), refusal.RunNo, "all connections are in use", connRetryAfter)
 		case r.ContentLength > l.BodyBytes:
