Weigh runs in the distributions as in the moments

The tasks of a step count as four runs in the moments, but counted in full in the histograms: one step of a thousand tasks set the quantiles of its queue. runtimes.TestOneStepDoesNotSetQuantiles fails without the change.

--- a/runtimes/distribution.go
+++ b/runtimes/distribution.go
@@ -13,7 +13,9 @@
 	percent         = 100
 	// histogramRuns is the number of runs after which a histogram is full: together, two have a few
 	// runs beyond the 99th percentile.
-	histogramRuns      = 300
+	histogramRuns = 300
+	// runUnits is what a run of weight 1 counts in a histogram, which has whole numbers only.
+	runUnits           = 1024
 	cachedQuantiles    = 2
 	runsBetweenAnswers = 8
 )
@@ -22,8 +24,6 @@
 // takes the place of the earlier one.
 type distribution struct {
 	current, earlier *hdrhistogram.Histogram
-	// weight is that of the runs in the current histogram.
-	weight float64
 	// added counts the ratios so far. answers holds the last quantiles, as of added.
 	added   int
 	answers [cachedQuantiles]struct {
@@ -40,17 +40,18 @@
 	return hdrhistogram.New(1, int64(maxRatio/ratioUnit), histogramDigits)
 }
 
-func (d *distribution) runs() int64 { return d.current.TotalCount() + d.earlier.TotalCount() }
+// runs is the number of runs by their weights.
+func (d *distribution) runs() float64 {
+	return float64(d.current.TotalCount()+d.earlier.TotalCount()) / runUnits
+}
 
 func (d *distribution) add(ratio, weight float64) {
-	if d.weight >= histogramRuns {
+	if d.current.TotalCount() >= histogramRuns*runUnits {
 		d.current, d.earlier = d.earlier, d.current
 		d.current.Reset()
-		d.weight = 0
 	}
-	if d.current.RecordValue(int64(min(max(1, ratio/ratioUnit), maxRatio/ratioUnit))) == nil {
+	if d.current.RecordValues(int64(min(max(1, ratio/ratioUnit), maxRatio/ratioUnit)), int64(max(1, weight*runUnits))) == nil {
 		d.added++
-		d.weight += weight
 	}
 }
 
--- a/runtimes/stats_test.go
+++ b/runtimes/stats_test.go
@@ -154,6 +154,24 @@
 	}
 }
 
+// Guards against a tail that one step of many tasks sets, as its tasks are alike.
+func TestOneStepDoesNotSetQuantiles(t *testing.T) {
+	for name, account := range map[string]string{"of its account": "a", "of its queue": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := New()
+			for range 400 {
+				s.Record("q", account, stepOf(17, 1, 0), time.Second)
+			}
+			for range 1000 {
+				s.Record("q", account, stepOf(1000, 1, 0), 5*time.Second)
+			}
+			d, known := s.Quantile("q", account, stepOf(17, 1, 0), 0.9)
+			qt.Assert(t, known, qt.IsTrue)
+			qt.Assert(t, d < 2*time.Second, qt.IsTrue, qt.Commentf("%s", d))
+		})
+	}
+}
+
 // Guards against memory that grows with the number of accounts, queues and sizes.
 func TestMemoryIsBounded(t *testing.T) {
 	s := New()
