Keep the prior of the weight of estimates however many runs there were

The moments cover a hundred runs, but the prior vanished with the number of all runs: over nearly equal estimates, the weight became 0 or 1 by chance. runtimes.TestEqualEstimatesKeepTheWeight fails without the change.

--- a/runtimes/record.go
+++ b/runtimes/record.go
@@ -69,8 +69,9 @@
 	return r.pairs.meanX + r.pairs.estimateWeight()*(e-r.pairs.meanE)
 }
 
-// estimateWeight is the weight of the estimate, from 0 to 1.
+// estimateWeight is the weight of the estimate, from 0 to 1. The prior runs keep their share however many
+// runs there were, as the moments cover only the last ones.
 func (p *pairs) estimateWeight() float64 {
-	prior := priorVariance * priorRuns / p.runs
+	prior := priorVariance * priorRuns / min(p.runs, memory)
 	return min(max(0, (p.cov+priorWeight*prior)/(p.varE+prior)), 1)
 }
--- a/runtimes/stats_test.go
+++ b/runtimes/stats_test.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// Guards against a weight of the estimate that a hundred runs with nearly equal estimates set by chance.
+func TestEqualEstimatesKeepTheWeight(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	s := New()
+	for range 20_000 {
+		s.Record("q", "a", stepOf(1, 1, inSeconds(sample(random, 0.01))), inSeconds(sample(random, 0.7)))
+	}
+	w := s.records[key{queue: "q"}].pairs.estimateWeight()
+	qt.Assert(t, math.Abs(w-priorWeight) < 0.1, qt.IsTrue, qt.Commentf("weight %.2f", w))
+}
+
 // Guards against an account whose own record is not used, and one whose estimates spoil those of others.
 func TestAccountsHaveTheirOwnRecord(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
