Start second runs of tasks whose runs are long, where these help

The progress of a run was compared with that of its siblings only, so that a run without siblings on other workers was never judged. A run that has lasted for the 75th percentile of its queue and size, and that needs longer than a fresh run by its progress, gets a copy if its step is speculative, or is restarted from its checkpoint for a clear gain, into room that nothing waits for. Copies that do not help end by their record.

--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -195,6 +195,8 @@
 			o.Meter.Gauge("given_up_jobs", float64(sum.GivenUp))
 			o.Meter.Gauge("held_jobs", float64(sum.Held))
 			o.Meter.Gauge("run_time_error", sum.RunTimeError)
+			o.Meter.Gauge("long_run_copies", float64(sum.LongRunCopies))
+			o.Meter.Gauge("long_run_copies_helped", float64(sum.LongRunCopiesHelped))
 			o.Meter.Gauge("unanswered_workers", float64(sum.Unanswered))
 		})
 		var counts map[string]int
--- a/runtimes/copies.go
+++ b/runtimes/copies.go
@@ -1,5 +1,16 @@
 package runtimes
 
+import (
+	"time"
+
+	"egretdrum.example/job"
+)
+
+// LongShare is the share of the runs of a step that are shorter than one whose task may get a second run.
+// The measured progress tells which runs a second one would overtake, so that a higher share hardly
+// saves copies, but has them begin too late.
+const LongShare = 0.75
+
 const (
 	// minCopies is the number of copies from which it is judged whether copies help. copyMemory is
 	// the number of copies that the share of those that helped covers.
@@ -20,6 +31,16 @@
 	refused int
 }
 
+// Long reports whether a run of a step that has lasted for elapsed is longer than the given share of the
+// runs, and the expected time of a second one.
+func (s *Stats) Long(queue, account string, step *job.Step, share float64, elapsed time.Duration) (fresh time.Duration, long bool) {
+	limit, known := s.Quantile(queue, account, step, share)
+	if !known || elapsed < limit {
+		return 0, false
+	}
+	return s.Expected(queue, account, step)
+}
+
 // RecordCopy records whether a copy of a task of a queue was done before its original.
 func (s *Stats) RecordCopy(queue string, helped bool) {
 	c := &s.recordOf(key{queue: queue}).copies
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -231,6 +231,9 @@
 func (s *Scheduler) processEnd(w *workerState, e worker.End) {
 	st := s.listedStep(e.Task)
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run && r.step.detached {
+		if st != nil && e.Reason == worker.Done {
+			s.originalDone(st, r)
+		}
 		s.release(r)
 	}
 	u := unsavedEnd{number: e.Number}
@@ -278,6 +281,7 @@
 		w.faults.recordSuccess()
 		if current {
 			s.recordRunTime(r)
+			s.copyDone(st, e.Task.Index)
 		}
 		if st.spec.LongRunning {
 			break
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -92,8 +92,7 @@
 	checkpoint string
 	// earlierRuns holds earlier runs of a speculative step that may still be present.
 	earlierRuns []*run
-	// slowRestarts counts restarts because of slow workers.
-	slowRestarts int
+	repeats
 	// rate is the last measured speed, in percent per second, and rateWorker the worker on which
 	// it was measured.
 	rate       float64
@@ -275,7 +274,7 @@
 
 func (s *Scheduler) requeue(st *stepState, index int) {
 	t := st.task(index)
-	if st.detached || st.job.state.Final() || st.blocked > 0 || t.done || t.run != nil || slices.Contains(st.waitingTasks, index) {
+	if st.detached || st.job.state.Final() || st.blocked > 0 || t.done || t.run != nil || slices.Contains(st.waitingTasks, index) || s.resumeOriginal(st, index) {
 		return
 	}
 	st.waitingTasks = append(st.waitingTasks, index)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -135,6 +135,9 @@
 // noFreeCapacity is the wait reason of steps whose tasks fit on no worker.
 const noFreeCapacity = "no room in the pool"
 
+// accountLimitWait is the wait reason of steps whose account has reached its limit.
+const accountLimitWait = "limit of the account"
+
 // maxFreeCapacity returns an upper bound of the free capacity of a single worker, so that most
 // waiting tasks of a full pool need not be compared with each of its workers.
 func maxFreeCapacity(workers []*workerState) resource.Amount {
@@ -249,7 +252,7 @@
 			return
 		}
 		if !s.accountAllows(st, 1) {
-			st.reason = "limit of the account"
+			st.reason = accountLimitWait
 			return
 		}
 		w := s.choose(st, index, workers)
--- a/scheduler/runtimes.go
+++ b/scheduler/runtimes.go
@@ -37,6 +37,10 @@
 	// deviation is the moving average of the absolute logarithm of the run time relative to
 	// the expected one.
 	deviation float64
+	// copies counts the second runs of tasks whose first one was long, copiesHelped those that were faster.
+	copies, copiesHelped int
+	// longRuns has the runs that were found to be long since the last Tick.
+	longRuns []*run
 }
 
 // recordRunTime records the run time of the run of a task that is done.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -227,6 +227,7 @@
 	s.judgeCrashes()
 	s.planMachines()
 	s.place()
+	s.copyLongRuns()
 	if sweep {
 		for _, w := range s.sortedWorkers {
 			s.planPoll(w)
@@ -346,11 +347,13 @@
 	Held int
 	// RunTimeError is the average factor by which run times differ from the expected ones.
 	RunTimeError float64
+	// LongRunCopies counts second runs because of long first ones, LongRunCopiesHelped those done sooner.
+	LongRunCopies, LongRunCopiesHelped int
 }
 
 // Summary returns the current counts.
 func (s *Scheduler) Summary() Summary {
-	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp, RunTimeError: math.Exp(s.learnt.deviation)}
+	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp, RunTimeError: math.Exp(s.learnt.deviation), LongRunCopies: s.learnt.copies, LongRunCopiesHelped: s.learnt.copiesHelped}
 	for _, steps := range s.waiting {
 		for _, st := range steps {
 			sum.Waiting += len(st.waitingTasks)
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -87,14 +87,18 @@
 	usual, known := st.usualRateAt(s.now, w)
 	stalled := s.now.Sub(r.speed.changed) > s.stallTime(r, usual)
 	slow := false
-	if ratio := min(1.5, r.speed.rate/usual); known && (measured || ratio < slowRatio) {
+	if ratio := min(1.5, r.speed.rate/usual); known && (measured || ratio < slowRatio) && !s.lengthExplains(r, ratio) {
 		w.speed += speedWeight * (ratio - w.speed)
 		slow = ratio < slowRatio && w.speed < slowWorkerRatio
 	}
 	if w.speed < slowWorkerRatio || stalled {
 		s.avoidSlow(r, slow || stalled)
 	}
-	if r.state != present || st.spec.Gang || (!stalled && !slow) {
+	if r.state != present || st.spec.Gang {
+		return
+	}
+	if !stalled && !slow {
+		s.judgeLength(r)
 		return
 	}
 	restartTime := s.expectedTimeOf(st.job.spec.Queue, st)
@@ -141,7 +145,7 @@
 			perPercent = max(perPercent, v.changed.Sub(v.since)/time.Duration(r.percent-v.first))
 		}
 	}
-	return max(stalledAfter, stalledPercents*perPercent)
+	return max(stalledAfter, stalledPercents*max(perPercent, s.longestPerPercent(r)))
 }
 
 // remainingTime is the time that a run still needs at its current speed.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -94,7 +94,9 @@
 	slowUntil time.Time
 	// slowRuns counts the runs that were slow until slowUntil, warmAt is when the worker is not cold any
 	// more, and answeredAgain when it last answered after it had not.
-	slowRuns              int
+	slowRuns int
+	// longInARow counts the runs whose progress was slow since one was not.
+	longInARow            int
 	warmAt, answeredAgain time.Time
 	faults                faults
 	// aliveAt is the latest time at which the worker is known to have been alive. watched holds the
@@ -158,8 +160,8 @@
 	need       resource.Amount
 	// adopted is set for runs that another owner has started, resumed for those that began at a
 	// checkpoint, copied for those that were started beside another run of their task, and slow for
-	// those that were slow on a slow worker.
-	adopted, resumed, copied, slow bool
+	// those that were slow on a slow worker, and long for those whose progress was slow.
+	adopted, resumed, copied, slow, long bool
 	// late is set if the job could not be in time any more when the run was started.
 	late bool
 	// claim holds the fencing token with which the start was sent.
