Give workers that fail a part of their runs a share of the work

By how much more often it fails than its pool, it now gets a half or a quarter of its capacity, after the others, until runs are done and time has passed.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -279,6 +279,7 @@
 		return
 	case e.Reason == worker.Done:
 		w.faults.recordSuccess()
+		s.recordOutcome(w, e.Task.Job, false)
 		if current {
 			s.recordRunTime(r)
 			s.copyDone(st, e.Task.Index)
@@ -298,6 +299,7 @@
 	case e.Reason == worker.Failed:
 		if first := len(t.failed) == 0; first {
 			w.faults.recordFailure(e.Task.Job)
+			s.recordOutcome(w, e.Task.Job, true)
 			s.quarantineIfFaulty(w)
 		}
 		s.recordFailedAttempt(st, e.Task.Index, e.Run, w.registration.ID)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -232,6 +232,7 @@
 	var workers []*workerState
 	for _, w := range s.workersOf(pool) {
 		if s.usable(w) && !s.cordoned(w) {
+			s.updateShare(w)
 			workers = append(workers, w)
 		}
 	}
--- a/scheduler/runtimes.go
+++ b/scheduler/runtimes.go
@@ -39,6 +39,8 @@
 	deviation float64
 	// copies counts the second runs of tasks whose first one was long, copiesHelped those that were faster.
 	copies, copiesHelped int
+	// outcomes has the ends of runs in each pool.
+	outcomes map[string]*outcomes
 	// longRuns has the runs that were found to be long since the last Tick.
 	longRuns []*run
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -137,7 +137,7 @@
 	// FurtherTasks bounds the size of the occurrences of scheduled jobs that have begun beside
 	// another one of their job, in tasks of about 300 bytes. Other due occurrences wait.
 	FurtherTasks int
-	// RunTimeQuantiles has the distribution of run times learnt.
+	// RunTimeQuantiles has the distribution of run times learnt, and acts on long runs and failed ones by it.
 	RunTimeQuantiles bool
 }
 
@@ -178,7 +178,7 @@
 		accounts: make(map[string]resource.Amount),
 
 		runTimes:        make(map[string]*runTimeStats),
-		learnt:          learntTimes{stats: runtimes.New(), queues: make(map[string]bool)},
+		learnt:          learntTimes{stats: runtimes.New(), queues: make(map[string]bool), outcomes: make(map[string]*outcomes)},
 		shareBuckets:    make(map[string]*shareBucket),
 		relocationNeeds: make(map[relocationNeed]bool),
 		recoveryWorkers: make(map[string]recoveryWorker),
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -42,6 +42,9 @@
 	if !used.Add(need.Times(extra+1)).Within(w.registration.Capacity) && !mutation.ignoreCapacity {
 		return false
 	}
+	if !w.withinShare(w.used.Add(need.Times(extra+1)), len(w.runs)+extra+1) {
+		return false
+	}
 	if w.hasSuspect() || w.onTrial() && len(w.runs)+extra > 0 {
 		return false
 	}
@@ -64,10 +67,11 @@
 
 const (
 	// The preferences are ordered: the rack with the data first, then a worker that the task was
-	// not tried on, then one that is not slow, then the load, which counts up to 1.
+	// not tried on, then one that is not slow or failing, then the load, which counts up to 1.
 	preferRack    = 1000
 	avoidTried    = 500
 	avoidSlow     = 300
+	avoidFailing  = 300
 	preferPacking = 100
 	avoidServing  = 200
 	// avoidDue outweighs everything: a task on a machine that is due for maintenance soon moves
@@ -92,6 +96,9 @@
 	if s.recentlySlow(w) {
 		score -= avoidSlow
 	}
+	if w.withheld > 0 {
+		score -= avoidFailing
+	}
 	if st.spec.LongRunning {
 		score += preferPacking * float64(min(w.longRunning, packedTasks))
 		if s.dueForMaintenance(w) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -99,6 +99,9 @@
 	longInARow            int
 	warmAt, answeredAgain time.Time
 	faults                faults
+	// withheld is the share of its capacity that it does not get because of its outcomes.
+	outcomes outcomes
+	withheld float64
 	// aliveAt is the latest time at which the worker is known to have been alive. watched holds the
 	// runs of tasks under which workers have crashed. recordedIncarnation is that of the record of
 	// the previous owner.
