--- a/scheduler/longruns.go
+++ b/scheduler/longruns.go
@@ -22,6 +22,8 @@
 	// minFreeShare is the share of the capacity of a pool that copies of long runs leave free for
 	// tasks that arrive.
 	minFreeShare = 0.1
+	// maxSpareAge is how long the spare room of a pool is used before it is computed again.
+	maxSpareAge = 100 * time.Millisecond
 	// longRun is why a task gets a second run.
 	longRun = "long run"
 )
@@ -41,7 +43,7 @@
 // not end before a second run of its task.
 func (s *Scheduler) judgeLength(r *run) {
 	st := r.step
-	if !s.limits.RunTimeQuantiles || !s.mayRunAgain(r) {
+	if !s.limits.RunTimeQuantiles || !s.mayRunAgain(r) || s.now.Sub(r.sent) < s.expectedTimeOf(st.job.spec.Queue, st) {
 		return
 	}
 	fresh, long := s.learnt.stats.Long(st.job.spec.Queue, st.job.spec.Account, st.spec, runtimes.LongShare, s.now.Sub(r.sent))
@@ -77,10 +79,10 @@
 			return
 		}
 		st := r.step
-		if !s.mayRunAgain(r) || s.mustWait(st) || s.rankOf(st.job, st.occurrence).lateness > 1 {
+		if !s.mayRunAgain(r) || s.mustWait(st) {
 			continue
 		}
-		if w := s.workerForCopy(r); w != nil {
+		if w := s.workerForCopy(r); w != nil && s.rankOf(st.job, st.occurrence).lateness <= 1 {
 			s.runAgain(r, w)
 		}
 	}
@@ -104,20 +106,37 @@
 	return w
 }
 
-// hasSpareRoom reports whether no task waits for room in a pool, and minFreeShare of its capacity
-// would be free beside another task with the given need.
-func (s *Scheduler) hasSpareRoom(pool string, need resource.Amount) bool {
-	if slices.ContainsFunc(s.waiting[pool], func(st *stepState) bool { return len(st.waitingTasks) > 0 && st.reason != accountLimitWait }) {
-		return false
+// spareRoom is the capacity of a pool that copies of long runs may take, as of at.
+type spareRoom struct {
+	at   time.Time
+	left resource.Amount
+}
+
+// spareRoomOf returns the spare room of a pool: what is free beyond minFreeShare of its capacity.
+func (s *Scheduler) spareRoomOf(pool string) *spareRoom {
+	room := s.learnt.spare[pool]
+	if room != nil && s.now.Sub(room.at) < maxSpareAge {
+		return room
 	}
-	var capacity resource.Amount
-	used := need
+	var capacity, used resource.Amount
 	for _, w := range s.candidates(pool) {
 		capacity = capacity.Add(w.registration.Capacity)
 		used = used.Add(w.used)
 	}
-	leaves := func(used, capacity int) bool { return float64(used) <= (1-minFreeShare)*float64(capacity) }
-	return leaves(used.CPU, capacity.CPU) && leaves(used.Memory, capacity.Memory)
+	left := capacity.Sub(used)
+	left.CPU -= int(minFreeShare * float64(capacity.CPU))
+	left.Memory -= int(minFreeShare * float64(capacity.Memory))
+	room = &spareRoom{s.now, left}
+	s.learnt.spare[pool] = room
+	return room
+}
+
+// hasSpareRoom reports whether a copy with the given need fits into the spare room of a pool, in which no
+// task waits for room.
+func (s *Scheduler) hasSpareRoom(pool string, need resource.Amount) bool {
+	return need.Within(s.spareRoomOf(pool).left) && !slices.ContainsFunc(s.waiting[pool], func(st *stepState) bool {
+		return len(st.waitingTasks) > 0 && st.reason != accountLimitWait
+	})
 }
 
 // runAgain starts a copy of a long run if its step allows that, or else stops the run, so that its task
@@ -135,6 +154,8 @@
 		detach(r)
 		t.earlierRuns = append(t.earlierRuns, r)
 		t.original = r
+		room := s.spareRoomOf(w.registration.Pool)
+		room.left = room.left.Sub(r.need)
 		s.lastRun++
 		s.start(st, index, w, s.lastRun)
 	default:
--- a/scheduler/longruns_test.go
+++ b/scheduler/longruns_test.go
@@ -240,3 +240,42 @@
 	}
 	qt.Assert(t, copies > 20, qt.IsTrue, qt.Commentf("%d copies", copies))
 }
+
+// BenchmarkListingOfLongRuns measures a listing of a worker with long runs, and the pass that follows, in a
+// pool that has no room for copies.
+func BenchmarkListingOfLongRuns(b *testing.B) {
+	for _, known := range []bool{false, true} {
+		b.Run(fmt.Sprintf("run times known %t", known), func(b *testing.B) {
+			sim := newSimulation(350)
+			sim.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+			sim.taskDuration = time.Hour
+			sim.run(100 * time.Millisecond)
+			step := job.Step{Count: 1, Need: small, Speculative: true}
+			for n := range 350 * 4 {
+				sim.submit(fmt.Sprint("j", n), step)
+			}
+			sim.run(5 * time.Second)
+			for range 100 {
+				if known {
+					sim.core.learnt.stats.Record("rounds", "arbiters", &step, time.Second)
+				}
+			}
+			w := sim.core.workers["w0"]
+			listing := sim.workers["w0"].listing(sim.now)
+			noted, n := 0, 0
+			b.ResetTimer()
+			for b.Loop() {
+				n++
+				for i := range listing.Running {
+					listing.Running[i].Percent = n / 4 % 100
+				}
+				sim.core.now = sim.core.now.Add(speedWindow + time.Millisecond)
+				sim.core.applyListing(w, listing)
+				noted += len(sim.core.learnt.longRuns)
+				sim.core.copyLongRuns()
+				sim.core.TakeActions()
+			}
+			b.ReportMetric(float64(noted)/float64(b.N), "long-runs/op")
+		})
+	}
+}
--- a/scheduler/runtimes.go
+++ b/scheduler/runtimes.go
@@ -41,10 +41,16 @@
 	copies, copiesHelped int
 	// outcomes has the ends of runs in each pool.
 	outcomes map[string]*outcomes
+	// spare has the spare room of each pool.
+	spare map[string]*spareRoom
 	// longRuns has the runs that were found to be long since the last Tick.
 	longRuns []*run
 }
 
+func newLearntTimes() learntTimes {
+	return learntTimes{stats: runtimes.New(), queues: make(map[string]bool), outcomes: make(map[string]*outcomes), spare: make(map[string]*spareRoom)}
+}
+
 // recordRunTime records the run time of the run of a task that is done.
 func (s *Scheduler) recordRunTime(r *run) {
 	st, d := r.step, s.now.Sub(r.sent)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,7 +17,6 @@
 	"egretdrum.example/job"
 	"egretdrum.example/progress"
 	"egretdrum.example/resource"
-	"egretdrum.example/runtimes"
 )
 
 // Scheduler is the scheduling state of one owner. It is not safe for concurrent use.
@@ -178,7 +177,7 @@
 		accounts: make(map[string]resource.Amount),
 
 		runTimes:        make(map[string]*runTimeStats),
-		learnt:          learntTimes{stats: runtimes.New(), queues: make(map[string]bool), outcomes: make(map[string]*outcomes)},
+		learnt:          newLearntTimes(),
 		shareBuckets:    make(map[string]*shareBucket),
 		relocationNeeds: make(map[relocationNeed]bool),
 		recoveryWorkers: make(map[string]recoveryWorker),
