--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -231,6 +231,9 @@
 func (s *Scheduler) processEnd(w *workerState, e worker.End) {
 	st := s.listedStep(e.Task)
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run && r.step.detached {
+		if st != nil && e.Reason == worker.Done {
+			s.originalDone(st, r)
+		}
 		s.release(r)
 	}
 	u := unsavedEnd{number: e.Number}
@@ -276,8 +279,10 @@
 		return
 	case e.Reason == worker.Done:
 		w.faults.recordSuccess()
+		s.recordOutcome(w, e.Task.Job, false)
 		if current {
 			s.recordRunTime(r)
+			s.copyDone(st, e.Task.Index)
 		}
 		if st.spec.LongRunning {
 			break
@@ -294,6 +299,7 @@
 	case e.Reason == worker.Failed:
 		if first := len(t.failed) == 0; first {
 			w.faults.recordFailure(e.Task.Job)
+			s.recordOutcome(w, e.Task.Job, true)
 			s.quarantineIfFaulty(w)
 		}
 		s.recordFailedAttempt(st, e.Task.Index, e.Run, w.registration.ID)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,7 +17,6 @@
 	"egretdrum.example/job"
 	"egretdrum.example/progress"
 	"egretdrum.example/resource"
-	"egretdrum.example/runtimes"
 )
 
 // Scheduler is the scheduling state of one owner. It is not safe for concurrent use.
@@ -143,7 +142,7 @@
 	// FurtherTasks bounds the size of the occurrences of scheduled jobs that have begun beside
 	// another one of their job, in tasks of about 300 bytes. Other due occurrences wait.
 	FurtherTasks int
-	// RunTimeQuantiles has the distribution of run times learnt.
+	// RunTimeQuantiles has the distribution of run times learnt, and acts on long runs and failed ones by it.
 	RunTimeQuantiles bool
 	// OrderByDue orders waiting work by age, also while a pool has too little room for it.
 	OrderByDue bool
@@ -186,7 +185,7 @@
 		accounts: make(map[string]resource.Amount),
 
 		runTimes:        make(map[string]*runTimeStats),
-		learnt:          learntTimes{stats: runtimes.New(), queues: make(map[string]bool)},
+		learnt:          newLearntTimes(),
 		shareBuckets:    make(map[string]*shareBucket),
 		plans:           make(map[string]*poolPlan),
 		relocationNeeds: make(map[relocationNeed]bool),
@@ -237,6 +236,7 @@
 	s.judgeCrashes()
 	s.planMachines()
 	s.place()
+	s.copyLongRuns()
 	if sweep {
 		for _, w := range s.sortedWorkers {
 			s.planPoll(w)
@@ -358,11 +358,13 @@
 	RunTimeError float64
 	// Delayed counts the jobs that are delayed so that others are in time.
 	Delayed int
+	// LongRunCopies counts second runs because of long first ones, LongRunCopiesHelped those done sooner.
+	LongRunCopies, LongRunCopiesHelped int
 }
 
 // Summary returns the current counts.
 func (s *Scheduler) Summary() Summary {
-	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp, RunTimeError: math.Exp(s.learnt.deviation)}
+	sum := Summary{Jobs: len(s.jobs), Workers: len(s.workers), GivenUp: s.givenUp, RunTimeError: math.Exp(s.learnt.deviation), LongRunCopies: s.learnt.copies, LongRunCopiesHelped: s.learnt.copiesHelped}
 	for _, steps := range s.waiting {
 		for _, st := range steps {
 			sum.Waiting += len(st.waitingTasks)
