Keep the calls of an ended term away from the next term of the same host

When the store ended the lease during an outage, the host became the owner again while polls of its last term were ending.

--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -195,3 +195,41 @@
 		})
 	}
 }
+
+// Guards against an answer to a call of an ended term that reaches the scheduler of the next term of the
+// same host, which would take it for the answer to a poll of its own.
+func TestNextTermWaitsForCallsOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held atomic.Bool
+		var polls atomic.Int64
+		release := make(chan struct{})
+		u := startOutage(t, func(o *Owner) {
+			poll := o.Calls.Poll
+			o.Calls.Poll = func(ctx context.Context, a scheduler.Poll) (*worker.Listing, bool, error) {
+				polls.Add(1)
+				if held.Load() {
+					<-release
+				}
+				return poll(ctx, a)
+			}
+		})
+		defer u.close()
+		held.Store(true)
+		u.submit(t, "a", job.Step{Count: 1, Need: taskNeed})
+		time.Sleep(taskDuration / 2)
+		u.kill()
+		held.Store(false)
+		before := polls.Load()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		term := election.NewTerm(u.store.Put(storekeys.Owner, nil), u.now, u.now()+time.Hour)
+		go func() { defer close(done); u.owner.Run(ctx, term) }()
+		time.Sleep(time.Second)
+		qt.Check(t, polls.Load(), qt.Equals, before)
+		close(release)
+		time.Sleep(time.Second)
+		qt.Check(t, polls.Load() > before, qt.IsTrue)
+		cancel()
+		<-done
+	})
+}
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -94,6 +95,8 @@
 	// wakes their writer.
 	changedWaves map[int64]bool
 	wavesChanged chan struct{}
+	// background counts the goroutines of inBackground that have not ended.
+	background sync.WaitGroup
 }
 
 // Calls are the calls to workers and to the platform, and the platform's encodings.
@@ -153,6 +156,9 @@
 }
 
 func (o *Owner) schedule(ctx context.Context, term *election.Term) {
+	// Calls of a previous term must not report their answers to the scheduler of this one. They end
+	// with their context.
+	o.background.Wait()
 	o.ctx, o.stop = context.WithCancel(ctx)
 	defer o.stop()
 	o.applyingJob = ""
@@ -225,7 +231,9 @@
 func (o *Owner) inBackground(name string, f func()) <-chan struct{} {
 	ended := make(chan struct{})
 	stop := o.stop
+	o.background.Add(1)
 	go func() {
+		defer o.background.Done()
 		defer close(ended)
 		if o.Supervisor.Run(name, f) {
 			stop()
