Poll workers for leases only once a restricted owner may not start tasks

While results could not be stored, each worker with an ended run was polled every 200 ms for up to 6 s after the last start, 30 polls in 6 s in TestPollsWithoutStartsOnlyExtendLeases. Now it is polled as often as any other worker.

--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -35,7 +35,7 @@
 	if !unknown && !news && len(w.runs) == 0 {
 		return
 	}
-	if !unknown && !news && len(w.unsavedEnds) > 0 && s.now.Sub(w.pollSent) < unsavedPoll {
+	if !unknown && !news && len(w.unsavedEnds) > 0 && s.now.Sub(w.pollSent) < s.unsavedInterval() {
 		return
 	}
 	poll := Poll{Worker: w.registration, Timeout: s.timeout(s.pollTimeout(w.unansweredPolls))}
@@ -66,6 +66,16 @@
 	s.poll(w, poll)
 }
 
+// unsavedInterval is the time between polls of a worker with an end that is not durable yet. Without
+// starts, the ends that it lists meanwhile make room for nothing, so that polls only have to extend its
+// lease.
+func (s *Scheduler) unsavedInterval() time.Duration {
+	if s.restricted && !s.restrictedStarts {
+		return s.limits.PollWait
+	}
+	return unsavedPoll
+}
+
 // startingUp reports whether a long-running task is present and has not started up yet.
 func (w *workerState) startingUp() bool {
 	if w.longRunning == 0 {
--- a/scheduler/restricted_test.go
+++ b/scheduler/restricted_test.go
@@ -353,3 +353,26 @@
 	qt.Assert(t, sim.core.Outranked("w0", sent), qt.IsFalse)
 	qt.Assert(t, sim.core.Outranked("gone", sent), qt.IsFalse)
 }
+
+// Guards against polls at the rate of a store that answers soon, for ends that can't be stored and that
+// make room for nothing: they would use up the processor time of a small host during an outage.
+func TestPollsWithoutStartsOnlyExtendLeases(t *testing.T) {
+	sim := newSimulation(1)
+	sim.taskDuration = time.Minute
+	sim.run(time.Second)
+	sim.submit("long", job.Step{Count: 1, Need: small})
+	sim.run(200 * time.Millisecond)
+	sim.taskDuration = 500 * time.Millisecond
+	sim.submit("short", job.Step{Count: 1, Need: small})
+	sim.run(200 * time.Millisecond)
+	sim.storeDown = true
+	sim.core.SetRestricted(true, false, sim.now)
+	sim.run(time.Second)
+	qt.Assert(t, sim.core.workers["w0"].unsavedEnds, qt.HasLen, 1)
+	polls := 0
+	sim.onActions = func(a Actions) { polls += len(a.Polls) }
+	sim.run(6 * time.Second)
+	qt.Check(t, polls <= 10, qt.IsTrue, qt.Commentf("%d polls", polls))
+	assertNoViolations(t, sim)
+	qt.Check(t, sim.starts, qt.Equals, 2)
+}
