Log and count a restricted term only if the owner goes on

A term whose lease the store had ended, or that may not go on without its lease, was logged as owner-restricted and counted in restricted_terms as well.

--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -53,18 +53,18 @@
 // checkTerm tells the scheduler whether the lease is confirmed.
 func (o *Owner) checkTerm() {
 	valid := o.term.Valid()
-	starts := !valid && o.startsContinue()
-	o.core.SetRestricted(!valid, starts, time.Now())
+	o.core.SetRestricted(!valid, !valid && o.startsContinue(), time.Now())
 	if valid != o.restricted.Load() {
 		return
 	}
-	o.restricted.Store(!valid)
 	if valid {
+		o.restricted.Store(false)
 		o.Log.Info("owner-restricted", zap.Bool("restricted", false), zap.Int64("term", o.term.Number), zap.String("reason", "the lease is confirmed"))
 		o.Meter.Count("restricted_terms", "end", "confirmed")
 		return
 	}
 	if polls, starts := o.term.Remaining(); polls > 0 {
+		o.restricted.Store(true)
 		o.Log.Warn("owner-restricted", zap.Bool("restricted", true), zap.Int64("term", o.term.Number), zap.Duration("polls-for", polls), zap.Duration("starts-for", starts))
 	}
 }
--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -233,3 +233,23 @@
 		<-done
 	})
 }
+
+// Guards against log lines and counts of an outage for a term that ends at once: its lease is lost, or
+// it may not go on without one.
+func TestTermThatEndsAtOnceIsNotRestricted(t *testing.T) {
+	for name, end := range map[string]func(*outage){
+		"lease lost":    func(u *outage) { u.owner.term.End("the store has ended the lease") },
+		"may not go on": func(u *outage) { u.owner.term.SetContinuation(0, 0); u.begin() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := startOutage(t, nil)
+				defer u.testCluster.close()
+				end(u)
+				time.Sleep(2 * tickInterval)
+				u.kill()
+				qt.Check(t, u.logs.FilterMessage("owner-restricted").Len(), qt.Equals, 0)
+			})
+		})
+	}
+}
--- a/election/term.go
+++ b/election/term.go
@@ -63,6 +63,9 @@
 func (t *Term) Remaining() (polls, starts time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.ended != "" {
+		return 0, 0
+	}
 	now := t.now()
 	return max(0, t.pollLimit()-now), max(0, t.startLimit()-now)
 }
