--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -195,3 +195,61 @@
 		})
 	}
 }
+
+// Guards against an answer to a call of an ended term that reaches the scheduler of the next term of the
+// same host, which would take it for the answer to a poll of its own.
+func TestNextTermWaitsForCallsOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held atomic.Bool
+		var polls atomic.Int64
+		release := make(chan struct{})
+		u := startOutage(t, func(o *Owner) {
+			poll := o.Calls.Poll
+			o.Calls.Poll = func(ctx context.Context, a scheduler.Poll) (*worker.Listing, bool, error) {
+				polls.Add(1)
+				if held.Load() {
+					<-release
+				}
+				return poll(ctx, a)
+			}
+		})
+		defer u.close()
+		held.Store(true)
+		u.submit(t, "a", job.Step{Count: 1, Need: taskNeed})
+		time.Sleep(taskDuration / 2)
+		u.kill()
+		held.Store(false)
+		before := polls.Load()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		term := election.NewTerm(u.store.Put(storekeys.Owner, nil), u.now, u.now()+time.Hour)
+		go func() { defer close(done); u.owner.Run(ctx, term) }()
+		time.Sleep(time.Second)
+		qt.Check(t, polls.Load(), qt.Equals, before)
+		close(release)
+		time.Sleep(time.Second)
+		qt.Check(t, polls.Load() > before, qt.IsTrue)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against log lines and counts of an outage for a term that ends at once: its lease is lost, or
+// it may not go on without one.
+func TestTermThatEndsAtOnceIsNotRestricted(t *testing.T) {
+	for name, end := range map[string]func(*outage){
+		"lease lost":    func(u *outage) { u.owner.term.End("the store has ended the lease") },
+		"may not go on": func(u *outage) { u.owner.term.SetContinuation(0, 0); u.begin() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := startOutage(t, nil)
+				defer u.testCluster.close()
+				end(u)
+				time.Sleep(2 * tickInterval)
+				u.kill()
+				qt.Check(t, u.logs.FilterMessage("owner-restricted").Len(), qt.Equals, 0)
+			})
+		})
+	}
+}
