Give up an unconfirmed lease once new jobs show that the store serves others

A job that arrives while the lease is not confirmed was stored by another host, so the store serves that one. The test fails without the release.

--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -19,6 +19,9 @@
 	// maxStartsWithin bounds how long tasks are started without news of cancellations: no task of a
 	// job may start 4 s after its cancellation.
 	maxStartsWithin = 3 * time.Second
+	// releaseDelay is how long an owner that learns of new jobs still waits for its lease to be confirmed:
+	// renewals are sent every 250 ms, and a slow store answers them in 330 ms.
+	releaseDelay = 600 * time.Millisecond
 	// configWatchWait is the age that a configuration reaches while each watch of it is answered.
 	configWatchWait = time.Second
 )
@@ -54,11 +57,13 @@
 func (o *Owner) checkTerm() {
 	valid := o.term.Valid()
 	o.core.SetRestricted(!valid, !valid && o.startsContinue(), time.Now())
+	o.releaseIfOthersAreServed()
 	if valid != o.restricted.Load() {
 		return
 	}
 	if valid {
 		o.restricted.Store(false)
+		o.newJobSince = time.Time{}
 		o.Log.Info("owner-restricted", zap.Bool("restricted", false), zap.Int64("term", o.term.Number), zap.String("reason", "the lease is confirmed"))
 		o.Meter.Count("restricted_terms", "end", "confirmed")
 		return
@@ -69,6 +74,24 @@
 	}
 }
 
+// noteNewJob notes that a job was stored which the owner did not know. While its own lease is not
+// confirmed, this shows that the store serves other hosts.
+func (o *Owner) noteNewJob(now time.Time) {
+	if o.restricted.Load() && o.newJobSince.IsZero() {
+		o.newJobSince = now
+	}
+}
+
+// releaseIfOthersAreServed gives up the lease if the store serves other hosts and not this one: they
+// can start the new jobs. The renewals of this host may extend the lease although it gets no answers.
+func (o *Owner) releaseIfOthersAreServed() {
+	if o.newJobSince.IsZero() || time.Since(o.newJobSince) < releaseDelay || !o.restricted.Load() || !o.term.Release() {
+		return
+	}
+	o.newJobSince = time.Time{}
+	o.Log.Warn("owner-gave-up-lease", zap.Int64("term", o.term.Number))
+}
+
 // endRestriction logs the end of a term that was restricted.
 func (o *Owner) endRestriction() {
 	if !o.restricted.Swap(false) {
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -51,6 +51,8 @@
 	termWait, pollWait, writeWait *termWait
 	// restricted is set while the scheduler plans only what needs no confirmed lease.
 	restricted atomic.Bool
+	// newJobSince is when the first job arrived since the owner is restricted.
+	newJobSince time.Time
 	core       *scheduler.Scheduler
 	events     chan event
 	// eventDelay is how late events are applied; only the loop uses it.
@@ -168,6 +170,7 @@
 	o.applyingWorker, o.oddEntries = kv.Item{}, make(map[string]int64)
 	o.term, o.termWait, o.pollWait, o.writeWait = term, &termWait{}, &termWait{}, &termWait{}
 	o.restricted.Store(false)
+	o.newJobSince = time.Time{}
 	defer o.endRestriction()
 	o.events, o.queries = make(chan event, eventBuffer), make(chan func(), eventBuffer)
 	o.eventDelay = eventDelay{}
@@ -426,6 +429,7 @@
 	inherited := item.Revision < o.term.Number
 	if o.core.AddJob(j, records[storekeys.Result(id)], inherited, now) {
 		o.jobRevisions[id] = item.Revision
+		o.noteNewJob(now)
 		o.Log.Info("job-scheduled", zap.String("request", id), zap.String("queue", j.Queue), zap.String("account", j.Account), zap.Int("steps", len(j.Steps)), zap.Bool("inherited", inherited), zap.Int64("revision", item.Revision))
 	}
 	o.applyingJob = ""
--- a/election/election.go
+++ b/election/election.go
@@ -269,7 +269,7 @@
 			inFlight--
 			switch {
 			case errors.Is(err, kv.ErrNotFound):
-				c.Log.Warn("lease-lost", zap.Int64("term", term.Number))
+				c.Log.Warn("lease-lost", zap.Int64("term", term.Number), zap.Bool("given-up", term.isReleased()))
 				term.End("the store has ended the lease")
 				return
 			case err != nil && ctx.Err() == nil:
@@ -293,11 +293,19 @@
 // errRenewalPanicked is the result of a renewal that panicked.
 var errRenewalPanicked = errors.New("the renewal has failed unexpectedly")
 
+// renewOnce renews the lease, or ends it if the term has given it up. The error is kv.ErrNotFound if there
+// is no such lease any more.
 func (c *Candidate) renewOnce(ctx context.Context, lease int64, term *Term) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := errRenewalPanicked
 	c.Supervisor.Run("renewal", func() {
+		if term.isReleased() {
+			if err = c.Store.Revoke(ctx, lease); err == nil {
+				err = kv.ErrNotFound
+			}
+			return
+		}
 		sent := c.Now()
 		var ttl time.Duration
 		if ttl, err = c.Store.Renew(ctx, lease); err == nil {
--- a/election/term.go
+++ b/election/term.go
@@ -29,6 +29,8 @@
 	// pollsFor is how long polls may go on after the end of the lease, startsFor how long starts may
 	// after the last confirmation; zero without such rights.
 	pollsFor, startsFor time.Duration
+	// released is set once the lease is given up. It is not confirmed any more then.
+	released bool
 	// ended is why the term is over for good, empty while it is not.
 	ended string
 }
@@ -104,9 +106,29 @@
 	return t.ended
 }
 
+// Release gives up the lease once it has ended unconfirmed, so that another host can take over: the
+// store may carry out renewals whose answers are lost. Rights that last longer than the lease stay. It
+// reports whether the lease is given up.
+func (t *Term) Release() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.released = t.released || t.now() >= t.until
+	return t.released
+}
+
+// isReleased reports whether the lease is given up.
+func (t *Term) isReleased() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.released
+}
+
 // extend records a renewal that was sent at the given time and that the store has carried out.
 func (t *Term) extend(sent, ttl time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.released {
+		return
+	}
 	t.confirmed, t.until = max(t.confirmed, sent), max(t.until, sent+ttl)
 }
--- a/jobhost/outage_test.go
+++ b/jobhost/outage_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// Guards against a fleet whose new jobs wait because the owner, whose renewals are carried out but not
+// answered, keeps the lease without being sure of it.
+func TestOwnerWithoutAnswersGivesUpLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startTestCluster(t, &testCluster{configWithin: configWithin})
+		defer c.stop()
+		c.submitAll()
+		term := c.store.Item(storekeys.Owner).Revision
+		began := time.Now()
+		c.store.SetFault(func(call string) kvfake.Fault {
+			if call == "renew" && time.Since(began) < storeDownTime {
+				return kvfake.ResponseLost
+			}
+			return kvfake.Answered
+		})
+		time.Sleep(termOver)
+		c.submit()
+		time.Sleep(time.Second)
+		qt.Check(t, c.store.Item(storekeys.Owner).Revision > term, qt.IsTrue)
+		time.Sleep(10 * time.Second)
+		c.assertRanOnce()
+	})
+}
+
 // Guards against an owner that goes on although the setting is missing.
 func TestTermEndsWithLeaseWithoutSetting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
