Bound the large answers of the store that calls hold

Submissions of a known ID, queries and cancellations read the stored job. 500 of them at once about one job of 256 KB raised a host of 96 MB to 102 to 183 MiB in 5 of 6 crowds.

--- a/command/platform.go
+++ b/command/platform.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"egretdrum.example/answerlimit"
 	"egretdrum.example/callermemory"
 	"egretdrum.example/dispatch"
 	"egretdrum.example/eventlog"
@@ -106,6 +107,7 @@
 		RevokeWithin:   func() time.Duration { return h.currentSettings.Load().RevokeWithin },
 		KeepResults:    func() time.Duration { return h.currentSettings.Load().KeepResults },
 		EvacuateWithin: func() time.Duration { return h.currentSettings.Load().EvacuateWithin },
+		Answers:        answerlimit.New(int(answerMemoryShare * float64(s.MemoryBytes) / answerMemory)),
 		Relay:          func() bool { return h.currentSettings.Load().OutageRelay },
 		Limits:         func() scheduler.Limits { return schedulerLimits(h.currentSettings.Load()) },
 		ConfigWithin:   func() time.Duration { return configWithin(h.currentSettings.Load()) },
--- a/command/platformservers.go
+++ b/command/platformservers.go
@@ -40,6 +40,11 @@
 	headMemory      = 340 << 10
 	headMemoryShare = 0.05
 	minHeads        = 4
+	// answerMemory is what an answer of the store with the largest job takes until its call is
+	// answered: its text twice while it is read, the value and the decoded job. answerMemoryShare is
+	// the share of the memory for such answers to callers' calls.
+	answerMemory      = 2 << 20
+	answerMemoryShare = 0.1
 	// Shares of the descriptors. The rest is for workers, the store and established owner links.
 	callerDescriptorShare = 0.5
 	jobsDescriptorShare   = 0.05
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/answerlimit"
 	"egretdrum.example/boottime"
 	"egretdrum.example/dispatch"
 	"egretdrum.example/election"
@@ -47,6 +48,8 @@
 	ConfigWithin func() time.Duration
 	// ElectionDelay is how long the host leaves the ownership to other hosts before it competes for it.
 	ElectionDelay func() time.Duration
+	// Answers limits the large answers of the store to callers' calls; nil stands for no limit.
+	Answers *answerlimit.Limit
 	// Relay reports whether submissions go through the owner while the store does not serve this host;
 	// nil stands for a host that always does so.
 	Relay func() bool
@@ -94,7 +97,7 @@
 	h.JobService = &jobservice.Service{
 		Store: store, Subscription: h.config, RevokeWithin: cfg.RevokeWithin, Log: cfg.Log, Meter: cfg.Meter,
 		Notify: h.link.Notify, QueryState: h.link.QueryState,
-		Health: health, Relay: h.link.Commit, RelayEnabled: relays,
+		Health: health, Relay: h.link.Commit, RelayEnabled: relays, Answers: cfg.Answers,
 	}
 	owner := &dispatch.Owner{
 		Store: store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults, EvacuateWithin: cfg.EvacuateWithin,
--- a/jobservice/cancel.go
+++ b/jobservice/cancel.go
@@ -74,14 +74,14 @@
 		return Answer{}, err
 	case submitted.others:
 		return Answer{Outcome: NoJob}, nil
-	case submitted.item.Revision == 0:
+	case submitted.revision == 0:
 		return s.markCancelled(ctx, t)
 	case submitted.cancelled:
 		return Answer{Outcome: Accepted, Reason: "known"}, nil
 	}
 	put := kv.Put{Key: storekeys.Cancel(t.ID), Value: []byte{}}
 	revision, err := s.commit(ctx, kv.Change{
-		Conditions: []kv.Condition{{Key: storekeys.Job(t.ID), Revision: submitted.item.Revision}},
+		Conditions: []kv.Condition{{Key: storekeys.Job(t.ID), Revision: submitted.revision}},
 		Puts:       []kv.Put{put},
 	}, failures)
 	if err != nil {
@@ -93,9 +93,16 @@
 
 // markCancelled stores the mark of a job that is not stored: its submission may be on its way.
 func (s *Service) markCancelled(ctx context.Context, t *Target) (Answer, error) {
-	s.marksOnce.Do(func() { s.marks = cancellation.New(s.Store, s.commit, s.Subscription.Now) })
+	s.marksOnce.Do(func() { s.marks = cancellation.New(s.Store, s.commitMarks, s.Subscription.Now) })
 	if err := s.marks.Set(ctx, t.ID, t.Queue.Name, t.Account); err != nil {
 		return Answer{}, err
 	}
 	return Answer{Outcome: NoJob}, nil
 }
+
+// commitMarks commits marks. A conflict has the stored jobs with it.
+func (s *Service) commitMarks(ctx context.Context, c kv.Change, failures int) (int64, error) {
+	ctx, release := s.Answers.Hold(ctx)
+	defer release()
+	return s.commit(ctx, c, failures)
+}
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"egretdrum.example/answerlimit"
 	"egretdrum.example/cancellation"
 	"egretdrum.example/catalog"
 	"egretdrum.example/job"
@@ -77,6 +78,8 @@
 	// true and the store does not serve this host.
 	Relay        func(ctx context.Context, c kv.Change) (int64, error)
 	RelayEnabled func() bool
+	// Answers limits the large answers of the store that calls hold at a time; nil stands for no limit.
+	Answers *answerlimit.Limit
 
 	// avoided is set while writes are not sent to the store, so that a change is logged once.
 	avoided atomic.Bool
@@ -194,6 +197,8 @@
 	if err := j.Check(); err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
+	ctx, release := s.Answers.Hold(ctx)
+	defer release()
 	mayBeStored := false
 	// othersMark is the revision of a mark that another account has stored for the same ID.
 	othersMark := int64(0)
@@ -245,6 +250,7 @@
 		default:
 			mayBeStored = true
 		}
+		release()
 		if !wait.For(ctx, retryDelay) {
 			return unknownIfMayBeStored(s.refuse("the store did not answer in time"), mayBeStored)
 		}
--- a/jobservice/state.go
+++ b/jobservice/state.go
@@ -59,6 +59,8 @@
 func (s *Service) readState(ctx context.Context, t *Target) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
+	ctx, release := s.Answers.Hold(ctx)
+	defer release()
 	item, err := s.Store.Get(ctx, storekeys.Result(t.ID))
 	if err == nil {
 		r, err := progress.Decode(item.Value)
@@ -77,7 +79,7 @@
 	switch {
 	case err != nil:
 		return Answer{}, err
-	case submitted.item.Revision == 0:
+	case submitted.revision == 0:
 		return Answer{Outcome: NoJob}, nil
 	case submitted.cancelled:
 		return Answer{Outcome: Shown, State: progress.Cancelled}, nil
@@ -101,9 +103,10 @@
 	return Answer{Outcome: Shown, State: state}, nil
 }
 
-// submission is a stored job, the zero item if the queue has no such job of the account.
+// submission is a stored job.
 type submission struct {
-	item      kv.Item
+	// revision is zero if the queue has no such job of the account.
+	revision  int64
 	cancelled bool
 	// others is set if another queue or account has a job of this ID.
 	others bool
@@ -111,6 +114,8 @@
 
 // readSubmission reads a job and whether it is cancelled.
 func (s *Service) readSubmission(ctx context.Context, t *Target) (submission, error) {
+	ctx, release := s.Answers.Hold(ctx)
+	defer release()
 	items, _, err := s.Store.Range(ctx, storekeys.Job(t.ID))
 	if err != nil {
 		return submission{}, err
@@ -126,7 +131,7 @@
 				return submission{}, err
 			}
 			if j.Queue == t.Queue.Name && j.Account == t.Account {
-				sub.item = i
+				sub.revision = i.Revision
 			} else {
 				sub.others = true
 			}
