--- a/jobservice/list.go
+++ b/jobservice/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 
 	"egretdrum.example/cancellation"
 	"egretdrum.example/job"
@@ -18,10 +19,15 @@
 }
 
 // List returns the jobs of the queue and the account of a target, sorted by ID. It reads all
-// jobs in the store, so it is meant for interactive use and not for polling.
+// jobs in the store, so it is meant for interactive use and not for polling, and a host reads one
+// list at a time.
 func (s *Service) List(ctx context.Context, call *Call, t *Target) ([]ListedJob, Answer) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout(call))
 	defer cancel()
+	if !s.lists.begin(ctx) {
+		return nil, s.refuse("other lists are being read")
+	}
+	defer s.lists.end()
 	submissions, _, err := s.Store.Range(ctx, storekeys.Submissions)
 	if err != nil {
 		return nil, s.refuse(err.Error())
@@ -65,3 +71,22 @@
 	slices.SortFunc(jobs, func(a, b ListedJob) int { return strings.Compare(a.ID, b.ID) })
 	return jobs, Answer{Outcome: Shown}
 }
+
+// listTurn lets one call of List after the other read.
+type listTurn struct {
+	once sync.Once
+	turn chan struct{}
+}
+
+// begin waits for the turn of a call, and reports false if ctx ends before.
+func (l *listTurn) begin(ctx context.Context) bool {
+	l.once.Do(func() { l.turn = make(chan struct{}, 1) })
+	select {
+	case l.turn <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *listTurn) end() { <-l.turn }
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -89,6 +89,7 @@
 
 	marksOnce sync.Once
 	marks     *cancellation.Marks
+	lists     listTurn
 }
 
 // Call is one call for jobs.
