Accept the longest spec with every byte escaped

The closing quote counted as a byte of the string, so a spec of 4,000 bytes written as \u00XX, 24,000 bytes of text, was refused. The test had stopped one byte short of it.

--- a/jsonlimit/checker.go
+++ b/jsonlimit/checker.go
@@ -87,16 +87,13 @@
 }
 
 func (c *Checker) nextOfText(b byte) error {
-	c.textBytes++
-	switch {
-	case c.textBytes > maxTextBytes:
-		return &LimitError{"bytes in a string", maxTextBytes}
-	case c.escaped:
-		c.escaped = false
-	case b == '\\':
-		c.escaped = true
-	case b == '"':
+	if b == '"' && !c.escaped {
 		c.inText = false
+		return nil
+	}
+	c.escaped = b == '\\' && !c.escaped
+	if c.textBytes++; c.textBytes > maxTextBytes {
+		return &LimitError{"bytes in a string", maxTextBytes}
 	}
 	return nil
 }
--- a/jsonlimit/checker_test.go
+++ b/jsonlimit/checker_test.go
@@ -30,7 +30,7 @@
 		{"too large a list", list(257), false},
 		{"many lists", "[" + strings.Repeat(list(256)+",", 255) + list(256) + "]", true},
 		{"commas and brackets in a string", `["` + strings.Repeat(`,[{\"`, 1000) + `"]`, true},
-		{"longest string", `["` + strings.Repeat("x", 24_000-1) + `"]`, true},
+		{"longest string", `["` + strings.Repeat(`\u0041`, 4000) + `"]`, true},
 		{"too long a string", `["` + strings.Repeat("x", 24_001) + `"]`, false},
 		{"many fields", "{" + strings.Repeat(`"a":1,`, 256) + `"a":1}`, false},
 		{"longest number", "[" + strings.Repeat("1", 64) + "]", true},
