Accept jobs of up to 1,024 steps and dependency lists of that length

The pages of the users name no bound, and a job of 300 steps takes a tenth of the largest body; it was refused with 400. Lists of dependencies were bounded to 256 entries as well since bodies are checked while they arrive. Steps of one occurrence share the rank that is computed for the first of them, as it took time in proportion to the square of their number.

--- a/job/check.go
+++ b/job/check.go
@@ -9,8 +9,8 @@
 	// MaxSpecBytes is the size limit for the specs of the platform's callers.
 	MaxSpecBytes = 4000
 	// maxSteps and maxTasks bound the memory that one job takes on the host that
-	// schedules it: 10,000 tasks take about 2 MB.
-	maxSteps = 256
+	// schedules it: 10,000 tasks take about 2 MB, and a step as much as four tasks.
+	maxSteps = 1024
 	maxTasks = 10_000
 	// maxOccurrences bounds the occurrences of a scheduled job.
 	maxOccurrences = 100_000
--- a/jsonlimit/checker.go
+++ b/jsonlimit/checker.go
@@ -5,9 +5,9 @@
 import "fmt"
 
 const (
-	// MaxElements is the largest number of elements of one list: a job has 256 steps at most,
+	// MaxElements is the largest number of elements of one list: a job has 1,024 steps at most,
 	// and a step follows only earlier ones.
-	MaxElements = 256
+	MaxElements = 1024
 	// maxDepth is the deepest nesting; that of a job is four.
 	maxDepth = 16
 	// maxTextBytes bounds one string, escaped. A spec has 4,000 bytes at most, and each of them
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -73,10 +73,18 @@
 // order is the priority of the queue, then accounts within their share, then jobs that can still
 // meet their objective, and then the due time.
 func (s *Scheduler) sortSteps(pool string, steps []*stepState, workers []*workerState) {
+	var last *stepState
 	for _, st := range steps {
-		if s.now.Sub(st.rank.at) > maxRankAge {
+		if s.now.Sub(st.rank.at) <= maxRankAge {
+			continue
+		}
+		// Steps of one occurrence, which have the same rank, follow each other.
+		if last != nil && last.occurrence == st.occurrence {
+			st.rank = last.rank
+		} else {
 			st.rank = s.rankOf(st.job, st.occurrence)
 		}
+		last = st
 	}
 	if !s.planPool(pool, steps, workers) {
 		slices.SortStableFunc(steps, compareByDue)
