Keep a connection open while a request with an unread body is carried out

A cancellation or a query with a body counted as a body that arrives, since its handler does not read it, so its connection could be closed for another one while the request was carried out.

--- a/callerlimit/conn.go
+++ b/callerlimit/conn.go
@@ -83,15 +83,21 @@
 	}
 }
 
-// trackedBody tells when parts of a body arrive.
+// trackedBody tells when a body is awaited and when parts of it arrive.
 type trackedBody struct {
 	io.ReadCloser
+	awaited func()
 	arrived func(ended bool)
-	ended   bool
+	// begun is set by the first read.
+	begun, ended bool
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
+	if !b.begun {
+		b.begun = true
+		b.awaited()
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		b.ended = true
--- a/callerlimit/limit.go
+++ b/callerlimit/limit.go
@@ -227,20 +227,19 @@
 	return n
 }
 
-// begin notes that the head of a request has arrived, and returns the body if one follows.
+// begin notes that the head of a request has arrived, and returns the body if one follows. A request
+// whose body the handler does not read is being carried out.
 func (l *Limit) begin(s *state, r *http.Request) *trackedBody {
-	var body *trackedBody
-	phase := working
-	if r.Body != nil && r.Body != http.NoBody {
-		phase = Body
-		body = &trackedBody{ReadCloser: r.Body, arrived: func(ended bool) {
-			if s != nil {
-				l.arrived(s, ended)
-			}
-		}}
+	if s != nil {
+		l.setPhase(s.conn, working)
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
 	}
+	body := &trackedBody{ReadCloser: r.Body, awaited: func() {}, arrived: func(bool) {}}
 	if s != nil {
-		l.setPhase(s.conn, phase)
+		body.awaited = func() { l.setPhase(s.conn, Body) }
+		body.arrived = func(ended bool) { l.arrived(s, ended) }
 	}
 	return body
 }
--- a/callerlimit/room_test.go
+++ b/callerlimit/room_test.go
@@ -87,6 +87,26 @@
 	})
 }
 
+// Guards against closing a connection whose request is being carried out although its body was not
+// read, as that of a cancellation is not.
+func TestRequestWithUnreadBodyIsCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &callerlimit.Limit{Max: 1, Refuse: http.NotFoundHandler()}
+		s := &http.Server{}
+		closed := true
+		s.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			time.Sleep(time.Second)
+			open(t, s, l)
+			closed = l.Open() != 2
+		})
+		l.Apply(s)
+		c := open(t, s, l)
+		r := httptest.NewRequest(http.MethodDelete, "/", strings.NewReader("{}")).WithContext(c.ctx)
+		s.Handler.ServeHTTP(httptest.NewRecorder(), r)
+		qt.Assert(t, closed, qt.IsFalse)
+	})
+}
+
 // Guards against large heads that never end on all connections at the same time, and against
 // closing a connection with a head that has ended.
 func TestOldestLargeHeadGivesWay(t *testing.T) {
