Do not count the rest of a refused body as a large head

The connection was idle for the limit while the rest of an unread body was read, so what arrived counted as the next head, and the oldest connection with a large head was closed for it, or the refused one before its answer.

--- a/callerlimit/limit.go
+++ b/callerlimit/limit.go
@@ -209,14 +209,16 @@
 	default:
 		next.ServeHTTP(w, &limited)
 	}
-	if s != nil {
-		l.setPhase(s.conn, Idle)
-	}
 	// Writers without deadlines have no connection that could stall.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTime))
 	if body != nil && !body.ended {
+		// What arrives now is not the next head.
+		body.awaited()
 		DrainBody(w, r)
 	}
+	if s != nil {
+		l.setPhase(s.conn, Idle)
+	}
 }
 
 func countFields(h http.Header) int {
