--- a/callerlimit/limit.go
+++ b/callerlimit/limit.go
@@ -209,14 +209,16 @@
 	default:
 		next.ServeHTTP(w, &limited)
 	}
-	if s != nil {
-		l.setPhase(s.conn, Idle)
-	}
 	// Writers without deadlines have no connection that could stall.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTime))
 	if body != nil && !body.ended {
+		// What arrives now is not the next head.
+		body.awaited()
 		DrainBody(w, r)
 	}
+	if s != nil {
+		l.setPhase(s.conn, Idle)
+	}
 }
 
 func countFields(h http.Header) int {
@@ -227,20 +229,19 @@
 	return n
 }
 
-// begin notes that the head of a request has arrived, and returns the body if one follows.
+// begin notes that the head of a request has arrived, and returns the body if one follows. A request
+// whose body the handler does not read is being carried out.
 func (l *Limit) begin(s *state, r *http.Request) *trackedBody {
-	var body *trackedBody
-	phase := working
-	if r.Body != nil && r.Body != http.NoBody {
-		phase = Body
-		body = &trackedBody{ReadCloser: r.Body, arrived: func(ended bool) {
-			if s != nil {
-				l.arrived(s, ended)
-			}
-		}}
+	if s != nil {
+		l.setPhase(s.conn, working)
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
 	}
+	body := &trackedBody{ReadCloser: r.Body, awaited: func() {}, arrived: func(bool) {}}
 	if s != nil {
-		l.setPhase(s.conn, phase)
+		body.awaited = func() { l.setPhase(s.conn, Body) }
+		body.arrived = func(ended bool) { l.arrived(s, ended) }
 	}
 	return body
 }
