Pause relayed changes after the store has refused one of the owner

A fleet whose hosts have all reached their rate limits sends its changes through the owner. They must not use up the calls that the owner needs for its own lease.

--- a/relay/committer.go
+++ b/relay/committer.go
@@ -29,10 +29,14 @@
 	// minTimeout and maxTimeout bound the wait for an answer of the store, as for the host's own changes.
 	minTimeout = 150 * time.Millisecond
 	maxTimeout = 900 * time.Millisecond
+	// refusedPause leaves the calls that the store still accepts to the owner's own work, above all the
+	// renewal of its lease, when the hosts of a fleet have all reached their rate limits.
+	refusedPause = time.Second
 )
 
 var (
 	errBusy       = errors.New("the owner commits too many changes for other hosts")
+	errPaused     = errors.New("the store has refused a change of the owner a moment ago")
 	errNotServed  = errors.New("the store does not serve the owner")
 	errForeignKey = errors.New("a relayed change may only write submissions")
 	errOff        = errors.New("the owner is set to commit no changes for other hosts")
@@ -51,6 +55,8 @@
 	queue chan task
 	bytes atomic.Int64
 	usual latency.Estimate
+	// refused is the time of the last change that the store has turned away.
+	refused atomic.Pointer[time.Time]
 }
 
 // task is a change that waits to be committed.
@@ -102,6 +108,14 @@
 	if foreign {
 		return errForeignKey
 	}
+	return c.checkStore()
+}
+
+// checkStore returns why no change may be sent to the store at present.
+func (c *Committer) checkStore() error {
+	if at := c.refused.Load(); at != nil && time.Since(*at) < refusedPause {
+		return errPaused
+	}
 	if !c.Serves() {
 		return errNotServed
 	}
@@ -143,8 +157,8 @@
 		return 0, notApplied(errLate)
 	}
 	// The store may have stopped answering while the change was queued.
-	if !c.Serves() {
-		return 0, notApplied(errNotServed)
+	if err := c.checkStore(); err != nil {
+		return 0, notApplied(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(left, c.usual.Timeout(minTimeout, maxTimeout, 0)))
 	defer cancel()
@@ -156,6 +170,9 @@
 		c.usual.RecordAnswer(time.Since(sent))
 	case ctx.Err() != nil:
 		c.usual.RecordMiss()
+	case kv.NotApplied(err):
+		now := time.Now()
+		c.refused.Store(&now)
 	}
 	return revision, err
 }
--- a/relay/committer_test.go
+++ b/relay/committer_test.go
@@ -122,3 +122,19 @@
 		qt.Assert(t, kv.NotApplied(err), qt.IsFalse)
 	})
 }
+
+// Guards against the changes of a fleet at its rate limit that use up the calls of the owner, which
+// needs them for its own lease.
+func TestRefusedOwnerPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(t)
+		defer o.stop()
+		o.store.SetFault(func(string) kvfake.Fault { return kvfake.Refused })
+		qt.Assert(t, kv.NotApplied(<-o.commit(submission(1), time.Second)), qt.IsTrue)
+		o.store.SetFault(nil)
+		qt.Assert(t, kv.NotApplied(<-o.commit(submission(1), time.Second)), qt.IsTrue)
+		qt.Assert(t, o.store.Calls("commit"), qt.Equals, 1)
+		time.Sleep(time.Second)
+		qt.Assert(t, <-o.commit(submission(1), time.Second), qt.IsNil)
+	})
+}
