Doubt a late watch before the store counts as silent

One lost answer to a watch made an otherwise idle host avoid the store until the watch timed out. A probe is now sent in time to be answered before that.

--- a/storehealth/health.go
+++ b/storehealth/health.go
@@ -16,9 +16,11 @@
 	// maxSilence applies while the usual answer time is longer or not known.
 	minSilence = 450 * time.Millisecond
 	maxSilence = 900 * time.Millisecond
+	// doubtAfter is how late a watch is doubted, so that a probe is answered before minSilence.
+	doubtAfter = 350 * time.Millisecond
 )
 
-// Health is a circuit breaker without a timer of its own: it opens when the store turns a call away
+// Health is a circuit breaker: it opens when the store turns a call away
 // or leaves calls unanswered beyond its usual time, and closes with the next answer to any call. The
 // zero value takes the store for one that serves the host. It is safe for concurrent use.
 type Health struct {
@@ -118,6 +120,10 @@
 		h.turnedAway = true
 	}
 	h.silent = h.silent || h.tooLong(due, now)
+	h.doubt()
+}
+
+func (h *Health) doubt() {
 	select {
 	case h.doubts() <- struct{}{}:
 	default:
@@ -125,6 +131,15 @@
 	}
 }
 
+// doubtUnanswered raises a doubt if the store has not answered any call since a call was due.
+func (h *Health) doubtUnanswered(id uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if due, ok := h.due[id]; ok && !h.answered.After(due) {
+		h.doubt()
+	}
+}
+
 // answered reports whether the error of a call, or nil, is an answer of the store.
 func answered(err error) bool {
 	var conflict *kv.ConflictError
@@ -146,6 +161,7 @@
 	}
 	observed.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) (events []kv.Event, revision int64, err error) {
 		id := h.begin(wait)
+		defer time.AfterFunc(wait+doubtAfter, func() { h.doubtUnanswered(id) }).Stop()
 		defer func() { h.end(ctx, id, false, err) }()
 		return store.Watch(ctx, prefix, after, wait)
 	}
--- a/storehealth/health_test.go
+++ b/storehealth/health_test.go
@@ -91,3 +91,24 @@
 		qt.Assert(t, h.Serves(), qt.IsTrue)
 	})
 }
+
+// Guards against a host that takes the store for silent because the answer to one watch was lost: the
+// doubt comes early enough for a probe.
+func TestLateWatchIsDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h, store := observed()
+		commit(f, store, kvfake.Answered, time.Second)
+		f.SetFault(func(string) kvfake.Fault { return kvfake.Unanswered })
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _, _, _ = store.Watch(ctx, "op/", 0, time.Second) }()
+		defer func() { cancel(); <-ended }()
+		time.Sleep(1399 * time.Millisecond)
+		select {
+		case <-h.Doubted():
+		default:
+			t.Error("a late watch is not doubted")
+		}
+		qt.Assert(t, h.Serves(), qt.IsTrue)
+	})
+}
