--- a/ownerlink/relay.go
+++ b/ownerlink/relay.go
@@ -156,6 +156,9 @@
 	if c == nil {
 		return 0, notApplied(errNoLink)
 	}
+	if err := ctx.Err(); err != nil {
+		return 0, notApplied(err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
--- a/ownerlink/relay_test.go
+++ b/ownerlink/relay_test.go
@@ -102,3 +102,12 @@
 		qt.Assert(t, kv.NotApplied(err), qt.IsTrue)
 	}
 }
+
+// Guards against an unknown outcome for a caller whose time was over before the change was sent.
+func TestChangeIsNotSentAfterItsTime(t *testing.T) {
+	_, commit := connectedTo(t, func(kv.Change, func(int64, error)) { t.Error("sent") })
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := commit(ended, kv.Change{})
+	qt.Assert(t, kv.NotApplied(err), qt.IsTrue)
+}
