Read the configuration for as long as parts of it arrive

A read had 800 ms for the whole range. A configuration of 1 MB takes longer on a link of 10 Mbit/s, so hosts on such links never learned of one, and read it again and again. The time-out now applies to the first part and between parts; the whole read is bounded by the largest answer. A watch that was cut is repeated instead of a full read, and a watch that carries several large configurations gives way to a read of the newest.

--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -87,7 +87,7 @@
 		link:       ownerlink.New(cfg.Log, supervisor),
 		committer:  relay.New(store, health.Serves, relays, cfg.Log, cfg.Meter, supervisor),
 	}
-	h.config.Now, h.config.EvacuationPrefix = now, cfg.EvacuationPrefix
+	h.config.Now, h.config.EvacuationPrefix, h.config.Meter = now, cfg.EvacuationPrefix, cfg.Meter
 	h.JobService = &jobservice.Service{
 		Store: store, Subscription: h.config, RevokeWithin: cfg.RevokeWithin, Log: cfg.Log, Meter: cfg.Meter,
 		Notify: h.link.Notify, QueryState: h.link.QueryState,
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -113,10 +113,11 @@
 	age      time.Duration
 }
 
-// Ready reports whether the configuration of this host is recent enough to serve callers.
+// Ready reports whether the configuration of this host is recent enough to serve callers, and the host
+// keeps up with its changes.
 func (s *Service) Ready() bool {
 	c, _, age := s.Subscription.Current()
-	return c != nil && age < maxReadyAge
+	return c != nil && age < maxReadyAge && !s.Subscription.Behind()
 }
 
 // MaxBodyBytes returns the maximum size of the body of a submission.
--- a/kv/store.go
+++ b/kv/store.go
@@ -13,7 +13,8 @@
 	// Get returns the newest item of a key, ErrNotFound if there is none.
 	Get func(ctx context.Context, key string) (Item, error)
 	// Range returns all items whose keys begin with prefix. It reads page after page, so a
-	// change made in between may be missing; a watch from the returned revision delivers it.
+	// change made in between may be missing; a watch from the returned revision delivers it. With an
+	// error it returns the items of the pages that were read.
 	Range func(ctx context.Context, prefix string) (items []Item, revision int64, err error)
 	// Watch returns the events after a revision as soon as there are any, or none when wait
 	// has passed. After ErrCompacted the range must be read again.
@@ -69,6 +70,8 @@
 	ErrNotFound = errors.New("not found in the store")
 	// ErrCompacted means that the events after a revision are no longer available.
 	ErrCompacted = errors.New("the store has dropped the history since the requested revision")
+	// ErrTooLarge means that an answer is larger than its receiver takes.
+	ErrTooLarge = errors.New("the answer of the store is too large")
 )
 
 // UnavailableError reports a call without a usable answer.
--- a/storehealth/health.go
+++ b/storehealth/health.go
@@ -9,6 +9,7 @@
 
 	"egretdrum.example/kv"
 	"egretdrum.example/latency"
+	"egretdrum.example/transfer"
 )
 
 const (
@@ -143,10 +144,10 @@
 // answered reports whether the error of a call, or nil, is an answer of the store.
 func answered(err error) bool {
 	var conflict *kv.ConflictError
-	return err == nil || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrCompacted) || errors.As(err, &conflict)
+	return err == nil || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrTooLarge) || errors.As(err, &conflict)
 }
 
-// Observe returns the calls of a store, whose outcomes and durations the health records.
+// Observe returns the calls of a store, whose outcomes, durations and arriving parts the health records.
 func (h *Health) Observe(store kv.Store) kv.Store {
 	observed := store
 	observed.Get = func(ctx context.Context, key string) (item kv.Item, err error) {
@@ -157,13 +158,13 @@
 	observed.Range = func(ctx context.Context, prefix string) (items []kv.Item, revision int64, err error) {
 		id := h.begin(0)
 		defer func() { h.end(ctx, id, false, err) }()
-		return store.Range(ctx, prefix)
+		return store.Range(transfer.Observe(ctx, h.Progress), prefix)
 	}
 	observed.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) (events []kv.Event, revision int64, err error) {
 		id := h.begin(wait)
 		defer time.AfterFunc(wait+doubtAfter, func() { h.doubtUnanswered(id) }).Stop()
 		defer func() { h.end(ctx, id, false, err) }()
-		return store.Watch(ctx, prefix, after, wait)
+		return store.Watch(transfer.Observe(ctx, h.Progress), prefix, after, wait)
 	}
 	observed.Commit = func(ctx context.Context, c kv.Change) (revision int64, err error) {
 		id := h.begin(0)
--- a/storehealth/health_test.go
+++ b/storehealth/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"egretdrum.example/kv"
 	"egretdrum.example/kvfake"
 	"egretdrum.example/storehealth"
+	"egretdrum.example/transfer"
 )
 
 // observed returns a fake store and its calls as a health observes them.
@@ -112,3 +114,25 @@
 		qt.Assert(t, h.Serves(), qt.IsTrue)
 	})
 }
+
+// Guards against a store that is taken for silent while a large answer arrives over a slow link.
+func TestArrivingAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := new(storehealth.Health)
+		store := h.Observe(kv.Store{Range: func(ctx context.Context, _ string) ([]kv.Item, int64, error) {
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				transfer.Report(ctx)
+				qt.Check(t, h.Serves(), qt.IsTrue)
+			}
+			return nil, 0, &kv.UnavailableError{Cause: kv.ErrTooLarge}
+		}})
+		_, _, err := store.Range(t.Context(), "op/")
+		qt.Assert(t, errors.Is(err, kv.ErrTooLarge), qt.IsTrue)
+		select {
+		case <-h.Doubted():
+			t.Error("an answer raised a doubt")
+		default:
+		}
+	})
+}
--- a/subscription/subscription.go
+++ b/subscription/subscription.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,8 @@
 	"egretdrum.example/catalog"
 	"egretdrum.example/evacuation"
 	"egretdrum.example/kv"
+	"egretdrum.example/meter"
+	"egretdrum.example/transfer"
 	"egretdrum.example/wait"
 )
 
@@ -33,6 +36,8 @@
 	Log    *zap.Logger
 	// Now is the clock on which confirmations are measured.
 	Now func() time.Duration
+	// Meter, if set, shows whether the host is behind.
+	Meter *meter.Meter
 
 	mu       sync.Mutex
 	catalog  *catalog.Catalog
@@ -44,6 +49,7 @@
 	evacuated map[string]int64
 	confirmed time.Duration
 	reachable bool
+	behind    bool
 	changed   chan struct{}
 }
 
@@ -72,6 +78,16 @@
 	// answers in milliseconds, a slow one in a third of a second.
 	answerTimeout = 800 * time.Millisecond
 	retryInterval = 100 * time.Millisecond
+	// repeatedWait is not zero, which a store may take for a missing value.
+	repeatedWait = time.Millisecond
+	// maxReadTime is the time that the largest answer of the store, 4 MB, takes on a quarter of a link
+	// of 10 Mbit/s; other traffic has the rest.
+	maxReadTime = 14 * time.Second
+	// maxEventBytes is above one value of the largest size, 1 MB, in base64. What is larger has
+	// several configurations, of which a read returns only the newest.
+	maxEventBytes = 2 << 20
+	// behindAfter is above the 1.2 s that the largest value takes on a link of 10 Mbit/s.
+	behindAfter = 2 * time.Second
 )
 
 // New returns a subscription without a configuration; Run reads it.
@@ -85,48 +101,82 @@
 // Run keeps the configuration up to date until ctx ends.
 func (s *Subscription) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		revision, ok := s.readAll(ctx)
-		for ok {
-			revision, ok = s.watchOnce(ctx, revision)
+		if revision, ok := s.readAll(ctx); ok {
+			s.follow(ctx, revision)
 		}
 		wait.For(ctx, retryInterval)
 	}
 }
 
+// follow watches from a revision until the range must be read again. A watch that was cut is repeated
+// once, almost without a wait, so that it shows at once whether the store is reachable; the history saves a
+// read of the whole range. A watch of which nothing has arrived in time is not: it may never answer.
+func (s *Subscription) follow(ctx context.Context, revision int64) {
+	repeated := false
+	for ctx.Err() == nil {
+		maxWait := watchWait
+		if repeated {
+			maxWait = repeatedWait
+		}
+		next, err := s.watchOnce(ctx, revision, maxWait)
+		switch {
+		case err == nil:
+			revision, repeated = next, false
+		case repeated, errors.Is(err, kv.ErrCompacted), errors.Is(err, kv.ErrTooLarge), errors.Is(err, errSilent):
+			return
+		default:
+			repeated = true
+			wait.For(ctx, retryInterval)
+		}
+	}
+}
+
 // readAll reads the whole range and returns the revision to watch from.
 func (s *Subscription) readAll(ctx context.Context) (int64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
 	sent := s.Now()
+	ctx, cancel := transfer.Bounds{First: answerTimeout, Silence: answerTimeout, Total: maxReadTime}.Context(s.observe(ctx, sent))
+	defer cancel()
 	items, revision, err := s.Store.Range(ctx, s.Prefix)
+	// What was read of an unfinished range is already in the store.
+	for _, item := range items {
+		s.Apply(item)
+	}
 	if err != nil {
 		s.markUnreachable(err)
 		return 0, false
 	}
-	for _, item := range items {
-		s.Apply(item)
-	}
 	s.applyListedZones(items, revision)
 	s.markConfirmed(sent)
 	return revision, true
 }
 
-// watchOnce waits for changes and applies them; ok is false if the range must be read again.
-func (s *Subscription) watchOnce(ctx context.Context, after int64) (revision int64, ok bool) {
-	call, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
-	defer cancel()
+// errSilent reports a watch of which nothing has arrived in time.
+var errSilent = errors.New("the watch is silent")
+
+// watchOnce waits for changes, applies them and returns the revision to watch from.
+func (s *Subscription) watchOnce(ctx context.Context, after int64, maxWait time.Duration) (int64, error) {
 	sent := s.Now()
-	events, revision, err := s.Store.Watch(call, s.Prefix, after, watchWait)
+	var arrived atomic.Bool
+	observed := transfer.Observe(s.observe(ctx, sent+maxWait), func() { arrived.Store(true) })
+	bounds := transfer.Bounds{First: maxWait + answerTimeout, Silence: answerTimeout, Total: maxWait + maxReadTime, MaxBytes: maxEventBytes}
+	call, cancel := bounds.Context(observed)
+	defer cancel()
+	events, revision, err := s.Store.Watch(call, s.Prefix, after, maxWait)
 	switch {
 	case ctx.Err() != nil:
-		return 0, false
+		return 0, ctx.Err()
 	case errors.Is(err, kv.ErrCompacted):
 		s.Log.Info("history-dropped", zap.String("prefix", s.Prefix), zap.Int64("revision", after))
-		return 0, false
+		return 0, err
+	case errors.Is(err, kv.ErrTooLarge):
+		s.Log.Info("history-skipped", zap.String("prefix", s.Prefix), zap.Int64("revision", after))
+		return 0, err
 	case err != nil:
 		s.markUnreachable(err)
-		// A range call shows at once whether the store is reachable again; a watch would wait.
-		return 0, false
+		if call.Err() != nil && !arrived.Load() {
+			return 0, errSilent
+		}
+		return 0, err
 	}
 	for _, e := range events {
 		if e.Deleted {
@@ -136,11 +186,11 @@
 		s.Apply(e.Item)
 	}
 	// A watch without events confirms the configuration as of the end of its whole wait.
-	if len(events) == 0 && s.Now()-sent >= watchWait {
-		sent += watchWait
+	if len(events) == 0 && s.Now()-sent >= maxWait {
+		sent += maxWait
 	}
 	s.markConfirmed(sent)
-	return revision, true
+	return revision, nil
 }
 
 // Apply applies an item that was read from the store. An older configuration and a wave that
@@ -194,6 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmed = max(s.confirmed, at)
+	s.setBehind(false, 0)
 	if !s.reachable {
 		s.reachable = true
 		s.Log.Info("store-reached", zap.String("for", "configuration"))
