Tell a host of each item that its relayed change conflicts with

The items of a conflict above 128 KB together were left out of the answer to the host. If a configuration pushed out the stored job, the host refused a submission of a job that was stored. Now only the value is left out, and the values of submissions come first.

A large configuration is sent over a link once in 200 ms, not with each of up to 64 conflicts in flight, which could fill the queue of a slow link with 32 MB.

TestRelayedChanges now asks for the item above the limit without its value, where it was left out.

--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -233,7 +233,9 @@
 				// No earlier attempt can take effect any more.
 				return Answer{Outcome: Refused, Reason: "the job was cancelled before it was stored"}
 			}
-			s.Subscription.Apply(conflict.Find(s.Subscription.ConfigKey))
+			if config := conflict.Find(s.Subscription.ConfigKey); len(config.Value) > 0 {
+				s.Subscription.Apply(config)
+			}
 			if _, newest, _ := s.Subscription.Current(); newest == t.revision && mark.Revision == othersMark {
 				// The owner does not send a large configuration along with the outcome.
 				return unknownIfMayBeStored(s.refuse("the configuration of this host is older than that of the store"), mayBeStored)
--- a/ownerlink/relay.go
+++ b/ownerlink/relay.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"egretdrum.example/kv"
+	"egretdrum.example/storekeys"
 )
 
 const (
@@ -19,6 +22,11 @@
 	// conflict from holding up the answers to queries, which have queryTimeout, on a slow link.
 	maxRelayedBytes  = 512 << 10
 	maxConflictBytes = 128 << 10
+	// largeConflictBytes is above small configurations. Larger ones are sent to a host once in
+	// largeConflictInterval: all its changes conflict with the same configuration, and the answers to
+	// them would fill the queue of its link.
+	largeConflictBytes    = 8 << 10
+	largeConflictInterval = 200 * time.Millisecond
 )
 
 // Errors of relayed changes.
@@ -53,7 +61,8 @@
 type relayOutcome struct {
 	// Revision is set if the change was applied.
 	Revision int64 `cbor:"1,keyasint,omitempty"`
-	// Conflict is set if a condition does not hold; Items are the current items that fit into a message.
+	// Conflict is set if a condition does not hold; Items are the current items, without values
+	// that do not fit into a message.
 	Conflict bool          `cbor:"2,keyasint,omitempty"`
 	Items    []relayedItem `cbor:"3,keyasint,omitempty"`
 	// NotApplied says why the change certainly had no effect and will have none.
@@ -90,20 +99,32 @@
 	case err == nil:
 		return &relayOutcome{Revision: revision}
 	case errors.As(err, &conflict):
-		o, size := &relayOutcome{Conflict: true}, 0
-		for _, i := range conflict.Items {
-			if size+len(i.Value) <= maxConflictBytes {
-				size += len(i.Value)
-				o.Items = append(o.Items, relayedItem{i.Key, i.Value, i.Revision, i.Lease})
-			}
-		}
-		return o
+		return newConflict(conflict.Items)
 	case kv.NotApplied(err):
 		return &relayOutcome{NotApplied: err.Error()}
 	}
 	return &relayOutcome{}
 }
 
+// newConflict returns the outcome of a change that conflicts with items. The host must learn that an
+// item exists even if its value is too large; the values of submissions come first.
+func newConflict(items []kv.Item) *relayOutcome {
+	o, size := &relayOutcome{Conflict: true}, 0
+	for _, submissions := range []bool{true, false} {
+		for _, i := range items {
+			if strings.HasPrefix(i.Key, storekeys.Submissions) != submissions {
+				continue
+			}
+			if size += len(i.Value); size > maxConflictBytes {
+				size -= len(i.Value)
+				i.Value = nil
+			}
+			o.Items = append(o.Items, relayedItem{i.Key, i.Value, i.Revision, i.Lease})
+		}
+	}
+	return o
+}
+
 // result returns the outcome as the result of a commit.
 func (o *relayOutcome) result() (int64, error) {
 	switch {
@@ -208,10 +229,36 @@
 	return c.lastID, nil
 }
 
+// conflictLimit limits the large items that are sent over one link.
+type conflictLimit struct {
+	mu   sync.Mutex
+	sent time.Time
+}
+
+// apply removes the large values of other items than submissions if such a value was sent a moment ago.
+func (l *conflictLimit) apply(o *relayOutcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for i := range o.Items {
+		item := &o.Items[i]
+		if len(item.Value) <= largeConflictBytes || strings.HasPrefix(item.Key, storekeys.Submissions) {
+			continue
+		}
+		if now.Sub(l.sent) < largeConflictInterval {
+			item.Value = nil
+			continue
+		}
+		l.sent = now
+	}
+}
+
 // commit has a change committed and sends the outcome to the host.
-func (s *Server) commit(id uint64, change *relayedChange, out chan<- []byte) {
+func (s *Server) commit(id uint64, change *relayedChange, limit *conflictLimit, out chan<- []byte) {
 	reply := func(revision int64, err error) {
-		b, err := cbor.Marshal(reply{ID: id, Outcome: newRelayOutcome(revision, err)})
+		outcome := newRelayOutcome(revision, err)
+		limit.apply(outcome)
+		b, err := cbor.Marshal(reply{ID: id, Outcome: outcome})
 		if err != nil {
 			s.Log.Error("outcome-not-encoded", zap.Error(err))
 			return
--- a/ownerlink/relay_test.go
+++ b/ownerlink/relay_test.go
@@ -36,6 +36,9 @@
 	}
 	config := kv.Item{Key: "config", Value: []byte("new"), Revision: 13}
 	large := kv.Item{Key: "config", Value: make([]byte, 1<<20), Revision: 13}
+	bare := kv.Item{Key: "config", Revision: 13}
+	stored := kv.Item{Key: storekeys.Job("1"), Value: make([]byte, 100<<10), Revision: 9}
+	medium := kv.Item{Key: "config", Value: make([]byte, 100<<10), Revision: 13}
 	for _, test := range []struct {
 		name          string
 		revision      int64
@@ -46,7 +49,8 @@
 	}{
 		{name: "applied", revision: 14},
 		{name: "conflict", conflict: []kv.Item{config}, wantRemainder: []kv.Item{config}},
-		{name: "conflict with an item above the limit", conflict: []kv.Item{large, config}, wantRemainder: []kv.Item{config}},
+		{name: "conflict with an item above the limit", conflict: []kv.Item{large, config}, wantRemainder: []kv.Item{bare, config}},
+		{name: "conflict with a stored job and a large configuration", conflict: []kv.Item{medium, stored}, wantRemainder: []kv.Item{stored, bare}},
 		{name: "not applied", err: &kv.UnavailableError{NotApplied: true, Cause: errInjected}, wantNotSent: true},
 		{name: "unknown", err: &kv.UnavailableError{Cause: errInjected}},
 	} {
--- a/ownerlink/server.go
+++ b/ownerlink/server.go
@@ -58,6 +58,7 @@
 }
 
 func (s *Server) receive(ctx context.Context, conn *websocket.Conn, out chan<- []byte) error {
+	var limit conflictLimit
 	for {
 		_, b, err := conn.Read(ctx)
 		if err != nil {
@@ -72,7 +73,7 @@
 			continue
 		}
 		if m.Change != nil {
-			s.commit(m.ID, m.Change, out)
+			s.commit(m.ID, m.Change, &limit, out)
 			continue
 		}
 		s.QueryState(m.Job, func(a Answer) {
