Reload jobs and registrations for as long as parts of them arrive

A reload after a failed watch had 0.6 s for the whole prefix, 0.56 MB of values on a link of 10 Mbit/s. An owner with more stored jobs repeated it without end.

--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -9,6 +9,7 @@
 
 	"egretdrum.example/kv"
 	"egretdrum.example/storekeys"
+	"egretdrum.example/transfer"
 	"egretdrum.example/wait"
 )
 
@@ -66,8 +67,9 @@
 	}
 }
 
+// readRange reads a prefix for as long as parts of it arrive, up to the time for the load of a term.
 func (o *Owner) readRange(prefix string) ([]kv.Item, int64, bool) {
-	ctx, cancel := context.WithTimeout(o.ctx, watchTimeout)
+	ctx, cancel := transfer.Bounds{First: watchTimeout, Silence: watchTimeout, Total: loadTimeout}.Context(o.ctx)
 	defer cancel()
 	items, revision, err := o.Store.Range(ctx, prefix)
 	return items, revision, err == nil
