--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -53,8 +53,8 @@
 	restricted atomic.Bool
 	// newJobSince is when the first job arrived since the owner is restricted.
 	newJobSince time.Time
-	core       *scheduler.Scheduler
-	events     chan event
+	core        *scheduler.Scheduler
+	events      chan event
 	// eventDelay is how late events are applied; only the loop uses it.
 	eventDelay eventDelay
 	// zonesUnknown is set while it is not known which zones are under evacuation.
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -117,10 +117,11 @@
 	age      time.Duration
 }
 
-// Ready reports whether the configuration of this host is recent enough to serve callers.
+// Ready reports whether the configuration of this host is recent enough to serve callers, and the host
+// keeps up with its changes.
 func (s *Service) Ready() bool {
 	c, _, age := s.Subscription.Current()
-	return c != nil && age < maxReadyAge
+	return c != nil && age < maxReadyAge && !s.Subscription.Behind()
 }
 
 // MaxBodyBytes returns the maximum size of the body of a submission.
@@ -238,7 +239,9 @@
 				// No earlier attempt can take effect any more.
 				return Answer{Outcome: Refused, Reason: "the job was cancelled before it was stored"}
 			}
-			s.Subscription.Apply(conflict.Find(s.Subscription.ConfigKey))
+			if config := conflict.Find(s.Subscription.ConfigKey); len(config.Value) > 0 {
+				s.Subscription.Apply(config)
+			}
 			if _, newest, _ := s.Subscription.Current(); newest == t.revision && mark.Revision == othersMark {
 				// The owner does not send a large configuration along with the outcome.
 				return unknownIfMayBeStored(s.refuse("the configuration of this host is older than that of the store"), mayBeStored)
