--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -56,6 +56,12 @@
 // checkTerm tells the scheduler whether the lease is confirmed.
 func (o *Owner) checkTerm() {
 	valid := o.term.Valid()
+	if !valid && o.eventDelay.current >= lagThreshold {
+		// The store may have answered in time, and a host that keeps up serves the fleet better.
+		o.term.End("the owner lags")
+		o.stop()
+		return
+	}
 	o.core.SetRestricted(!valid, !valid && o.startsContinue(), time.Now())
 	o.releaseIfOthersAreServed()
 	if valid != o.restricted.Load() {
--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -99,6 +99,25 @@
 	})
 }
 
+// Guards against an owner on a slow host that keeps the ownership while others could serve the fleet.
+func TestOwnerThatLagsDoesNotGoOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		ended string
+	}{"keeps up": {lagThreshold / 2, ""}, "lags": {lagThreshold + tickInterval, "the owner lags"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := startOutage(t, nil)
+				defer u.close()
+				u.begin()
+				u.owner.events <- event{time.Now().Add(-c.delay), func(time.Time) {}}
+				time.Sleep(2 * tickInterval)
+				qt.Check(t, u.owner.term.EndReason(), qt.Equals, c.ended)
+			})
+		})
+	}
+}
+
 // Guards against writes of an owner whose lease is not confirmed.
 func TestNothingIsStoredWithoutTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
