Drop plans of pools without work, and count delayed work beyond shares once

Work beyond a share of a lower priority was delayed as if it had to start after the delayed work beyond a share of a higher one, although it starts before it. A plan outlived its work: pool-has-room was not logged and jobs counted as delayed until the next task waited.

--- a/backlog/order.go
+++ b/backlog/order.go
@@ -100,7 +100,8 @@
 		}
 		kept, deferred := p.deferClass(class, earlier)
 		earlier, delayed = earlier+kept, delayed+deferred
-		if class = class[:0]; i+1 < len(p.sorted) && p.sorted[i+1].OverShare {
+		if class = class[:0]; i+1 < len(p.sorted) && p.sorted[i+1].OverShare && !it.OverShare {
+			// Work beyond a share starts after what is delayed of the work within one.
 			earlier, delayed = earlier+delayed, 0
 		}
 	}
--- a/backlog/plan_test.go
+++ b/backlog/plan_test.go
@@ -28,6 +28,10 @@
 func TestVerdicts(t *testing.T) {
 	overShare, begun, held := workDue(0), workDue(0), workDue(0)
 	overShare.OverShare, begun.Left, held.Held = true, 1, true
+	small, large := workDue(0), workDue(0)
+	small.OverShare, small.Left, large.OverShare, large.Left = true, 3, true, 9
+	behind := small
+	behind.Priority = 1
 	for name, c := range map[string]struct {
 		work []Work
 		want []Verdict
@@ -36,6 +40,7 @@
 		"what came last is delayed":            {[]Work{workDue(0), workDue(100 * time.Millisecond)}, []Verdict{Delayed, First}},
 		"what has begun is not delayed":        {[]Work{workDue(100 * time.Millisecond), begun}, []Verdict{Delayed, First}},
 		"a surge takes no room of others":      {[]Work{overShare, workDue(0)}, []Verdict{Delayed, First}},
+		"delayed work of a surge goes last":    {[]Work{small, large, small, behind}, []Verdict{First, Delayed, First, First}},
 		"held work takes no room":              {[]Work{held, held, held, workDue(0)}, []Verdict{First, First, First, First}},
 		"one job at a time starts for its age": {[]Work{workDue(time.Hour), workDue(2 * time.Hour)}, []Verdict{Useless, Aged}},
 	} {
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -112,6 +113,16 @@
 	return p.plan != nil
 }
 
+// dropPlans drops the plans of pools without waiting work.
+func (s *Scheduler) dropPlans() {
+	for _, pool := range slices.Sorted(maps.Keys(s.plans)) {
+		if p := s.plans[pool]; p.plan != nil && len(s.waiting[pool]) == 0 {
+			s.logRoom(pool, p, nil)
+			p.plan, p.jobs = nil, 0
+		}
+	}
+}
+
 // makePlan makes the plan for the waiting steps of a pool.
 func (s *Scheduler) makePlan(pool string, p *poolPlan, steps []*stepState, workers []*workerState) {
 	var work []backlog.Work
--- a/scheduler/backlog_test.go
+++ b/scheduler/backlog_test.go
@@ -119,3 +119,12 @@
 	}
 	qt.Assert(t, lent > 0, qt.IsTrue)
 }
+
+// Guards against a pool that counts as short of room, with delayed jobs, after all of its work is done.
+func TestPlanEndsWithItsWork(t *testing.T) {
+	sim := newBurst(false)
+	sendBurst(sim, 1.5, 0)
+	sim.run(20 * time.Second)
+	qt.Assert(t, sim.core.plans["desk"].plan, qt.IsNil)
+	qt.Assert(t, sim.core.Summary().Delayed, qt.Equals, 0)
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -22,6 +22,7 @@
 			s.changedPools[pool] = true
 		}
 	}
+	s.dropPlans()
 	for _, pool := range s.passOrder() {
 		if s.now.Before(s.nextPass[pool]) {
 			continue
