Refuse submissions that would be done too late to be of use

While a pool is short of room, its owner says so over the owner links, and hosts ask for a forecast of each job that runs at once. A mark in the store keeps earlier attempts from taking effect; a later submission deletes it.

--- a/backlog/plan.go
+++ b/backlog/plan.go
@@ -82,6 +82,8 @@
 	short bool
 	// before holds, for each sorted item, the work that starts before it.
 	before []float64
+	// overShare is the place of the first item beyond the share of its account that takes room.
+	overShare int
 }
 
 // item is a piece of work with its verdict. Times are in seconds from the time of the plan.
@@ -116,8 +118,11 @@
 	}
 	p.limitAged()
 	slices.SortFunc(p.sorted, p.compare)
-	p.before = make([]float64, len(work)+1)
+	p.before, p.overShare = make([]float64, len(work)+1), len(work)
 	for place, it := range p.sorted {
+		if it.OverShare && it.load() > 0 {
+			p.overShare = min(p.overShare, place)
+		}
 		it.place = place
 		p.before[place+1] = p.before[place] + it.load()
 	}
@@ -149,15 +154,22 @@
 // Short reports whether work is delayed.
 func (p *Plan) Short() bool { return p.short }
 
+// OverSharePlace returns the place of the first piece of work beyond the share of its account that takes
+// room, the number of pieces if there is none.
+func (p *Plan) OverSharePlace() int { return p.overShare }
+
 // Predict returns when a job that arrives now would be done, what the plan would decide about it, and
 // how many of the pieces of work would start before it.
-func (p *Plan) Predict(w Work) (done time.Time, v Verdict, place int) {
+func (p *Plan) Predict(w Work) (done time.Time, v Verdict, place int) { return p.PredictAfter(w, 0) }
+
+// PredictAfter is Predict for a job that starts after further work that is not part of the plan.
+func (p *Plan) PredictAfter(w Work, further float64) (done time.Time, v Verdict, place int) {
 	it := p.newItem(&w)
 	it.index = len(p.items)
-	place, start := p.startOf(&it)
+	place, start := p.startOf(&it, further)
 	if it.verdict == First && start > p.latestWithMargin(&it) {
 		it.verdict = Delayed
-		place, start = p.startOf(&it)
+		place, start = p.startOf(&it, further)
 	}
 	if start > it.lastUse {
 		it.verdict = Useless
@@ -170,10 +182,11 @@
 	return max(0, it.latest-p.order.Margin*it.Path.Seconds())
 }
 
-// startOf returns the place at which an item that is not part of the plan would start, and when.
-func (p *Plan) startOf(it *item) (place int, start float64) {
+// startOf returns the place at which an item that is not part of the plan would start, and when it
+// would after further work.
+func (p *Plan) startOf(it *item, further float64) (place int, start float64) {
 	place, _ = slices.BinarySearchFunc(p.sorted, it, p.compare)
-	return place, p.timeFor(p.before[place])
+	return place, p.timeFor(p.before[place] + further)
 }
 
 func (p *Plan) newItem(w *Work) item {
--- a/backlog/plan_test.go
+++ b/backlog/plan_test.go
@@ -74,3 +74,26 @@
 	more := New(noon, Capacity{Total: 10, Soon: 70, SoonAfter: 2 * time.Second}, Feasible(), many)
 	assertDone(t, more, workDue(0), 2*time.Second+875*time.Millisecond+time.Second, Delayed)
 }
+
+// Guards against a refusal of work within its share while work beyond a share goes before it, which only
+// aged work does.
+func TestWorkBeyondSharesGoesLast(t *testing.T) {
+	over, aged, held := workDue(0), workDue(time.Hour), workDue(0)
+	over.OverShare, aged.OverShare, held.OverShare, held.Held = true, true, true, true
+	for name, c := range map[string]struct {
+		work []Work
+		want int
+	}{
+		"none":                  {[]Work{workDue(0), workDue(0)}, 2},
+		"beyond a share":        {[]Work{over, workDue(0), workDue(0)}, 2},
+		"aged":                  {[]Work{workDue(0), aged}, 0},
+		"takes no room from it": {[]Work{held, workDue(0)}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := plan(c.work...)
+			qt.Assert(t, p.OverSharePlace(), qt.Equals, c.want)
+			_, _, place := p.Predict(workDue(0))
+			qt.Assert(t, place <= p.OverSharePlace(), qt.Equals, name != "aged")
+		})
+	}
+}
--- a/cancellation/marks.go
+++ b/cancellation/marks.go
@@ -22,8 +22,8 @@
 	// that a mark lasts for two minutes at least. The store carries out unanswered writes up to 12 s
 	// late, and repeated submissions arrive some seconds late.
 	leaseTTL = 4 * time.Minute
-	// marksPerChange is the number of marks in a change; each needs a condition and a put.
-	marksPerChange = kv.MaxEntries / 2
+	// maxEntriesPerMark is the number of conditions and puts that a mark needs at most.
+	maxEntriesPerMark = 3
 	// changeInterval is the least time between two changes of a host. Cancellations of unknown jobs
 	// come by the thousand when callers give up, and hosts share the store's limit of writes.
 	changeInterval = 50 * time.Millisecond
@@ -51,10 +51,18 @@
 	id    string
 	value []byte
 	done  chan error
+	// refusal is set for the mark of a refusal, which replaces only a mark of the revision replaces,
+	// none if that is zero.
+	refusal  bool
+	replaces int64
 }
 
 // StoredError reports that a job is stored, so that it has to be cancelled in the usual way.
-type StoredError struct{ ID string }
+type StoredError struct {
+	ID string
+	// Item is the stored job.
+	Item kv.Item
+}
 
 func (e *StoredError) Error() string { return fmt.Sprintf("job %s is stored", e.ID) }
 
@@ -68,10 +76,15 @@
 type owner struct {
 	Queue   string `cbor:"1,keyasint"`
 	Account string `cbor:"2,keyasint"`
+	// RefusedQueue and RefusedAccount take the place of Queue and Account in the mark of a refusal. Older
+	// builds ignore them, and take the mark for the cancellation of another account, which covers no job.
+	RefusedQueue   string `cbor:"3,keyasint,omitempty"`
+	RefusedAccount string `cbor:"4,keyasint,omitempty"`
 }
 
 // Covers reports whether the value of a job's cancellation applies to a submission by an account to a
-// queue. The cancellation of a stored job has no value and applies to all.
+// queue. The cancellation of a stored job has no value and applies to all; the mark of a refusal is no
+// cancellation.
 func Covers(value []byte, queue, account string) bool {
 	if len(value) == 0 {
 		return true
@@ -81,16 +94,21 @@
 		// A cancellation that can't be read must not let a job run.
 		return true
 	}
-	return o == owner{queue, account}
+	return o == owner{Queue: queue, Account: account}
 }
 
 // Set stores the mark of a job. It returns a *StoredError if the job is stored.
 func (m *Marks) Set(ctx context.Context, id, queue, account string) error {
-	value, err := cbor.Marshal(owner{queue, account})
+	return m.set(ctx, &mark{id: id}, owner{Queue: queue, Account: account})
+}
+
+// set stores a mark for an owner.
+func (m *Marks) set(ctx context.Context, k *mark, o owner) error {
+	value, err := cbor.Marshal(o)
 	if err != nil {
-		return fmt.Errorf("mark of job %s: %w", id, err)
+		return fmt.Errorf("mark of job %s: %w", k.id, err)
 	}
-	k := &mark{id: id, value: value, done: make(chan error, 1)}
+	k.value, k.done = value, make(chan error, 1)
 	m.mu.Lock()
 	m.pending = append(m.pending, k)
 	m.mu.Unlock()
@@ -141,8 +159,8 @@
 		}
 		left := batch[:0:0]
 		for _, k := range batch {
-			if conflict.Find(storekeys.Job(k.id)).Revision > 0 {
-				k.done <- &StoredError{k.id}
+			if err := k.failure(conflict); err != nil {
+				k.done <- err
 			} else {
 				left = append(left, k)
 			}
@@ -161,15 +179,33 @@
 	}
 }
 
+// takePending takes the marks that have waited for the longest. A change has only one mark of a job.
 func (m *Marks) takePending() []*mark {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := min(len(m.pending), marksPerChange)
-	batch := m.pending[:n:n]
-	m.pending = m.pending[n:]
+	var batch, later []*mark
+	taken, entries := make(map[string]bool), 0
+	for _, k := range m.pending {
+		if taken[k.id] || entries+k.entries() > kv.MaxEntries {
+			later = append(later, k)
+			continue
+		}
+		taken[k.id] = true
+		entries += k.entries()
+		batch = append(batch, k)
+	}
+	m.pending = later
 	return batch
 }
 
+// entries returns the number of conditions and puts that the mark needs.
+func (k *mark) entries() int {
+	if k.refusal {
+		return maxEntriesPerMark
+	}
+	return maxEntriesPerMark - 1
+}
+
 func (m *Marks) storeBatch(ctx context.Context, batch []*mark) error {
 	if err := m.ensureLease(ctx); err != nil {
 		return err
@@ -177,6 +213,9 @@
 	var c kv.Change
 	for _, k := range batch {
 		c.Conditions = append(c.Conditions, kv.Condition{Key: storekeys.Job(k.id)})
+		if k.refusal {
+			c.Conditions = append(c.Conditions, kv.Condition{Key: storekeys.Cancel(k.id), Revision: k.replaces})
+		}
 		c.Puts = append(c.Puts, kv.Put{Key: storekeys.Cancel(k.id), Value: k.value, Lease: m.lease})
 	}
 	_, err := m.commit(ctx, c, m.failures)
--- a/command/platform.go
+++ b/command/platform.go
@@ -120,6 +120,7 @@
 		KeepResults:    func() time.Duration { return h.currentSettings.Load().KeepResults },
 		EvacuateWithin: func() time.Duration { return h.currentSettings.Load().EvacuateWithin },
 		Relay:          func() bool { return h.currentSettings.Load().OutageRelay },
+		Refuse:         func() bool { return h.currentSettings.Load().RefuseUseless },
 		Limits:         func() scheduler.Limits { return schedulerLimits(h.currentSettings.Load()) },
 		ElectionDelay:  ownershipDelay(capacityRatio(s), time.Now()),
 		Log:            h.log, Meter: h.meter,
--- a/dispatch/cancelledunknown_test.go
+++ b/dispatch/cancelledunknown_test.go
@@ -20,10 +20,13 @@
 	for name, c := range map[string]struct {
 		account  string
 		newOwner bool
+		refused  bool
 		want     progress.State
 	}{
 		"own cancellation":               {account: "", want: progress.Cancelled},
 		"own cancellation, new owner":    {account: "", newOwner: true, want: progress.Cancelled},
+		"own refusal":                    {account: "", refused: true, want: progress.Succeeded},
+		"own refusal, new owner":         {account: "", refused: true, newOwner: true, want: progress.Succeeded},
 		"cancellation of another caller": {account: "others", want: progress.Succeeded},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -32,7 +35,7 @@
 				defer cluster.close()
 				kill := cluster.startOwner()
 				time.Sleep(time.Second)
-				mark(t, cluster, "a", c.account)
+				mark(t, cluster, "a", c.account, c.refused)
 				time.Sleep(time.Second)
 				if c.newOwner {
 					kill()
@@ -49,11 +52,15 @@
 	}
 }
 
-// mark stores the cancellation of a job that is not stored.
-func mark(t *testing.T, c *testCluster, id, account string) {
+// mark stores the cancellation or the refusal of a job that is not stored.
+func mark(t *testing.T, c *testCluster, id, account string, refused bool) {
 	t.Helper()
 	store, started := c.store.Store(), time.Now()
 	marks := cancellation.New(store, func(ctx context.Context, ch kv.Change, _ int) (int64, error) { return store.Commit(ctx, ch) },
 		func() time.Duration { return time.Since(started) })
-	qt.Assert(t, marks.Set(t.Context(), id, "rounds", account), qt.IsNil)
+	set := marks.Set
+	if refused {
+		set = marks.SetRefused
+	}
+	qt.Assert(t, set(t.Context(), id, "rounds", account), qt.IsNil)
 }
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -84,6 +84,8 @@
 	queries          chan func()
 	// linkTerm is the term that links of other hosts access, nil while there is none.
 	linkTerm atomic.Pointer[linkTerm]
+	// shortPools has the names of the pools that are short of room.
+	shortPools atomic.Pointer[[]string]
 	// changedWaves holds the numbers of waves whose progress has to be stored; wavesChanged
 	// wakes their writer.
 	changedWaves map[int64]bool
@@ -173,6 +175,8 @@
 	// Items that arrive during the load wait for the loop. There is no channel for queries
 	// yet, so hosts read the store instead.
 	o.linkTerm.Store(&linkTerm{term: term, events: o.events, done: o.ctx.Done()})
+	o.shortPools.Store(nil)
+	defer o.Meter.Gauge("short_pools", 0)
 	defer o.linkTerm.Store(nil)
 	started := time.Now()
 	// The configuration says how often a task may fail, so nothing is scheduled without it.
@@ -253,6 +257,7 @@
 		o.checkCapacities()
 		o.core.Tick(time.Now())
 		o.execute(o.core.TakeActions())
+		o.noteShortPools(time.Now())
 		for queried := true; queried; {
 			queried = false
 			select {
@@ -382,6 +387,8 @@
 			return
 		}
 		switch j, _ := o.core.VisibleState(id); {
+		case cancellation.IsRefusal(item.Value):
+			// It concerns submissions only, and its job is not stored.
 		case j == nil:
 			o.cancelledUnknown[id] = item.Value
 		case cancellation.Covers(item.Value, j.Queue, j.Account):
--- a/job/job.go
+++ b/job/job.go
@@ -2,6 +2,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"egretdrum.example/resource"
@@ -74,6 +75,12 @@
 	return need
 }
 
+// RunsAtOnce reports whether the job begins when it is accepted, runs once and ends, and uses no idle time
+// only: its result is then of use for a limited time.
+func (j *Job) RunsAtOnce() bool {
+	return j.Repeat == 0 && j.Start.IsZero() && !slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning || s.Background })
+}
+
 // Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeat) }
 
--- a/jobhost/host.go
+++ b/jobhost/host.go
@@ -47,6 +47,9 @@
 	// Relay reports whether submissions go through the owner while the store does not serve this host;
 	// nil stands for a host that always does so.
 	Relay func() bool
+	// Refuse reports whether submissions are refused that would be of no use; nil stands for a host that
+	// does so.
+	Refuse func() bool
 	// Now is the clock for leases and confirmations; nil stands for a clock that includes the
 	// time for which the machine is suspended.
 	Now   func() time.Duration
@@ -92,12 +95,16 @@
 		Store: store, Subscription: h.config, RevokeWithin: cfg.RevokeWithin, Log: cfg.Log, Meter: cfg.Meter,
 		Notify: h.link.Notify, QueryState: h.link.QueryState,
 		Health: health, Relay: h.link.Commit, RelayEnabled: relays,
+		Short: h.link.Short, Forecast: h.link.Forecast, RefuseEnabled: cfg.Refuse,
 	}
 	owner := &dispatch.Owner{
 		Store: store, Config: h.config, Calls: cfg.Calls, Limits: cfg.Limits, KeepResults: cfg.KeepResults, EvacuateWithin: cfg.EvacuateWithin,
 		Log: cfg.Log, Meter: cfg.Meter, Supervisor: supervisor,
 	}
-	h.Links = &ownerlink.Server{Token: owner.Token, Notify: owner.Notify, QueryState: owner.QueryState, Commit: h.committer.Commit, Log: cfg.Log, Supervisor: supervisor}
+	h.Links = &ownerlink.Server{
+		Token: owner.Token, Notify: owner.Notify, QueryState: owner.QueryState, Commit: h.committer.Commit,
+		ShortPools: owner.ShortPools, Forecast: owner.Forecast, Log: cfg.Log, Supervisor: supervisor,
+	}
 	h.candidate = &election.Candidate{
 		Store: store, Host: cfg.Name, RunOwner: owner.Run, Log: cfg.Log, Now: now, ElectionDelay: cfg.ElectionDelay,
 		LinkAddress: cfg.LinkAddress, OwnerChanged: h.link.SetOwner, Supervisor: supervisor,
--- a/jobservice/cancel.go
+++ b/jobservice/cancel.go
@@ -93,9 +93,14 @@
 
 // markCancelled stores the mark of a job that is not stored: its submission may be on its way.
 func (s *Service) markCancelled(ctx context.Context, t *Target) (Answer, error) {
-	s.marksOnce.Do(func() { s.marks = cancellation.New(s.Store, s.commit, s.Subscription.Now) })
-	if err := s.marks.Set(ctx, t.ID, t.Queue.Name, t.Account); err != nil {
+	if err := s.jobMarks().Set(ctx, t.ID, t.Queue.Name, t.Account); err != nil {
 		return Answer{}, err
 	}
 	return Answer{Outcome: NoJob}, nil
 }
+
+// jobMarks returns the marks of this host.
+func (s *Service) jobMarks() *cancellation.Marks {
+	s.marksOnce.Do(func() { s.marks = cancellation.New(s.Store, s.commit, s.Subscription.Now) })
+	return s.marks
+}
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -77,6 +77,12 @@
 	// true and the store does not serve this host.
 	Relay        func(ctx context.Context, c kv.Change) (int64, error)
 	RelayEnabled func() bool
+	// Short, if set, reports whether the owner has said that a pool is short of room. Forecast then asks it
+	// when an encoded job would be done; it reports false if there is no answer. Both are used while
+	// RefuseEnabled is nil or returns true.
+	Short         func(pool string) bool
+	Forecast      func(ctx context.Context, job []byte) (ownerlink.Forecast, bool)
+	RefuseEnabled func() bool
 
 	// avoided is set while writes are not sent to the store, so that a change is logged once.
 	avoided atomic.Bool
@@ -86,6 +92,8 @@
 
 	marksOnce sync.Once
 	marks     *cancellation.Marks
+	// committed is the newest revision of a change of this host.
+	committed atomic.Int64
 }
 
 // Call is one call for jobs.
@@ -195,8 +203,11 @@
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	mayBeStored := false
-	// othersMark is the revision of a mark that another account has stored for the same ID.
-	othersMark := int64(0)
+	// Marks up to this revision are older than the call.
+	seen := s.seen()
+	// replaced is the revision of a mark for the same ID that does not prevent the submission: one that
+	// another account has stored, or that of a refusal.
+	replaced := int64(0)
 	for failures := 0; ; failures++ {
 		t, answer := s.Resolve(call)
 		if t == nil {
@@ -207,17 +218,13 @@
 		if err != nil {
 			return Answer{Outcome: Invalid, Reason: err.Error()}
 		}
-		put := kv.Put{Key: storekeys.Job(j.ID), Value: value}
-		change := kv.Change{
-			Conditions: []kv.Condition{
-				{Key: s.Subscription.ConfigKey, Revision: t.revision}, {Key: storekeys.Job(j.ID)}, {Key: storekeys.Cancel(j.ID), Revision: othersMark},
-			},
-			Puts: []kv.Put{put},
-		}
-		if othersMark > 0 {
-			change.Deletes = []string{storekeys.Cancel(j.ID)}
+		if failures == 0 && replaced == 0 {
+			if a, refused := s.refuseUseless(ctx, t, j, value); refused {
+				return a
+			}
 		}
-		revision, err := s.write(ctx, change, failures, mayBeStored)
+		put := kv.Put{Key: storekeys.Job(j.ID), Value: value}
+		revision, err := s.write(ctx, s.submission(t, put, j.ID, replaced), failures, mayBeStored)
 		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
@@ -232,12 +239,16 @@
 				// No earlier attempt can take effect any more.
 				return Answer{Outcome: Refused, Reason: "the job was cancelled before it was stored"}
 			}
+			if mark.Revision > seen && cancellation.Refuses(mark.Value, j.Queue, j.Account) {
+				// The refusal may be later than this call, which must not take effect then.
+				return s.refuse("another attempt was refused, as the job would not be done in time")
+			}
 			s.Subscription.Apply(conflict.Find(s.Subscription.ConfigKey))
-			if _, newest, _ := s.Subscription.Current(); newest == t.revision && mark.Revision == othersMark {
+			if _, newest, _ := s.Subscription.Current(); newest == t.revision && mark.Revision == replaced {
 				// The owner does not send a large configuration along with the outcome.
 				return unknownIfMayBeStored(s.refuse("the configuration of this host is older than that of the store"), mayBeStored)
 			}
-			othersMark = mark.Revision
+			replaced = mark.Revision
 		case kv.NotApplied(err):
 			if !mayBeStored {
 				return s.refuse(err.Error())
@@ -251,6 +262,17 @@
 	}
 }
 
+// submission returns the change that stores a job, and that deletes a mark of the revision replaced unless
+// that is zero.
+func (s *Service) submission(t *Target, put kv.Put, id string, replaced int64) kv.Change {
+	mark := kv.Condition{Key: storekeys.Cancel(id), Revision: replaced}
+	change := kv.Change{Conditions: []kv.Condition{{Key: s.Subscription.ConfigKey, Revision: t.revision}, {Key: put.Key}, mark}, Puts: []kv.Put{put}}
+	if replaced > 0 {
+		change.Deletes = []string{mark.Key}
+	}
+	return change
+}
+
 // unknownIfMayBeStored turns a refusal or denial into the outcome Unknown if an earlier attempt
 // may take effect.
 func unknownIfMayBeStored(a Answer, mayBeStored bool) Answer {
@@ -285,6 +307,7 @@
 	defer cancel()
 	sent := time.Now()
 	revision, err := s.Store.Commit(ctx, c)
+	s.noteCommitted(revision, err)
 	var conflict *kv.ConflictError
 	switch {
 	case err == nil, errors.As(err, &conflict):
--- a/ownerlink/link.go
+++ b/ownerlink/link.go
@@ -44,6 +44,7 @@
 	pending    map[uint64]chan Answer
 	unanswered int
 	relays     relays
+	forecasts  forecasts
 }
 
 var (
@@ -159,6 +160,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.relays.end()
+	c.forecasts.end()
 	for id, answer := range c.pending {
 		delete(c.pending, id)
 		answer <- Answer{}
@@ -176,10 +178,13 @@
 			return err
 		}
 		c.mu.Lock()
-		c.unanswered = 0
+		if r.ID != 0 {
+			c.unanswered = 0
+		}
 		answer := c.pending[r.ID]
 		delete(c.pending, r.ID)
 		c.relays.answer(&r)
+		c.forecasts.answer(&r)
 		c.mu.Unlock()
 		if answer != nil {
 			answer <- r.Answer
--- a/ownerlink/message.go
+++ b/ownerlink/message.go
@@ -44,6 +44,8 @@
 	Revision int64  `cbor:"5,keyasint,omitempty"`
 	// Change makes the message a request to commit a change.
 	Change *relayedChange `cbor:"16,keyasint,omitempty"`
+	// Forecast is an encoded job; it makes the message a query for when the job would be done.
+	Forecast []byte `cbor:"17,keyasint,omitempty"`
 }
 
 func (m *message) item() kv.Item { return kv.Item{Key: m.Key, Value: m.Value, Revision: m.Revision} }
@@ -63,4 +65,8 @@
 	Answer Answer `cbor:"2,keyasint"`
 	// Outcome is the outcome of a change; an owner of a build without relays sends none.
 	Outcome *relayOutcome `cbor:"16,keyasint,omitempty"`
+	// Forecast is the answer to a query for a forecast; an owner of a build without forecasts sends none.
+	Forecast *Forecast `cbor:"17,keyasint,omitempty"`
+	// Shortage is sent with a zero ID, which older builds ignore.
+	Shortage *shortage `cbor:"18,keyasint,omitempty"`
 }
--- a/ownerlink/server.go
+++ b/ownerlink/server.go
@@ -26,7 +26,11 @@
 	// Commit, if set, commits a change for a host within a time and calls reply with the result of
 	// kv.Store.Commit; neither blocks.
 	Commit func(c kv.Change, within time.Duration, reply func(revision int64, err error))
-	Log    *zap.Logger
+	// ShortPools, if set, returns the pools that are short of room. Forecast, if set, answers when an
+	// encoded job would be done by calling reply, with nil if it is not known; neither blocks.
+	ShortPools func() []string
+	Forecast   func(job []byte, reply func(*Forecast))
+	Log        *zap.Logger
 	// Supervisor recovers panics; a panic ends the link.
 	Supervisor *supervision.Supervisor
 }
@@ -48,9 +52,15 @@
 	out := make(chan []byte, maxQueuedMessages)
 	written := make(chan error, 1)
 	go func() { written <- supervised(s.Supervisor, func() error { return send(ctx, conn, out) }); cancel() }()
+	announced := make(chan error, 1)
+	go func() {
+		announced <- supervised(s.Supervisor, func() error { return s.announceShortage(ctx, out) })
+		cancel()
+	}()
 	err = supervised(s.Supervisor, func() error { return s.receive(ctx, conn, out) })
 	cancel()
 	<-written
+	<-announced
 	// The connection has failed or the peer has closed it, so an error on closing it means
 	// nothing.
 	_ = conn.CloseNow()
@@ -75,6 +85,10 @@
 			s.commit(m.ID, m.Change, out)
 			continue
 		}
+		if m.Forecast != nil {
+			s.forecast(m.ID, m.Forecast, out)
+			continue
+		}
 		s.QueryState(m.Job, func(a Answer) {
 			b, err := cbor.Marshal(reply{ID: m.ID, Answer: a})
 			if err != nil {
--- a/ownerlink/upgrade_test.go
+++ b/ownerlink/upgrade_test.go
@@ -52,3 +52,16 @@
 	_, err = r.Outcome.result()
 	qt.Assert(t, kv.NotApplied(err), qt.IsTrue)
 }
+
+// Guards against an announcement that an older host takes for the answer to a query, whose IDs begin at 1.
+func TestAnnouncementsHaveNoID(t *testing.T) {
+	b, err := cbor.Marshal(reply{Shortage: &shortage{Pools: []string{"desk"}}})
+	qt.Assert(t, err, qt.IsNil)
+	var seen struct {
+		ID     uint64 `cbor:"1,keyasint"`
+		Answer Answer `cbor:"2,keyasint"`
+	}
+	qt.Assert(t, cbor.Unmarshal(b, &seen), qt.IsNil)
+	qt.Assert(t, seen.ID, qt.Equals, uint64(0))
+	qt.Assert(t, seen.Answer, qt.Equals, Answer{})
+}
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -26,6 +26,8 @@
 	number   int64
 	plan     *backlog.Plan
 	capacity poolCapacity
+	// arrivals is the work that has arrived since.
+	arrivals []backlog.Work
 }
 
 // planned is what the plan of its pool says about an occurrence.
@@ -106,7 +108,9 @@
 		case p.plan == nil:
 			o.planned = planned{}
 		case o.planned.by != p.number && !st.spec.LongRunning:
-			_, v, place := p.plan.Predict(s.workLeft(st, p.capacity))
+			w := s.workLeft(st, p.capacity)
+			_, v, place := p.plan.Predict(w)
+			p.noteArrival(w)
 			o.planned = planned{p.number, v, 2*place - 1}
 		}
 	}
@@ -142,7 +146,7 @@
 		o.planned = planned{s.lastPlan, plan.Verdict(i), 2 * plan.Place(i)}
 	}
 	s.logRoom(pool, p, plan)
-	p.plan, p.number, p.jobs = plan, s.lastPlan, len(work)
+	p.plan, p.number, p.jobs, p.arrivals = plan, s.lastPlan, len(work), nil
 }
 
 // planCapacity returns the capacity of a pool for its plan.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -147,12 +147,26 @@
 // takeFromShare takes a job from the share of its account, and reports whether the share was used
 // up. The share is the number of jobs a second that are guaranteed to the account.
 func (s *Scheduler) takeFromShare(account string) bool {
-	if account == "" || s.catalog == nil || s.catalog.Accounts[account] == nil {
+	a := s.shareOf(account)
+	if a == nil {
 		return false
 	}
+	if a.jobs < 1 {
+		return true
+	}
+	a.jobs--
+	return false
+}
+
+// shareOf returns the bucket of an account's share with what has come in until now, nil if the account is
+// guaranteed nothing.
+func (s *Scheduler) shareOf(account string) *shareBucket {
+	if account == "" || s.catalog == nil || s.catalog.Accounts[account] == nil {
+		return nil
+	}
 	rate := float64(s.catalog.Accounts[account].GuaranteedJobsPerSecond)
 	if rate <= 0 {
-		return false
+		return nil
 	}
 	a := s.shareBuckets[account]
 	if a == nil {
@@ -161,9 +175,5 @@
 	}
 	a.jobs = min(shareBurst*rate, a.jobs+rate*s.now.Sub(a.at).Seconds())
 	a.at = s.now
-	if a.jobs < 1 {
-		return true
-	}
-	a.jobs--
-	return false
+	return a
 }
--- a/scheduler/runtimes.go
+++ b/scheduler/runtimes.go
@@ -37,6 +37,8 @@
 	// deviation is the moving average of the absolute logarithm of the run time relative to
 	// the expected one.
 	deviation float64
+	// runs is the number of runs in the average.
+	runs int
 }
 
 // recordRunTime records the run time of the run of a task that is done.
@@ -49,6 +51,7 @@
 	l := &s.learnt
 	ratio := math.Abs(math.Log(max(0.01, d.Seconds()) / max(0.01, s.expectedTimeOf(st.job.spec.Queue, st).Seconds())))
 	l.deviation += runTimeErrorWeight * (ratio - l.deviation)
+	l.runs++
 	queue := st.job.spec.Queue
 	l.stats.Record(queue, st.job.spec.Account, st.spec, d)
 	if l.queues[queue] {
--- a/subscription/subscription.go
+++ b/subscription/subscription.go
@@ -43,6 +43,8 @@
 	// callers may keep it.
 	evacuated map[string]int64
 	confirmed time.Duration
+	// seen is the newest revision of the store in an answer.
+	seen      int64
 	reachable bool
 	changed   chan struct{}
 }
@@ -107,7 +109,7 @@
 		s.Apply(item)
 	}
 	s.applyListedZones(items, revision)
-	s.markConfirmed(sent)
+	s.markConfirmed(sent, revision)
 	return revision, true
 }
 
@@ -139,7 +141,7 @@
 	if len(events) == 0 && s.Now()-sent >= watchWait {
 		sent += watchWait
 	}
-	s.markConfirmed(sent)
+	s.markConfirmed(sent, revision)
 	return revision, true
 }
 
@@ -190,9 +192,18 @@
 	return s.changed
 }
 
-func (s *Subscription) markConfirmed(at time.Duration) {
+// Seen returns the newest revision of the store in an answer; it is at most a second behind while the
+// store answers.
+func (s *Subscription) Seen() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.seen
+}
+
+func (s *Subscription) markConfirmed(at time.Duration, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = max(s.seen, revision)
 	s.confirmed = max(s.confirmed, at)
 	if !s.reachable {
 		s.reachable = true
