--- a/backlog/plan_test.go
+++ b/backlog/plan_test.go
@@ -28,6 +28,10 @@
 func TestVerdicts(t *testing.T) {
 	overShare, begun, held := workDue(0), workDue(0), workDue(0)
 	overShare.OverShare, begun.Left, held.Held = true, 1, true
+	small, large := workDue(0), workDue(0)
+	small.OverShare, small.Left, large.OverShare, large.Left = true, 3, true, 9
+	behind := small
+	behind.Priority = 1
 	for name, c := range map[string]struct {
 		work []Work
 		want []Verdict
@@ -36,6 +40,7 @@
 		"what came last is delayed":            {[]Work{workDue(0), workDue(100 * time.Millisecond)}, []Verdict{Delayed, First}},
 		"what has begun is not delayed":        {[]Work{workDue(100 * time.Millisecond), begun}, []Verdict{Delayed, First}},
 		"a surge takes no room of others":      {[]Work{overShare, workDue(0)}, []Verdict{Delayed, First}},
+		"delayed work of a surge goes last":    {[]Work{small, large, small, behind}, []Verdict{First, Delayed, First, First}},
 		"held work takes no room":              {[]Work{held, held, held, workDue(0)}, []Verdict{First, First, First, First}},
 		"one job at a time starts for its age": {[]Work{workDue(time.Hour), workDue(2 * time.Hour)}, []Verdict{Useless, Aged}},
 	} {
@@ -69,3 +74,26 @@
 	more := New(noon, Capacity{Total: 10, Soon: 70, SoonAfter: 2 * time.Second}, Feasible(), many)
 	assertDone(t, more, workDue(0), 2*time.Second+875*time.Millisecond+time.Second, Delayed)
 }
+
+// Guards against a refusal of work within its share while work beyond a share goes before it, which only
+// aged work does.
+func TestWorkBeyondSharesGoesLast(t *testing.T) {
+	over, aged, held := workDue(0), workDue(time.Hour), workDue(0)
+	over.OverShare, aged.OverShare, held.OverShare, held.Held = true, true, true, true
+	for name, c := range map[string]struct {
+		work []Work
+		want int
+	}{
+		"none":                  {[]Work{workDue(0), workDue(0)}, 2},
+		"beyond a share":        {[]Work{over, workDue(0), workDue(0)}, 2},
+		"aged":                  {[]Work{workDue(0), aged}, 0},
+		"takes no room from it": {[]Work{held, workDue(0)}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := plan(c.work...)
+			qt.Assert(t, p.OverSharePlace(), qt.Equals, c.want)
+			_, _, place := p.Predict(workDue(0))
+			qt.Assert(t, place <= p.OverSharePlace(), qt.Equals, name != "aged")
+		})
+	}
+}
--- a/command/platform.go
+++ b/command/platform.go
@@ -109,6 +109,7 @@
 		EvacuateWithin: func() time.Duration { return h.currentSettings.Load().EvacuateWithin },
 		Answers:        answerlimit.New(int(answerMemoryShare * float64(s.MemoryBytes) / answerMemory)),
 		Relay:          func() bool { return h.currentSettings.Load().OutageRelay },
+		Refuse:         func() bool { return h.currentSettings.Load().RefuseUseless },
 		Limits:         func() scheduler.Limits { return schedulerLimits(h.currentSettings.Load()) },
 		ConfigWithin:   func() time.Duration { return configWithin(h.currentSettings.Load()) },
 		ElectionDelay:  ownershipDelay(capacityRatio(s), time.Now()),
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,8 @@
 	number   int64
 	plan     *backlog.Plan
 	capacity poolCapacity
+	// arrivals is the work that has arrived since.
+	arrivals []backlog.Work
 }
 
 // planned is what the plan of its pool says about an occurrence.
@@ -105,7 +108,9 @@
 		case !p.overloaded():
 			o.planned = planned{}
 		case o.planned.by != p.number && !st.spec.LongRunning:
-			_, v, place := p.plan.Predict(s.workLeft(st, p.capacity))
+			w := s.workLeft(st, p.capacity)
+			_, v, place := p.plan.Predict(w)
+			p.noteArrival(w)
 			o.planned = planned{p.number, v, 2*place - 1}
 		}
 	}
@@ -121,6 +126,16 @@
 	return p.plan.Count(backlog.Delayed)+p.plan.Count(backlog.Late)+p.plan.Count(backlog.Useless) >= p.plan.Count(backlog.First)
 }
 
+// dropPlans drops the plans of pools without waiting work.
+func (s *Scheduler) dropPlans() {
+	for _, pool := range slices.Sorted(maps.Keys(s.plans)) {
+		if p := s.plans[pool]; p.plan != nil && len(s.waiting[pool]) == 0 {
+			s.logRoom(pool, p, nil)
+			p.plan, p.jobs = nil, 0
+		}
+	}
+}
+
 // makePlan makes the plan for the waiting steps of a pool.
 func (s *Scheduler) makePlan(pool string, p *poolPlan, steps []*stepState, workers []*workerState) {
 	var work []backlog.Work
@@ -140,7 +155,7 @@
 		o.planned = planned{s.lastPlan, plan.Verdict(i), 2 * plan.Place(i)}
 	}
 	s.logRoom(pool, p, plan)
-	p.plan, p.number, p.jobs = plan, s.lastPlan, len(work)
+	p.plan, p.number, p.jobs, p.arrivals = plan, s.lastPlan, len(work), nil
 }
 
 // planCapacity returns the capacity of a pool for its plan.
--- a/subscription/subscription.go
+++ b/subscription/subscription.go
@@ -48,6 +48,8 @@
 	// callers may keep it.
 	evacuated map[string]int64
 	confirmed time.Duration
+	// seen is the newest revision of the store in an answer.
+	seen      int64
 	reachable bool
 	behind    bool
 	changed   chan struct{}
@@ -146,7 +148,7 @@
 		return 0, false
 	}
 	s.applyListedZones(items, revision)
-	s.markConfirmed(sent)
+	s.markConfirmed(sent, revision)
 	return revision, true
 }
 
@@ -189,7 +191,7 @@
 	if len(events) == 0 && s.Now()-sent >= maxWait {
 		sent += maxWait
 	}
-	s.markConfirmed(sent)
+	s.markConfirmed(sent, revision)
 	return revision, nil
 }
 
@@ -240,9 +242,18 @@
 	return s.changed
 }
 
-func (s *Subscription) markConfirmed(at time.Duration) {
+// Seen returns the newest revision of the store in an answer; it is at most a second behind while the
+// store answers.
+func (s *Subscription) Seen() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.seen
+}
+
+func (s *Subscription) markConfirmed(at time.Duration, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = max(s.seen, revision)
 	s.confirmed = max(s.confirmed, at)
 	s.setBehind(false, 0)
 	if !s.reachable {
