--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -34,7 +34,7 @@
 	PlanAge time.Duration
 }
 
-// ShortPools returns the names of the pools in which work is delayed so that other work is in time. There
+// ShortPools returns the names of the overloaded pools, in which most of the waiting jobs can't be in time. There
 // are none before the recovery is over, as the runs of the previous owner are not known until then.
 func (s *Scheduler) ShortPools(now time.Time) []string {
 	if !s.recovered || s.zonesUnknown || s.capacitiesUnknown {
@@ -50,10 +50,10 @@
 	return pools
 }
 
-// freshPlan returns the last plan of a pool if the pool is short of room, otherwise nil.
+// freshPlan returns the last plan of a pool if the pool is overloaded, otherwise nil.
 func (s *Scheduler) freshPlan(pool string, now time.Time) *poolPlan {
 	p := s.plans[pool]
-	if s.limits.OrderByDue || p == nil || p.plan == nil || !p.plan.Short() || now.Sub(p.at) > maxForecastAge {
+	if s.limits.OrderByDue || p == nil || !p.overloaded() || now.Sub(p.at) > maxForecastAge {
 		return nil
 	}
 	return p
