--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -23,7 +23,9 @@
 type outage struct {
 	*testCluster
 	owner *Owner
-	logs  *observer.ObservedLogs
+	// term is that of the owner, whose field belongs to its loop.
+	term *election.Term
+	logs *observer.ObservedLogs
 	// confirmed is set to turn the clock of the term back to its start, as a renewal would.
 	confirmed atomic.Bool
 	kill      func()
@@ -53,6 +55,7 @@
 	}
 	term := election.NewTerm(u.store.Put(storekeys.Owner, nil), now, now()+leaseLeft)
 	term.SetContinuation(pollsFor, leaseLeft+startsFor)
+	u.term = term
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); u.owner.Run(ctx, term) }()
@@ -63,7 +66,7 @@
 
 // begin waits until the lease has ended.
 func (u *outage) begin() {
-	for u.owner.term.Valid() {
+	for u.term.Valid() {
 		time.Sleep(tickInterval)
 	}
 	time.Sleep(2 * tickInterval)
@@ -110,9 +113,9 @@
 				u := startOutage(t, nil)
 				defer u.close()
 				u.begin()
-				u.owner.events <- event{time.Now().Add(-c.delay), func(time.Time) {}}
+				u.owner.linkTerm.Load().events <- event{time.Now().Add(-c.delay), func(time.Time) {}}
 				time.Sleep(2 * tickInterval)
-				qt.Check(t, u.owner.term.EndReason(), qt.Equals, c.ended)
+				qt.Check(t, u.term.EndReason(), qt.Equals, c.ended)
 			})
 		})
 	}
@@ -257,8 +260,8 @@
 // it may not go on without one.
 func TestTermThatEndsAtOnceIsNotRestricted(t *testing.T) {
 	for name, end := range map[string]func(*outage){
-		"lease lost":    func(u *outage) { u.owner.term.End("the store has ended the lease") },
-		"may not go on": func(u *outage) { u.owner.term.SetContinuation(0, 0); u.begin() },
+		"lease lost":    func(u *outage) { u.term.End("the store has ended the lease") },
+		"may not go on": func(u *outage) { u.term.SetContinuation(0, 0); u.begin() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
