Show that pendingCount is stale while owners freeze in turn

One host of nine is frozen at a time, each time the owner, 1.7 s apart: 66 to 69 answers of the other hosts in each run are 0, while 12 jobs have waited for over 5 s. The script failed 5 times of 5 and held twice without the freezes.

--- a/review/driver3/cluster.go
+++ b/review/driver3/cluster.go
@@ -106,6 +106,7 @@
 // stop ends all processes that were started, and removes the folder of the cluster.
 func (c *cluster) stop() {
 	for _, p := range c.procs {
+		_ = p.Process.Signal(syscall.SIGCONT)
 		_ = p.Process.Signal(syscall.SIGTERM)
 	}
 	for _, p := range c.procs {
@@ -181,11 +182,19 @@
 
 // call is a call of a caller through the ingress. It returns the status and the body.
 func (c *cluster) call(method, path, body string) (int, string) {
+	return c.callHost("", method, path, body)
+}
+
+// callHost is a call that the ingress forwards to a host, or to one that is ready if the name is empty.
+func (c *cluster) callHost(host, method, path, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+c.ingress+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
 	req.Host = "rounds.example"
+	if host != "" {
+		req.Header.Set("Egretdrum-Host", host)
+	}
 	req.Header.Set("Authorization", "Token key-1")
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -26,10 +26,10 @@
 }
 
 var scenarios = map[string]scenario{
-	"crashes": {crashesSettings, 3, playCrashes},
-	"rename":  {routeSettings, 3, playRename},
-	"remove":  {routeSettings, 3, playRemove},
-	"wave":    {waveSettings, 3, playWave},
+	"freeze": {freezeSettings, 9, playFreeze},
+	"rename": {routeSettings, 3, playRename},
+	"remove": {routeSettings, 3, playRemove},
+	"wave":   {waveSettings, 3, playWave},
 }
 
 func main() {
