--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -26,7 +26,7 @@
 }
 
 var scenarios = map[string]scenario{
-	"freeze": {freezeSettings, 9, playFreeze},
+	"freeze": {freezeSettings, 10, playFreeze},
 	"rename": {routeSettings, 3, playRename},
 	"remove": {routeSettings, 3, playRemove},
 	"wave":   {waveSettings, 3, playWave},
