--- a/review/driver4/client.go
+++ b/review/driver4/client.go
@@ -42,6 +42,8 @@
 	EstRuntimeMs int64  `json:"estRuntimeMs"`
 	After        []int  `json:"after,omitempty"`
 	Image        string `json:"image,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
+	Constraints  string `json:"constraints,omitempty"`
 }
 
 // call makes a call of a client through the platform's ingress, and returns the status and the body;
--- a/review/driver4/largejobs.go
+++ b/review/driver4/largejobs.go
@@ -56,9 +56,29 @@
 )
 
 // playLargeJobs has a crowd hand in many large jobs while an ordinary caller hands in small ones; without
-// trouble, the jobs of the crowd are small, too. The platform kills each process that exceeds the memory of
-// its machine, and starts it again.
+// trouble, the jobs of the crowd are small, too.
 func playLargeJobs(ctx context.Context, s *system, trouble bool) (verdict, error) {
+	image := ""
+	if trouble {
+		image = strings.Repeat("x", imageBytes)
+	}
+	var steps []step
+	for i := range crowdSteps {
+		steps = append(steps, step{Count: 1, CPU: 100, EstRuntimeMs: 50, Image: image + strconv.Itoa(i)})
+	}
+	return s.playCrowd(ctx, &crowd{jobs: crowdJobs, perSecond: crowdPerSecond, spec: "run-time=50ms", steps: steps}, "rounds")
+}
+
+// crowd is a number of equal jobs that are handed in to the queue rounds.
+type crowd struct {
+	jobs, perSecond int
+	spec            string
+	steps           []step
+}
+
+// playCrowd has a crowd hand jobs in while an ordinary caller hands small ones in to a queue. The platform
+// kills each process that exceeds the memory of its machine, and starts it again.
+func (s *system) playCrowd(ctx context.Context, c *crowd, queue string) (verdict, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var watches sync.WaitGroup
 	killed := make([]int, len(s.hosts))
@@ -67,21 +87,17 @@
 	}
 	defer watches.Wait()
 	defer cancel()
-	var crowd sync.WaitGroup
-	image := ""
-	if trouble {
-		image = strings.Repeat("x", imageBytes)
-	}
-	crowd.Go(func() { s.sendCrowd(ctx, image) })
-	accepted := s.callOrdinary(ctx)
-	crowd.Wait()
+	var clients sync.WaitGroup
+	clients.Go(func() { s.sendCrowd(ctx, c) })
+	accepted := s.callOrdinary(ctx, queue)
+	clients.Wait()
 	time.Sleep(quietTime)
 	unfinished := 0
 	for _, id := range accepted {
-		status, state := s.state("rounds", id, "key-1")
+		status, state := s.state(queue, id, "key-1")
 		if state != "succeeded" {
 			unfinished++
-			s.record.note("client: GET /rounds/%s -> %d %s", id, status, state)
+			s.record.note("client: GET /%s/%s -> %d %s", queue, id, status, state)
 		}
 	}
 	cancel()
@@ -149,25 +165,21 @@
 	return 0
 }
 
-// sendCrowd hands in the jobs of the crowd, each until it is accepted. Their images begin with the given text.
-func (s *system) sendCrowd(ctx context.Context, image string) {
+// sendCrowd hands in the jobs of a crowd, each until it is accepted.
+func (s *system) sendCrowd(ctx context.Context, c *crowd) {
 	ctx, cancel := context.WithTimeout(ctx, crowdTime)
 	defer cancel()
-	var steps []step
-	for i := range crowdSteps {
-		steps = append(steps, step{Count: 1, CPU: 100, EstRuntimeMs: 50, Image: image + strconv.Itoa(i)})
-	}
 	body := struct {
 		Spec  string `json:"spec"`
 		Steps []step `json:"steps"`
-	}{"run-time=50ms", steps}
+	}{c.spec, c.steps}
 	var next, accepted, refused atomic.Int64
 	var clients sync.WaitGroup
-	pace := time.NewTicker(time.Second / crowdPerSecond)
+	pace := time.NewTicker(time.Second / time.Duration(c.perSecond))
 	defer pace.Stop()
 	for range crowdClients {
 		clients.Go(func() {
-			for i := next.Add(1); i <= crowdJobs && ctx.Err() == nil; i = next.Add(1) {
+			for i := next.Add(1); i <= int64(c.jobs) && ctx.Err() == nil; i = next.Add(1) {
 				<-pace.C
 				for ctx.Err() == nil {
 					status, _ := s.call(http.MethodPost, "rounds", fmt.Sprintf("%016x", 0xc000+i), "key-2", body)
@@ -185,8 +197,8 @@
 	s.record.note("crowd: %d jobs accepted, %d attempts refused or without an answer", accepted.Load(), refused.Load())
 }
 
-// callOrdinary hands small jobs in and returns the IDs of the accepted ones.
-func (s *system) callOrdinary(ctx context.Context) []string {
+// callOrdinary hands small jobs in to a queue and returns the IDs of the accepted ones.
+func (s *system) callOrdinary(ctx context.Context, queue string) []string {
 	body := struct {
 		Spec  string `json:"spec"`
 		Steps []step `json:"steps"`
@@ -194,8 +206,8 @@
 	var accepted []string
 	for end := time.Now().Add(ordinaryTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(ordinaryInterval) {
 		id := fmt.Sprintf("%016x", 0xd000+len(accepted))
-		status, answer := s.call(http.MethodPost, "rounds", id, "key-1", body)
-		s.record.note("client: POST /rounds/%s -> %d %s", id, status, answer)
+		status, answer := s.call(http.MethodPost, queue, id, "key-1", body)
+		s.record.note("client: POST /%s/%s -> %d %s", queue, id, status, answer)
 		if status == http.StatusOK {
 			accepted = append(accepted, id)
 		}
--- a/review/driver4/main.go
+++ b/review/driver4/main.go
@@ -34,11 +34,12 @@
 }
 
 var playbooks = map[string]playbook{
-	"many-ends":    {settings: manyEndsSettings, play: playManyEnds},
-	"large-record": {settings: largeRecordSettings, play: playLargeRecord},
-	"large-jobs":   {settings: largeJobsSettings, memoryMb: largeJobsMemoryMb, play: playLargeJobs},
-	"crashes":      {settings: crashesSettings, play: playCrashes},
-	"new-machine":  {settings: newMachineSettings, play: playNewMachine},
+	"many-ends":     {settings: manyEndsSettings, play: playManyEnds},
+	"large-record":  {settings: largeRecordSettings, play: playLargeRecord},
+	"large-jobs":    {settings: largeJobsSettings, memoryMb: largeJobsMemoryMb, play: playLargeJobs},
+	"crashes":       {settings: crashesSettings, play: playCrashes},
+	"gang-on-trial": {settings: gangOnTrialSettings, play: playGangOnTrial},
+	"new-machine":   {settings: newMachineSettings, play: playNewMachine},
 }
 
 func main() { os.Exit(run()) }
