--- a/review/driver4/main.go
+++ b/review/driver4/main.go
@@ -37,7 +37,6 @@
 	"many-ends":     {settings: manyEndsSettings, play: playManyEnds},
 	"large-record":  {settings: largeRecordSettings, play: playLargeRecord},
 	"large-jobs":    {settings: largeJobsSettings, memoryMb: largeJobsMemoryMb, play: playLargeJobs},
-	"crashes":       {settings: crashesSettings, play: playCrashes},
 	"gang-on-trial": {settings: gangOnTrialSettings, play: playGangOnTrial},
 	"new-machine":   {settings: newMachineSettings, play: playNewMachine},
 }
