scheduler: keep a wave open until a list shows its machines

The machine is never maintained.

Cause: planWave passed over machines that are not in the list of machines, and ended a wave of which it knew no unfinished machine. The list is up to 2 s old, and older while the platform does not answer. An ended wave is stored and not planned again.

Fix: a machine of a wave counts until lists that were requested after the owner learned of the wave have lacked it for 2 s. An empty list shows nothing. The event wave-machine-removed names the machines without which a wave ends.

Related paths, fixed by the same: waves of known and new machines, a list that is answered after the wave was requested, a new owner, a machine that one list lacks, the estimates of a wave. What it delays: a wave with removed machines ends 2 s later.

--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -96,7 +96,7 @@
 		o.waves[w.Number] = r
 	}
 	deadline := now.Add(time.Duration(r.Due-now.UnixMilli()) * time.Millisecond)
-	o.core.SetWave(w.Machines, deadline, w.Limit, scheduler.WaveState{Wave: w.Number, Finished: r.Finished, Done: r.Done, Begun: r.Begun})
+	o.core.SetWave(w.Machines, deadline, w.Limit, scheduler.WaveState{Wave: w.Number, Finished: r.Finished, Done: r.Done, Begun: r.Begun}, now)
 }
 
 // saveWave records the progress of a wave and schedules its write.
--- a/scheduler/machines.go
+++ b/scheduler/machines.go
@@ -71,6 +71,9 @@
 	}
 	s.sortedMachines = sorted(s.machines)
 	s.machinesKnown, s.machinesAsked = true, asked
+	for _, w := range s.waves {
+		w.noteList(s.machines, asked)
+	}
 	s.markDue()
 	for _, w := range s.sortedWorkers {
 		m := s.machines[w.registration.Machine]
--- a/scheduler/machines_test.go
+++ b/scheduler/machines_test.go
@@ -25,6 +25,10 @@
 	// absent is the highest number of tasks of job "desk" that were not running at the same time.
 	absent   int
 	finished map[int64]bool
+	// listUnavailable is set while the list of machines can't be read, unlisted holds the machines that
+	// it lacks.
+	listUnavailable bool
+	unlisted        map[string]bool
 }
 
 type fakeMachine struct {
@@ -47,13 +51,11 @@
 		[]*catalog.Account{{Name: "arbiters", Limit: resource.Amount{}}, {Name: "small", GuaranteedJobsPerSecond: 1}, {Name: "large", GuaranteedJobsPerSecond: 50}}, 0)
 	for _, pool := range []string{"desk", "league", "spare"} {
 		for n := range pools[pool] {
-			m := &fakeMachine{Machine: worker.Machine{ID: fmt.Sprintf("%s-%d", pool, n), Pool: pool, State: worker.Up, Capacity: resource.Amount{CPU: 4000, Memory: 8000}}}
-			sim.machines[m.ID] = m
-			sim.startWorker(m)
+			sim.addMachine(fmt.Sprintf("%s-%d", pool, n), pool)
 		}
 	}
 	sim.onOrder = sim.order
-	sim.onWaveFinished = func(number int64) { sim.finished[number] = true }
+	sim.onWaveFinished = sim.waveFinished
 	sim.replaceOwner()
 	sim.advance(time.Second)
 	return sim
@@ -88,11 +90,31 @@
 func (sim *machineSimulation) machineList() []worker.Machine {
 	var list []worker.Machine
 	for _, m := range sorted(sim.machines) {
-		list = append(list, m.Machine)
+		if !sim.unlisted[m.ID] {
+			list = append(list, m.Machine)
+		}
 	}
 	return list
 }
 
+// addMachine adds a machine that is up, with a worker that registers at once.
+func (sim *machineSimulation) addMachine(id, pool string) {
+	m := &fakeMachine{Machine: worker.Machine{ID: id, Pool: pool, State: worker.Up, Capacity: resource.Amount{CPU: 4000, Memory: 8000}}}
+	sim.machines[id] = m
+	sim.startWorker(m)
+}
+
+// waveFinished checks that the machines of a wave that is reported as finished have been maintained,
+// but for those that were removed.
+func (sim *machineSimulation) waveFinished(number int64) {
+	sim.finished[number] = true
+	for _, id := range sim.waves[number].machines {
+		if m := sim.machines[id]; m != nil && !m.maintained {
+			sim.violation("wave %d is finished before the maintenance of %s", number, id)
+		}
+	}
+}
+
 // advance moves the time forward by d: machines come back, and the owner gets the list of machines
 // before each step.
 func (sim *machineSimulation) advance(d time.Duration) {
@@ -103,7 +125,9 @@
 				sim.startWorker(m)
 			}
 		}
-		sim.core.SetMachines(sim.machineList(), sim.now, sim.now)
+		if !sim.listUnavailable {
+			sim.core.SetMachines(sim.machineList(), sim.now, sim.now)
+		}
 		sim.step()
 		sim.trackAbsent()
 	}
@@ -170,7 +194,7 @@
 
 func (sim *machineSimulation) wave(term time.Duration, limit int, machines ...string) {
 	sim.waves[1] = fakeWave{machines, sim.now.Add(term), limit}
-	sim.core.SetWave(machines, sim.waves[1].deadline, limit, WaveState{Wave: 1})
+	sim.core.SetWave(machines, sim.waves[1].deadline, limit, WaveState{Wave: 1}, sim.now)
 }
 
 func (sim *machineSimulation) submitFor(queue, account, id string, steps ...job.Step) {
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -260,7 +260,7 @@
 	for number, w := range sim.waves {
 		state := sim.waveStates[number]
 		state.Wave = number
-		sim.core.SetWave(w.machines, w.deadline, w.limit, state)
+		sim.core.SetWave(w.machines, w.deadline, w.limit, state, sim.now)
 	}
 }
 
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -23,6 +23,13 @@
 	begunStored map[string]bool
 	finished    bool
 	reported    bool
+	// learned is when this owner was told of the wave. Only lists of machines that were requested
+	// later show which of its machines exist.
+	learned time.Time
+	// unlistedSince is, for each machine that the last list lacks, when the first list in a row that
+	// lacks it was requested; lastList is when the last one was.
+	unlistedSince map[string]time.Time
+	lastList      time.Time
 }
 
 const (
@@ -55,20 +62,51 @@
 	// the state before it. A list of a later time that shows the same worker means that the
 	// order had already been carried out before it was sent.
 	staleListWindow = 500 * time.Millisecond
+	// removedAfter is how long lists of machines have to lack a machine of a wave until it counts as
+	// removed.
+	removedAfter = 2 * time.Second
 )
 
 // SetWave adds a maintenance wave with its durable state; a known wave is left unchanged.
-func (s *Scheduler) SetWave(machines []string, deadline time.Time, limit int, state WaveState) {
+func (s *Scheduler) SetWave(machines []string, deadline time.Time, limit int, state WaveState, now time.Time) {
+	s.now = now
 	if s.waves[state.Wave] != nil {
 		return
 	}
 	s.waves[state.Wave] = &wave{
 		number: state.Wave, machines: machines, deadline: deadline, limit: max(1, limit), finished: state.Finished,
 		done: setOf(state.Done), begun: setOf(state.Begun), begunStored: setOf(state.Begun),
+		learned: now, unlistedSince: make(map[string]time.Time),
 	}
 	s.markDue()
 }
 
+// noteList records which machines of the wave the list lacks that was requested at the given time. An
+// empty list is that of a deployment without machines, and proves nothing.
+func (w *wave) noteList(machines map[string]*machine, asked time.Time) {
+	if w.finished || len(machines) == 0 || !asked.After(w.learned) {
+		return
+	}
+	w.lastList = asked
+	for _, id := range w.machines {
+		if machines[id] != nil {
+			delete(w.unlistedSince, id)
+		} else if w.unlistedSince[id].IsZero() {
+			w.unlistedSince[id] = asked
+		}
+	}
+}
+
+// removed reports whether a machine of the wave has been removed, or never existed.
+func (w *wave) removed(id string) bool {
+	since, unlisted := w.unlistedSince[id]
+	return unlisted && w.lastList.Sub(since) >= removedAfter
+}
+
+// unfinished reports whether a machine of the wave still has to be maintained. One that is not listed
+// counts until it is known to be removed: it may have been added a moment ago.
+func (w *wave) unfinished(id string) bool { return !w.done[id] && !w.removed(id) }
+
 // WaveStored reports that the state of a wave is durable.
 func (s *Scheduler) WaveStored(state WaveState, now time.Time) {
 	s.now = now
@@ -137,13 +175,13 @@
 	busy, left := 0, 0
 	var open []*machine
 	for _, id := range w.machines {
+		if w.unfinished(id) {
+			left++
+		}
 		m := s.machines[id]
 		if m == nil {
 			continue
 		}
-		if !w.done[id] {
-			left++
-		}
 		switch {
 		case m.State == worker.Maintenance, m.away && m.awayWave == w.number, m.orderInFlight && m.cordonWave == w.number:
 			// A machine in maintenance counts whoever ordered it.
@@ -168,9 +206,8 @@
 			s.moveLongRunning(ws, false)
 		}
 	}
-	if left == 0 && !s.hasUnfinished(w) {
-		w.finished = true
-		s.reportWave(w)
+	if left == 0 {
+		s.finishWave(w)
 		return
 	}
 	pools := s.poolStates()
@@ -253,13 +290,15 @@
 	return pools
 }
 
-func (s *Scheduler) hasUnfinished(w *wave) bool {
+// finishWave reports a wave as finished, and logs which of its machines count as removed.
+func (s *Scheduler) finishWave(w *wave) {
 	for _, id := range w.machines {
-		if s.machines[id] != nil && !w.done[id] {
-			return true
+		if !w.done[id] {
+			s.logEvent(LogEvent{Event: "wave-machine-removed", Run: w.number, Reason: id + " is not listed"})
 		}
 	}
-	return false
+	w.finished = true
+	s.reportWave(w)
 }
 
 // drainCost returns the weighted number of runs that have to leave a machine before it can be
@@ -293,11 +332,14 @@
 func (s *Scheduler) deadlineAtRisk(w *wave) bool {
 	unfinished, longRunning := 0, 0
 	for _, id := range w.machines {
-		m := s.machines[id]
-		if m == nil || w.done[id] {
+		if !w.unfinished(id) {
 			continue
 		}
 		unfinished++
+		m := s.machines[id]
+		if m == nil {
+			continue
+		}
 		if ws := s.workers[m.Worker]; ws != nil {
 			longRunning = max(longRunning, ws.longRunning)
 		}
