scheduler: wait for all ends of a worker before a recovery ends

Cause: workers list 500 ends at once. A worker counted as known once it had answered, so the recovery ended with the first listing, and the tasks whose ends were still to be listed looked as if they had never run.

Ruled out: ends that are acknowledged before they are stored (the worker still has them), and stored progress that is too old (none was acknowledged).

Fix: a worker whose last listing was full is not accounted for. The recovery and the queues of its pool wait for it, by time too while it goes on listing, or until its lease has expired if it goes silent. No record for the next owner is stored meanwhile.

Related path: failed ends of an expired lease counted as attempts if they came with a later listing; the lease now counts as expired until all are listed.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -97,15 +97,17 @@
 	}
 }
 
-// applyListing applies the running and ended runs that a worker lists.
+// applyListing applies the running and ended runs that a worker lists. A listing that is full may lack
+// ends, so it does not show which runs are gone.
 func (s *Scheduler) applyListing(w *workerState, answer *worker.Listing) {
+	w.furtherEnds = s.limits.ListedEnds > 0 && len(answer.Ended) >= s.limits.ListedEnds
 	for _, e := range answer.Ended {
 		if e.Number > w.processedEnd {
 			w.processedEnd = e.Number
 			s.processEnd(w, e)
 		}
 	}
-	w.leaseExpired = false
+	w.leaseExpired = w.leaseExpired && w.furtherEnds
 	listed := make(map[job.Task]bool, len(answer.Running))
 	w.hasUnknownRuns = false
 	for i := range answer.Running {
@@ -113,7 +115,7 @@
 		listed[r.Task] = true
 		s.applyRun(w, r)
 	}
-	if len(answer.Ended) >= maxListedEnds {
+	if w.furtherEnds {
 		return
 	}
 	for _, r := range w.sortedRuns() {
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -50,7 +50,7 @@
 		w.clockFence = w.fence
 	}
 	w.granted = time.Time{}
-	w.processedEnd, w.durableEnd, w.acknowledgedEnd, w.unsavedEnds = 0, 0, 0, nil
+	w.processedEnd, w.durableEnd, w.acknowledgedEnd, w.unsavedEnds, w.furtherEnds = 0, 0, 0, nil, false
 	for _, r := range w.runs {
 		// Stops were for the earlier incarnation. A run that this one lists is stopped again.
 		r.stopped, r.stopSent = time.Time{}, time.Time{}
--- a/scheduler/mutation.go
+++ b/scheduler/mutation.go
@@ -14,4 +14,6 @@
 	expireRestricted, startLate, useBarred, ignorePollLimit, ignoreLeaseBeforeAnswer bool
 
 	ignoreCrashes, ignoreIsolation, ignoreDurability bool
+
+	trustFullListing bool
 }
--- a/scheduler/polls.go
+++ b/scheduler/polls.go
@@ -16,8 +16,6 @@
 	// startupWait is how long a poll waits while a long-running task starts up: the next task
 	// of its step may be moved as soon as it has started up.
 	startupWait = 300 * time.Millisecond
-	// maxListedEnds is the maximum number of ends in one listing of a worker.
-	maxListedEnds = 500
 )
 
 // planPoll polls a worker if a poll is due.
--- a/scheduler/pooluse.go
+++ b/scheduler/pooluse.go
@@ -102,7 +102,7 @@
 		switch {
 		case w == nil:
 			pools[r.pool] = true
-		case !w.answered && !w.runsAccounted:
+		case !w.accounted():
 			pools[w.registration.Pool] = true
 		}
 	}
--- a/scheduler/restricted_test.go
+++ b/scheduler/restricted_test.go
@@ -99,7 +99,7 @@
 	var listing *worker.Listing
 	f.call(p.Worker.ID, p.Fence, func(w *fakeWorker) {
 		w.acceptPoll(p, f.sim.now)
-		listing = w.listing(f.sim.now)
+		listing = f.sim.listing(w)
 	})
 	f.core.PollAnswered(p, listing, f.sim.workers[p.Worker.ID].addressReused && !f.cut[p.Worker.ID], f.sim.now)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -142,6 +142,9 @@
 	// FurtherTasks bounds the size of the occurrences of scheduled jobs that have begun beside
 	// another one of their job, in tasks of about 300 bytes. Other due occurrences wait.
 	FurtherTasks int
+	// ListedEnds is how many ends a listing of a worker has at most; zero means no limit. A worker that
+	// lists so many may have further ones.
+	ListedEnds int
 	// RunTimeQuantiles has the distribution of run times learnt, and acts on long runs and failed ones by it.
 	RunTimeQuantiles bool
 	// OrderByDue orders waiting work by age, also while a pool has too little room for it.
@@ -152,7 +155,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Lease: 2800 * time.Millisecond, MaxLease: 10 * time.Second, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
-		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond, FurtherTasks: 50_000, RunTimeQuantiles: true,
+		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond, FurtherTasks: 50_000, ListedEnds: 500, RunTimeQuantiles: true,
 	}
 }
 
@@ -269,16 +272,16 @@
 			return
 		}
 		for id := range s.recoveryWorkers {
-			if w := s.workers[id]; w == nil || (!w.answered && !w.runsAccounted) {
+			if w := s.workers[id]; w == nil || !w.accounted() {
 				return
 			}
 		}
 	}
-	if s.awaitsPolls() {
+	if s.awaitsListings() {
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.recoveryWorkers)) {
-		if w := s.workers[id]; w == nil || (!w.answered && !w.runsAccounted) {
+		if w := s.workers[id]; w == nil || !w.accounted() {
 			s.logEvent(LogEvent{Event: "worker-not-recovered", Worker: id, Reason: s.unresponsiveReason(id)})
 		}
 	}
@@ -287,12 +290,17 @@
 	s.actions.LogEvents = append(s.actions.LogEvents, LogEvent{Event: "recovery-finished", AffectedCount: len(s.recoveryWorkers), AfterDeadline: !s.now.Before(s.recoveryDeadline)})
 }
 
-// awaitsPolls reports whether a registered worker has not had the chance to answer a poll yet.
-// Its lease has expired and nothing runs there any more, but it may list ends that no owner
-// has processed.
-func (s *Scheduler) awaitsPolls() bool {
+// awaitsListings reports whether a worker may still list ends that no owner has processed. A registered
+// one may that has not had the chance to answer a poll yet, or answers and has more ends than one
+// listing; nothing else of a previous owner is left there, as the leases have expired. One that went
+// silent between two listings may until the lease expires that this owner has given it.
+func (s *Scheduler) awaitsListings() bool {
 	for id := range s.recoveryWorkers {
-		if w := s.workers[id]; w != nil && w.registered && !w.answered && !w.runsAccounted && w.unansweredPolls == 0 && !w.replaced {
+		w := s.workers[id]
+		if w == nil || w.accounted() || w.replaced {
+			continue
+		}
+		if (w.registered && w.unansweredPolls == 0) || (w.furtherEnds && !s.now.After(w.leaseEnd)) {
 			return true
 		}
 	}
@@ -314,6 +322,8 @@
 		return "not registered"
 	case w.unansweredPolls > 0:
 		return "does not answer"
+	case w.answered:
+		return "has not listed all ends"
 	}
 	return "not polled yet"
 }
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -750,7 +750,7 @@
 			}
 		}
 		w.ended = slices.DeleteFunc(w.ended, func(e worker.End) bool { return e.Number <= a.AckedEnd })
-		listing = w.listing(sim.now)
+		listing = sim.listing(w)
 	})
 	if !ok {
 		listing = nil
@@ -804,6 +804,15 @@
 	return int(100 * now.Sub(r.startedAt) / r.doneAt.Sub(r.startedAt))
 }
 
+// listing returns the answer of a worker to a poll, with as many ends as it lists at once.
+func (sim *simulation) listing(w *fakeWorker) *worker.Listing {
+	l := w.listing(sim.now)
+	if n := sim.limits.ListedEnds; n > 0 && len(l.Ended) > n {
+		l.Ended = l.Ended[:n]
+	}
+	return l
+}
+
 func (w *fakeWorker) listing(now time.Time) *worker.Listing {
 	l := &worker.Listing{Incarnation: w.registration.Incarnation, Started: w.startedAt, Clock: now.Sub(w.bornAt), Ended: slices.Clone(w.ended)}
 	for _, name := range slices.SortedFunc(maps.Keys(w.runs), job.Compare) {
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -21,7 +21,7 @@
 	for _, w := range s.sortedWorkers {
 		// Until a recovery is over, a worker that has not answered may hold unknown runs of a
 		// previous owner.
-		complete := s.recovered || w.answered || mutation.recordUnknown
+		complete := s.recovered || w.listed() || mutation.recordUnknown
 		known := complete || w.runsAccounted
 		outdated := known && w.recordStored && !w.recordEnding && !w.recordEmpty && w.unansweredPolls > 0 && (len(w.runs) == 0 || w.recordOutdated)
 		switch {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -18,14 +18,17 @@
 	unregisteredAt time.Time
 	// firstSeen is when this owner first saw the registration.
 	firstSeen time.Time
-	// leaseExpired is set once the lease of an unresponsive worker has ended, until it answers.
+	// leaseExpired is set once the lease of an unresponsive worker has ended, until it has listed all its
+	// ends.
 	leaseExpired bool
 	// replaced is set once its machine carries another worker: nothing runs on it any more.
 	replaced bool
 	// barred is set while a restricted owner may neither poll the worker nor start tasks on it.
 	barred bool
 	// answered is set once the worker has answered a poll of this owner in its present incarnation.
-	answered    bool
+	answered bool
+	// furtherEnds is set while the last listing had so many ends that there may be further ones.
+	furtherEnds bool
 	incarnation int64
 	// recordOutdated is set while the stored record has runs that were dropped since.
 	recordOutdated bool
@@ -179,6 +182,16 @@
 
 func (r *run) key() runKey { return runKey{r.step.name(r.index), r.number} }
 
+// listed reports whether the worker has listed all its runs and ends to this owner, in its present
+// incarnation.
+func (w *workerState) listed() bool {
+	return w.answered && (!w.furtherEnds || mutation.trustFullListing)
+}
+
+// accounted reports whether the runs of previous owners on the worker are known, and those that have
+// ended.
+func (w *workerState) accounted() bool { return w.listed() || w.runsAccounted }
+
 type runState int
 
 const (
