dispatch: a value that the store rejects does not hold up others

Cause: the client took a 400 for a lost answer, so the writer repeated the record of the silent worker, which is too large for the store, every 80 ms, and the record of the pools in use waited behind it for the rest of the term.

A rejected change is written key by key, and the key of a rejected value is removed: without a record the next owner waits longer, and starts nothing earlier. A change has 1 MiB of values at most.

Related paths: results of jobs, waves, submissions (invalid at once instead of unknown after the deadline), the health of the store and of the relay, which counted a rejection as silence.

--- a/dispatch/guardedkeys.go
+++ b/dispatch/guardedkeys.go
@@ -65,6 +65,8 @@
 				g.setRevision(key, 0)
 			}
 			return nil
+		case kv.Rejected(err):
+			return err
 		case !errors.As(err, &conflict):
 			g.markUncertain(puts)
 			return err
--- a/dispatch/keywriter.go
+++ b/dispatch/keywriter.go
@@ -18,7 +18,8 @@
 	"egretdrum.example/wait"
 )
 
-// keyWriter writes the newest values of some keys.
+// keyWriter writes the newest values of some keys. The store may reject a value for good. Its key is
+// removed then: without a record, the next owner waits until it knows more by other means.
 type keyWriter struct {
 	keys    *guardedKeys
 	log     *zap.Logger
@@ -66,7 +67,7 @@
 			return
 		}
 		for batch := v.nextBatch(); len(batch) > 0 && ctx.Err() == nil; batch = v.nextBatch() {
-			if !v.write(ctx, batch) {
+			if !v.writeBatch(ctx, batch) {
 				lost()
 				return
 			}
@@ -77,13 +78,17 @@
 	}
 }
 
+// maxChangeBytes bounds the values of one change, unless a single one is larger.
+const maxChangeBytes = 1 << 20
+
 // nextBatch removes as many pending values as fit into one change.
 func (v *keyWriter) nextBatch() map[string][]byte {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	batch := make(map[string][]byte)
+	batch, size := make(map[string][]byte), 0
 	for _, key := range slices.Sorted(maps.Keys(v.pending)) {
-		if len(batch) == guardedKeysPerChange {
+		size += len(v.pending[key])
+		if len(batch) == guardedKeysPerChange || (len(batch) > 0 && size > maxChangeBytes) {
 			break
 		}
 		batch[key] = v.pending[key]
@@ -92,8 +97,35 @@
 	return batch
 }
 
-// write repeats a change until it is stored. It reports false if ownership is lost or ctx ends.
-func (v *keyWriter) write(ctx context.Context, batch map[string][]byte) bool {
+// writeBatch stores a batch, but for the values that the store rejects. It reports false if ownership is
+// lost or ctx ends.
+func (v *keyWriter) writeBatch(ctx context.Context, batch map[string][]byte) bool {
+	err := v.write(ctx, batch)
+	if !kv.Rejected(err) {
+		return err == nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(batch)) {
+		value := batch[key]
+		switch {
+		case len(batch) > 1:
+			// One value is the cause, and the others must not wait for it.
+		case value == nil:
+			v.log.Error("value-rejected", zap.String("key", key), zap.Error(err))
+			return true
+		default:
+			v.log.Error("value-rejected", zap.String("key", key), zap.Int("bytes", len(value)), zap.Error(err))
+			value = nil
+		}
+		if !v.writeBatch(ctx, map[string][]byte{key: value}) {
+			return false
+		}
+	}
+	return true
+}
+
+// write repeats a change until it is stored. It returns an error if the store rejects the change,
+// ownership is lost or ctx ends.
+func (v *keyWriter) write(ctx context.Context, batch map[string][]byte) error {
 	var puts []kv.Put
 	var deletes []string
 	for _, key := range slices.Sorted(maps.Keys(batch)) {
@@ -111,14 +143,14 @@
 		switch {
 		case err == nil:
 			v.log.Info("keys-stored", zap.Strings("written", keysOf(puts)), zap.Strings("removed", deletes))
-			return true
-		case errors.As(err, &replaced):
-			return false
+			return nil
+		case errors.As(err, &replaced), kv.Rejected(err):
+			return err
 		}
 		v.log.Warn("keys-not-stored", zap.Int("written", len(puts)), zap.Int("removed", len(deletes)), zap.Error(err))
 		wait.For(ctx, saveRetryDelay)
 	}
-	return false
+	return ctx.Err()
 }
 
 func keysOf(puts []kv.Put) []string {
--- a/dispatch/machines.go
+++ b/dispatch/machines.go
@@ -152,6 +152,10 @@
 			{Key: o.Calls.WaveStatusPrefix + strconv.FormatInt(number, 10), Value: status},
 		}, nil)
 		cancel()
+		if kv.Rejected(err) {
+			o.Log.Error("value-rejected", zap.String("key", storekeys.Wave(number)), zap.Int("bytes", len(value)), zap.Error(err))
+			return
+		}
 		var replaced *ownerReplacedError
 		if err == nil || errors.As(err, &replaced) {
 			o.Log.Info("wave-stored", zap.Int64("wave", number), zap.Int("done", len(r.Done)), zap.Int("begun", len(r.Begun)), zap.Bool("finished", r.Finished), zap.Error(err))
--- a/dispatch/saver.go
+++ b/dispatch/saver.go
@@ -126,12 +126,13 @@
 		batches.Go(func() {
 			defer close(done)
 			failed := v.supervisor.Run("saver-write", func() {
-				if !v.write(ctx, batch) {
+				stored, ok := v.writeBatch(ctx, batch)
+				if !ok {
 					lost()
 					return
 				}
 				v.batchWritten(batch, progressOnly)
-				for _, s := range batch {
+				for _, s := range stored {
 					saved(s.Job, s.Version, true)
 				}
 			})
@@ -173,18 +174,22 @@
 // moveToBatch moves the pending records of the given jobs to the batch and returns the jobs
 // that do not fit or whose earlier record is still in flight.
 func (v *saver) moveToBatch(ids []string, batch *[]scheduler.Save) []string {
-	left := ids[:0]
+	left, size := ids[:0], 0
+	for _, s := range *batch {
+		size += len(s.Record)
+	}
 	for i, id := range ids {
-		if len(*batch) == savesPerChange {
+		s, queued := v.pending[id]
+		if len(*batch) == savesPerChange || (len(*batch) > 0 && size+len(s.Record) > maxChangeBytes) {
 			return append(left, ids[i:]...)
 		}
-		s, queued := v.pending[id]
 		switch {
 		case !queued:
 		case v.writing[id]:
 			left = append(left, id)
 		default:
 			*batch = append(*batch, s)
+			size += len(s.Record)
 			delete(v.pending, id)
 			v.writing[id] = true
 		}
@@ -206,8 +211,34 @@
 	v.wake()
 }
 
-// write repeats a batch until it is stored. It reports false if ownership is lost or ctx ends.
-func (v *saver) write(ctx context.Context, batch []scheduler.Save) bool {
+// writeBatch stores a batch and returns its records but for those that the store rejects. Of such a job,
+// the next version is tried again. ok is false if ownership is lost or ctx ends.
+func (v *saver) writeBatch(ctx context.Context, batch []scheduler.Save) (stored []scheduler.Save, ok bool) {
+	err := v.write(ctx, batch)
+	if err == nil {
+		return batch, true
+	}
+	if !kv.Rejected(err) {
+		return nil, false
+	}
+	if len(batch) == 1 {
+		v.log.Error("value-rejected", zap.String("key", storekeys.Result(batch[0].Job)), zap.Int("bytes", len(batch[0].Record)), zap.Error(err))
+		return nil, true
+	}
+	// One record is the cause, and the others must not wait for it.
+	for i := range batch {
+		s, ok := v.writeBatch(ctx, batch[i:i+1])
+		if !ok {
+			return nil, false
+		}
+		stored = append(stored, s...)
+	}
+	return stored, true
+}
+
+// write repeats a batch until it is stored. It returns an error if the store rejects the batch, ownership
+// is lost or ctx ends.
+func (v *saver) write(ctx context.Context, batch []scheduler.Save) error {
 	failures := 0
 	for ctx.Err() == nil {
 		revision, err := v.commit(ctx, v.change(batch), failures)
@@ -220,15 +251,17 @@
 			for _, s := range batch {
 				v.setRevision(storekeys.Result(s.Job), revision)
 			}
-			return true
+			return nil
 		case errors.As(err, &conflict):
 			if conflict.Find(storekeys.Owner).Revision != v.term {
 				v.log.Warn("owner-replaced", zap.Int64("term", v.term))
-				return false
+				return &ownerReplacedError{v.term}
 			}
 			if v.reconcile(conflict, batch) {
-				return true
+				return nil
 			}
+		case kv.Rejected(err):
+			return err
 		default:
 			if failures == 0 {
 				v.log.Warn("results-not-stored", zap.Int("jobs", len(batch)), zap.Error(err))
@@ -237,7 +270,7 @@
 			wait.For(ctx, saveRetryDelay)
 		}
 	}
-	return false
+	return ctx.Err()
 }
 
 func (v *saver) commit(ctx context.Context, c kv.Change, failures int) (int64, error) {
@@ -247,7 +280,7 @@
 	revision, err := v.store.Commit(ctx, c)
 	var conflict *kv.ConflictError
 	switch {
-	case err == nil, errors.As(err, &conflict):
+	case err == nil, errors.As(err, &conflict), kv.Rejected(err):
 		v.latency.RecordAnswer(time.Since(sent))
 	case ctx.Err() != nil:
 		v.latency.RecordMiss()
--- a/jobservice/outage.go
+++ b/jobservice/outage.go
@@ -55,7 +55,7 @@
 func (s *Service) write(ctx context.Context, c kv.Change, failures int, mayBeStored bool) (int64, error) {
 	if s.storeServes() {
 		revision, err := s.commit(ctx, c, failures)
-		if !kv.NotApplied(err) || !s.relays() {
+		if !kv.NotApplied(err) || kv.Rejected(err) || !s.relays() {
 			return revision, err
 		}
 		return s.relayInstead(ctx, c, err)
--- a/jobservice/outage_test.go
+++ b/jobservice/outage_test.go
@@ -165,6 +165,21 @@
 	}
 }
 
+// Guards against a job that the store can never take, and whose callers are told to try again.
+func TestRejectedSubmissionIsInvalid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relays := 0
+		h := newGuardedHost(t, func(context.Context, kv.Change) (int64, error) { relays++; return 0, errors.New("no outcome") })
+		defer h.stop()
+		h.store.SetMaxValueBytes(1)
+		started := time.Now()
+		assertOutcome(t, h.submit("k1"), jobservice.Invalid)
+		qt.Assert(t, time.Since(started) < 20*time.Millisecond, qt.IsTrue)
+		qt.Assert(t, relays, qt.Equals, 0)
+		assertNotStored(t, h)
+	})
+}
+
 // Guards against a withdrawn key that is accepted because the owner commits the submission.
 func TestRelayedSubmissionDependsOnTheConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/jobservice/service.go
+++ b/jobservice/service.go
@@ -258,6 +258,8 @@
 				return unknownIfMayBeStored(s.refuse("the configuration of this host is older than that of the store"), mayBeStored)
 			}
 			replaced = mark.Revision
+		case kv.Rejected(err) && !mayBeStored:
+			return Answer{Outcome: Invalid, Reason: err.Error()}
 		case kv.NotApplied(err):
 			if !mayBeStored {
 				return s.refuse(err.Error())
--- a/kv/store.go
+++ b/kv/store.go
@@ -86,10 +86,25 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// RejectedError reports a call that the store rejects because of its content, such as a value that is
+// too large. It had no effect, and the store rejects it however often it is made.
+type RejectedError struct{ Cause error }
+
+func (e *RejectedError) Error() string { return "rejected by the store: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RejectedError) Unwrap() error { return e.Cause }
+
+// Rejected reports whether err is from a call that the store rejects however often it is made.
+func Rejected(err error) bool {
+	var r *RejectedError
+	return errors.As(err, &r)
+}
+
 // NotApplied reports whether err is from a call that certainly has no effect.
 func NotApplied(err error) bool {
 	var u *UnavailableError
-	return errors.As(err, &u) && u.NotApplied
+	return Rejected(err) || errors.As(err, &u) && u.NotApplied
 }
 
 // ConflictError reports a change whose conditions do not hold.
--- a/kvfake/fake.go
+++ b/kvfake/fake.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -48,6 +49,8 @@
 	pausedAt time.Time
 	changed  chan struct{}
 	calls    map[string]int
+	// maxValueBytes is the size of the largest value, zero for no limit.
+	maxValueBytes int
 }
 
 type lease struct {
@@ -69,6 +72,13 @@
 	f.fault = fault
 }
 
+// SetMaxValueBytes makes the store reject changes with larger values.
+func (f *Fake) SetMaxValueBytes(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.maxValueBytes = n
+}
+
 // SetDelay sets the delay of each call.
 func (f *Fake) SetDelay(d time.Duration) {
 	f.mu.Lock()
@@ -260,6 +270,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, p := range c.Puts {
+		if f.maxValueBytes > 0 && len(p.Value) > f.maxValueBytes {
+			return 0, &kv.RejectedError{Cause: fmt.Errorf("value of %s has %d bytes, at most %d are accepted", p.Key, len(p.Value), f.maxValueBytes)}
+		}
+	}
 	conflict := &kv.ConflictError{}
 	failed := false
 	for _, cond := range c.Conditions {
--- a/relay/committer.go
+++ b/relay/committer.go
@@ -166,7 +166,7 @@
 	revision, err := c.Store.Commit(ctx, t.change)
 	var conflict *kv.ConflictError
 	switch {
-	case err == nil, errors.As(err, &conflict):
+	case err == nil, errors.As(err, &conflict), kv.Rejected(err):
 		c.usual.RecordAnswer(time.Since(sent))
 	case ctx.Err() != nil:
 		c.usual.RecordMiss()
--- a/storehealth/health.go
+++ b/storehealth/health.go
@@ -144,7 +144,7 @@
 // answered reports whether the error of a call, or nil, is an answer of the store.
 func answered(err error) bool {
 	var conflict *kv.ConflictError
-	return err == nil || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrTooLarge) || errors.As(err, &conflict)
+	return err == nil || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrTooLarge) || kv.Rejected(err) || errors.As(err, &conflict)
 }
 
 // Observe returns the calls of a store, whose outcomes, durations and arriving parts the health records.
--- a/storehealth/health_test.go
+++ b/storehealth/health_test.go
@@ -94,6 +94,17 @@
 	})
 }
 
+// Guards against a host that avoids the store because the store has rejected a change for its content.
+func TestRejectionIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h, store := observed()
+		f.SetMaxValueBytes(1)
+		_, err := store.Commit(t.Context(), kv.Change{Puts: []kv.Put{{Key: "k", Value: []byte("large")}}})
+		qt.Assert(t, kv.Rejected(err), qt.IsTrue)
+		qt.Assert(t, h.Serves(), qt.IsTrue)
+	})
+}
+
 // Guards against a host that takes the store for silent because the answer to one watch was lost: the
 // doubt comes early enough for a probe.
 func TestLateWatchIsDoubted(t *testing.T) {
