scheduler: bound the record of an unresponsive worker

The record of a silent worker with 8,000 runs is larger than the store takes.

Cause: the record names each run up to four times, without a bound.

Fix: a worker with more than 4,000 runs gets no record (0.9 MB with the longest names), so that the next owner waits for its lease; an earlier record is removed. Lost runs that would be too many are left out. The event silence-not-recorded says so. The record keeps its format: parts of it, or another encoding that an older build passes over, could be read as a worker without runs.

Evidence: both tests fail without the bound.

--- a/dispatch/keywriter.go
+++ b/dispatch/keywriter.go
@@ -58,7 +58,7 @@
 
 // run writes until ctx ends, one change after the other, so that the last value set for a
 // key is the one that stays stored. It calls lost if another host is the owner, and written
-// for each value that is durable.
+// for each value that is durable, or whose key is durably removed in its place.
 func (v *keyWriter) run(ctx context.Context, lost func(), written func(key string, value []byte)) {
 	for {
 		select {
--- a/dispatch/rejected_test.go
+++ b/dispatch/rejected_test.go
@@ -70,6 +70,24 @@
 	})
 }
 
+// Guards against queues that never start because the record of the pools in use is too large: without a
+// record, the next owner holds back all queues, so that tasks may start.
+func TestRejectedPoolUseCountsAsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvfake.New()
+		term := store.Put(storekeys.Owner, nil)
+		store.SetMaxValueBytes(maxTestValue)
+		w := newKeyWriter(newGuardedKeys(store.Store(), term), zap.NewNop())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var written [][]byte
+		w.set(storekeys.PoolUse, tooLarge)
+		w.run(ctx, cancel, func(_ string, value []byte) { written = append(written, value) })
+		qt.Check(t, written, qt.DeepEquals, [][]byte{tooLarge})
+		qt.Check(t, store.Item(storekeys.PoolUse).Revision, qt.Equals, int64(0))
+	})
+}
+
 // Guards against results that wait for one which the store rejects, or that are reported as durable
 // although the store has rejected them.
 func TestRejectedResultDoesNotHoldUpOthers(t *testing.T) {
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -40,7 +40,7 @@
 	s.changedWorkers[w] = true
 	if w.unansweredPolls > 0 {
 		s.logEvent(LogEvent{Event: "worker-answered", Worker: w.registration.ID, AffectedCount: len(w.runs)})
-		w.unansweredPolls, w.copiesQueued, w.answeredAgain = 0, false, now
+		w.unansweredPolls, w.copiesQueued, w.recordOmitted, w.answeredAgain = 0, false, false, now
 	}
 	s.reportUnlisted(w, answer)
 	switch {
--- a/scheduler/lost.go
+++ b/scheduler/lost.go
@@ -96,10 +96,11 @@
 	return w == nil || w.firstSeen.Before(s.machinesAsked)
 }
 
-// withLost adds the runs whose lease has ended to the record of an unresponsive worker.
+// withLost adds the runs whose lease has ended to the record of an unresponsive worker, unless they are too
+// many for it.
 func (s *Scheduler) withLost(v UnresponsiveWorker) UnresponsiveWorker {
 	e := s.lost[v.Worker]
-	if e == nil || e.incarnation != v.Incarnation {
+	if e == nil || e.incarnation != v.Incarnation || s.tooManyToRecord(len(v.Runs)+len(e.runs)) {
 		return v
 	}
 	for _, r := range e.runs {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -145,6 +145,9 @@
 	// ListedEnds is how many ends a listing of a worker has at most; zero means no limit. A worker that
 	// lists so many may have further ones.
 	ListedEnds int
+	// RecordedRuns is how many runs the record of an unresponsive worker has at most, of about 230 bytes
+	// each; zero means no limit. For a worker with more, the next owner waits.
+	RecordedRuns int
 	// RunTimeQuantiles has the distribution of run times learnt, and acts on long runs and failed ones by it.
 	RunTimeQuantiles bool
 	// OrderByDue orders waiting work by age, also while a pool has too little room for it.
@@ -155,7 +158,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Lease: 2800 * time.Millisecond, MaxLease: 10 * time.Second, PollWait: 700 * time.Millisecond, MaxDrift: 0.02, Absence: 2 * time.Second,
-		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond, FurtherTasks: 50_000, ListedEnds: 500, RunTimeQuantiles: true,
+		Maintenance: 2 * time.Second, Stop: 900 * time.Millisecond, FurtherTasks: 50_000, ListedEnds: 500, RecordedRuns: 4000, RunTimeQuantiles: true,
 	}
 }
 
--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -24,8 +24,11 @@
 		complete := s.recovered || w.listed() || mutation.recordUnknown
 		known := complete || w.runsAccounted
 		outdated := known && w.recordStored && !w.recordEnding && !w.recordEmpty && w.unansweredPolls > 0 && (len(w.runs) == 0 || w.recordOutdated)
+		due := complete && w.unansweredPolls >= unresponsiveAfter && !w.recordStored
 		switch {
-		case complete && w.unansweredPolls >= unresponsiveAfter && !w.recordStored, outdated:
+		case (due || outdated) && s.tooManyToRecord(len(w.runs)):
+			s.omitRecord(w)
+		case due, outdated:
 			// Without an update of the record, a later owner would consider the runs present
 			// again, although their tasks have been started elsewhere.
 			w.recordStored, w.recordEmpty, w.recordOutdated = true, len(w.runs) == 0, false
@@ -37,6 +40,24 @@
 	}
 }
 
+// tooManyToRecord reports whether the record of a worker would have too many runs for the store.
+func (s *Scheduler) tooManyToRecord(runs int) bool {
+	return s.limits.RecordedRuns > 0 && runs > s.limits.RecordedRuns
+}
+
+// omitRecord leaves an unresponsive worker without a record, so that the next owner waits until the lease
+// of the worker has expired. A record of an earlier owner would be wrong by now.
+func (s *Scheduler) omitRecord(w *workerState) {
+	if w.recordStored {
+		w.recordEnding = true
+		s.actions.UnresponsiveEnds = append(s.actions.UnresponsiveEnds, w.registration.ID)
+	}
+	if !w.recordOmitted {
+		w.recordOmitted = true
+		s.logEvent(LogEvent{Event: "silence-not-recorded", Worker: w.registration.ID, AffectedCount: len(w.runs), Reason: "too many runs"})
+	}
+}
+
 func (s *Scheduler) unresponsiveRecord(w *workerState) UnresponsiveWorker {
 	v := UnresponsiveWorker{Worker: w.registration.ID, Incarnation: w.currentIncarnation()}
 	for name, r := range w.runs {
--- a/scheduler/unresponsive_test.go
+++ b/scheduler/unresponsive_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
 
 	"egretdrum.example/job"
 	"egretdrum.example/resource"
@@ -67,6 +71,69 @@
 	assertState(t, sim, "held", "succeeded")
 }
 
+// Guards against a record of an unresponsive worker that the store rejects for its size.
+func TestLargestRecordOfUnresponsiveWorker(t *testing.T) {
+	const largestValue = 1 << 20
+	v := UnresponsiveWorker{Worker: strings.Repeat("w", 64), Incarnation: math.MaxInt64}
+	for n := range DefaultLimits().RecordedRuns {
+		name := job.Task{Job: strings.Repeat("f", 16), Occurrence: math.MaxUint16, Step: math.MaxUint16, Index: math.MaxUint16 - n}
+		v.Runs = append(v.Runs, UnconfirmedRun{name, math.MaxInt64})
+		v.Survived, v.Begun, v.UsualLease = append(v.Survived, name), append(v.Begun, name), append(v.UsualLease, name)
+	}
+	b, err := cbor.Marshal(v)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(b) < largestValue, qt.IsTrue, qt.Commentf("%d bytes", len(b)))
+}
+
+// Guards against a worker that is taken for empty, or is never used again, because it has more runs than its
+// record takes, also if an earlier owner has recorded it.
+func TestWorkerWithTooManyRunsHasNoRecord(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("recorded before %t", recorded), func(t *testing.T) {
+			sim := newSimulation(2)
+			sim.taskDuration = 1500 * time.Millisecond
+			sim.catalog.Accounts["arbiters"].Limit = resource.Amount{}
+			if !recorded {
+				sim.limits.RecordedRuns = 1
+				sim.replaceOwner()
+			}
+			sim.run(100 * time.Millisecond)
+			sim.submit("a", job.Step{Count: 4, Need: small, MaxPerWorker: 2})
+			sim.run(100 * time.Millisecond)
+			sim.workers["w0"].unreachable = true
+			sim.run(600 * time.Millisecond)
+			qt.Assert(t, sim.unresponsive, qt.HasLen, map[bool]int{false: 0, true: 1}[recorded])
+			sim.limits.RecordedRuns = 1
+			sim.replaceOwner()
+			sim.run(2 * time.Second)
+			sim.submit("b", job.Step{Count: 4, Need: small, MaxPerWorker: 2})
+			sim.run(DefaultLimits().MaxLease)
+			assertNoViolations(t, sim)
+			sim.workers["w0"].unreachable = false
+			sim.run(4 * time.Second)
+			assertNoViolations(t, sim)
+			qt.Assert(t, sim.unresponsive, qt.HasLen, 0)
+			assertState(t, sim, "a", "succeeded")
+			assertState(t, sim, "b", "succeeded")
+			before := sim.starts
+			sim.submit("c", job.Step{Count: 4, Need: small, MaxPerWorker: 2})
+			sim.run(200 * time.Millisecond)
+			qt.Assert(t, sim.starts-before, qt.Equals, 4)
+		})
+	}
+}
+
+// TestInvariantsWithoutRecords guards against the faults of TestInvariants where unresponsive workers have
+// more runs than their record takes.
+func TestInvariantsWithoutRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		simulateFaults(t, func(sim *simulation, _ map[string]func(*rapid.T)) {
+			sim.limits.RecordedRuns = rapid.IntRange(1, 2).Draw(t, "recorded runs")
+			sim.replaceOwner()
+		})
+	})
+}
+
 // Guards against a record stored by an owner that never reached the worker: it would say that
 // nothing runs there, and the next owner would start a task of a previous owner twice.
 func TestUnknownRunsAreNotRecordedAsNone(t *testing.T) { simulateUnknownRuns(t) }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -37,6 +37,8 @@
 	// stays correct. recordEnding is set while the removal is in flight, and recordEmpty once the
 	// record says that the worker has no runs any more.
 	recordStored, recordEnding, recordEmpty bool
+	// recordOmitted is set while the worker does not answer and has too many runs for a record.
+	recordOmitted bool
 	// runsAccounted is set while the runs that the previous owner may have there are known from
 	// such a record.
 	runsAccounted bool
