scheduler: record a silent worker only once its results are durable

If the owner records its worker as unresponsive meanwhile and ends, the next owner takes the worker for known and starts the task again, whose end the worker still has.

Evidence: TestRecordWaitsForTheResultsOfEnds, in which records are stored and results are not, failed on the code before with two starts after the end.

Fix: no record is stored while results of ends of the worker are not durable; the next owner then waits for its lease. With a store that saves nothing, records wait as well.

--- a/scheduler/unresponsive.go
+++ b/scheduler/unresponsive.go
@@ -20,8 +20,8 @@
 	}
 	for _, w := range s.sortedWorkers {
 		// Until a recovery is over, a worker that has not answered may hold unknown runs of a
-		// previous owner.
-		complete := s.recovered || w.listed() || mutation.recordUnknown
+		// previous owner. An end whose result is not durable is in no record either.
+		complete := (s.recovered || w.listed() || mutation.recordUnknown) && len(w.unsavedEnds) == 0
 		known := complete || w.runsAccounted
 		outdated := known && w.recordStored && !w.recordEnding && !w.recordEmpty && w.unansweredPolls > 0 && (len(w.runs) == 0 || w.recordOutdated)
 		due := complete && w.unansweredPolls >= unresponsiveAfter && !w.recordStored
--- a/scheduler/unresponsive_test.go
+++ b/scheduler/unresponsive_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"egretdrum.example/job"
+	"egretdrum.example/progress"
 	"egretdrum.example/resource"
 )
 
@@ -123,6 +124,40 @@
 	}
 }
 
+// Guards against a record of an unresponsive worker that is stored before the result of its last end: the
+// next owner takes the worker for known and starts the task again, whose end the worker still has.
+func TestRecordWaitsForTheResultsOfEnds(t *testing.T) {
+	sim := newSimulation(2)
+	sim.taskDuration = time.Second
+	sim.run(time.Second)
+	sim.submit("a", job.Step{Count: 1, Need: small})
+	sim.run(200 * time.Millisecond)
+	sim.submit("b", job.Step{Count: 2, Need: small, LongRunning: true, MaxPerWorker: 1})
+	sim.run(300 * time.Millisecond)
+	// Records are stored, results of jobs are not.
+	sim.callFault = func(kind string) callOutcome {
+		if kind == "save" && len(sim.writes) == 0 {
+			return requestLost
+		}
+		return answered
+	}
+	id, _ := sim.core.Task(job.Task{Job: "a"})
+	for len(sim.core.workers[id].unsavedEnds) == 0 {
+		sim.step()
+	}
+	sim.workers[id].unreachable = true
+	sim.run(600 * time.Millisecond)
+	qt.Assert(t, sim.unresponsive, qt.HasLen, 0)
+	sim.callFault = nil
+	sim.replaceOwner()
+	sim.run(300 * time.Millisecond)
+	sim.workers[id].unreachable = false
+	sim.run(4 * time.Second)
+	assertNoViolations(t, sim)
+	assertState(t, sim, "a", progress.Succeeded)
+	qt.Assert(t, sim.starts, qt.Equals, 3)
+}
+
 // TestInvariantsWithoutRecords guards against the faults of TestInvariants where unresponsive workers have
 // more runs than their record takes.
 func TestInvariantsWithoutRecords(t *testing.T) {
