--- a/scheduler/listings_test.go
+++ b/scheduler/listings_test.go
@@ -45,6 +45,19 @@
 	return sim
 }
 
+// silenceAfterFirstListing starts a new owner, and makes worker w0 unreachable once it has listed its first
+// ends to it.
+func (sim *simulation) silenceAfterFirstListing() *fakeWorker {
+	w := sim.workers["w0"]
+	w.unreachable = false
+	sim.replaceOwner()
+	for !sim.core.workers["w0"].furtherEnds {
+		sim.step()
+	}
+	w.unreachable = true
+	return w
+}
+
 // Guards against a new owner that takes the first ends which a worker lists for all of them, and starts
 // the tasks with the others again.
 func TestNewOwnerWaitsForAllEnds(t *testing.T) {
@@ -68,13 +81,7 @@
 	for _, further := range []bool{false, true} {
 		t.Run(fmt.Sprintf("further owner %t", further), func(t *testing.T) {
 			sim := newListingSimulation(2, 3*listedEnds)
-			w := sim.workers["w0"]
-			w.unreachable = false
-			sim.replaceOwner()
-			for !sim.core.workers["w0"].furtherEnds {
-				sim.step()
-			}
-			w.unreachable = true
+			w := sim.silenceAfterFirstListing()
 			sim.run(time.Second)
 			if further {
 				sim.replaceOwner()
@@ -93,13 +100,7 @@
 // Guards against tasks that wait for good because their worker went silent between two listings.
 func TestTasksLeaveWorkerSilentBetweenTwoListings(t *testing.T) {
 	sim := newListingSimulation(2, 3*listedEnds)
-	w := sim.workers["w0"]
-	w.unreachable = false
-	sim.replaceOwner()
-	for !sim.core.workers["w0"].furtherEnds {
-		sim.step()
-	}
-	w.unreachable = true
+	sim.silenceAfterFirstListing()
 	sim.run(DefaultLimits().MaxLease + 4*time.Second)
 	assertNoViolations(t, sim)
 	assertState(t, sim, "a", progress.Succeeded)
